--- /dev/null
+++ b/lentilchute/document.py
@@ -0,0 +1,210 @@
+"""The service document: the one file that drives a service, owned by its team.
+
+The models check shape and ranges; ``checked_yaml`` adds line and column to each finding. Derived
+look-ups (an account by its key, a tier's rank) live on the models, so that nodes and commands read
+a document the same way.
+"""
+
+import re
+from enum import Enum
+from typing import Annotated, Self
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from .ids import ClientAccountId, ModelName, ServiceName, Tier, UpstreamId
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Seconds = Annotated[float, Field(gt=0, le=604_800)]
+
+
+class Part(BaseModel):
+    """Base of all parts: unknown keys are findings, values do not change after loading."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class UpstreamKind(Enum):
+    """Which adapter speaks to an upstream; the value is the adapter's registered name."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class Fencing(Enum):
+    """What an upstream does with an order that carries an old fencing number."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+class UpstreamEntry(Part):
+    """One upstream named in the document."""
+
+    name: Name
+    address: Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
+    availability_zone: Name
+
+
+class UpstreamGroup(Part):
+    """Upstreams of one kind: named here, or selected from the platform's list by ``selector``."""
+
+    kind: UpstreamKind
+    fencing: Fencing = Fencing.IGNORED
+    reports_load: bool = True
+    selector: Name | None = None
+    members: tuple[UpstreamEntry, ...] = ()
+    hardware: Name = "unspecified"
+    """Hardware generation; upstreams of one generation are each other's peers for comparison."""
+    max_streams: Annotated[int, Field(ge=1, le=4096)] = 64
+    max_prompt_tokens: Annotated[int, Field(ge=1)] = 200_000
+    """Upper bound on prompt tokens outstanding at one upstream; the scheduler adapts below it."""
+    initial_prefill_tokens_per_s: Annotated[float, Field(gt=0)] = 8_000.0
+    initial_decode_tokens_per_s: Annotated[float, Field(gt=0)] = 40.0
+    """Expected rate of one stream until the upstream's own rate is learned."""
+    cache_tokens: Annotated[int, Field(ge=0)] = 500_000
+    """Prompt tokens that the upstream's prefix cache holds."""
+
+    @model_validator(mode="after")
+    def _has_upstreams(self) -> Self:
+        if (self.selector is None) == (not self.members):
+            raise ValueError("name either a selector or members")
+        return self
+
+
+class TierEntry(Part):
+    """One tier; the document lists tiers from the highest to the lowest."""
+
+    name: Name
+    default_deadline_s: Seconds = 60.0
+    max_deadline_s: Seconds = 3_600.0
+    max_waiting: Annotated[int, Field(ge=0)] = 1_000
+    """Tickets of this tier that may wait in one shard."""
+    reserved_share: Annotated[float, Field(ge=0, le=0.9)] = 0.0
+    """Part of each upstream's room kept free of lower tiers."""
+    floor_share: Annotated[float, Field(ge=0, le=0.5)] = 0.0
+    """Part of the grants this tier gets even while higher tiers wait; 0 keeps strict order."""
+
+
+class AccountEntry(Part):
+    """One client account with the digest of its bearer key."""
+
+    name: Name
+    key_sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    weight: Annotated[float, Field(gt=0, le=1_000)] = 1.0
+    highest_tier: Name | None = None
+    """The highest tier that the account may ask for; all tiers when absent."""
+
+
+class PathRule(Part):
+    """How requests to paths that match ``pattern`` (a prefix; ``*`` ends it) are treated."""
+
+    pattern: Annotated[str, Field(pattern=r"^/[^*\s]*\*?$")]
+    methods: tuple[str, ...] = ()
+    """HTTP methods that the rule covers; all when empty."""
+    idempotent: bool
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tell whether the rule covers this method and path."""
+        if self.methods and method not in self.methods:
+            return False
+        if self.pattern.endswith("*"):
+            return path.startswith(self.pattern[:-1])
+        return path == self.pattern
+
+
+class WantedModel(Part):
+    """A model, with its version and adapters, that a number of engines shall hold."""
+
+    name: Name
+    version: Name = "1"
+    adapters: tuple[Name, ...] = ()
+    engines: Annotated[int, Field(ge=1)] = 1
+    min_ready: Annotated[int, Field(ge=0)] = 1
+    """Engines that stay ready with this model while others change."""
+
+
+class Limits(Part):
+    """Bounds of one service."""
+
+    max_body_bytes: Annotated[int, Field(ge=1, le=64 * 1024 * 1024)] = 4 * 1024 * 1024
+    max_output_tokens: Annotated[int, Field(ge=1)] = 4_096
+    first_token_target_s: Seconds = 1.8
+    between_tokens_target_s: Seconds = 0.05
+    stream_idle_timeout_s: Seconds = 10.0
+    """A stream without a byte for this long is taken for broken and resumed."""
+    kept_answer_bytes: Annotated[int, Field(ge=0)] = 65_536
+    """Largest finished answer of a non-idempotent request that is kept for a resend."""
+
+
+class ServiceDocument(Part):
+    """Everything a team declares about its service."""
+
+    service: Name
+    upstreams: Annotated[tuple[UpstreamGroup, ...], Field(min_length=1)]
+    tiers: Annotated[tuple[TierEntry, ...], Field(min_length=1, max_length=8)]
+    client_accounts: Annotated[tuple[AccountEntry, ...], Field(min_length=1)]
+    paths: tuple[PathRule, ...] = ()
+    models: tuple[WantedModel, ...] = ()
+    limits: Limits = Limits()
+
+    @model_validator(mode="after")
+    def _names_are_unique(self) -> Self:
+        members = [entry.name for group in self.upstreams for entry in group.members]
+        for what, names in (
+            ("tier", [tier.name for tier in self.tiers]),
+            ("client account", [account.name for account in self.client_accounts]),
+            ("upstream", members),
+        ):
+            doubled = sorted({name for name in names if names.count(name) > 1})
+            if doubled:
+                raise ValueError(f"{what} named twice: {', '.join(doubled)}")
+        return self
+
+    @property
+    def name(self) -> ServiceName:
+        """The service's name as a typed id."""
+        return ServiceName(self.service)
+
+    def tier_rank(self, tier_name: str) -> Tier | None:
+        """Return the rank of a tier by its name, 0 for the highest, or ``None``."""
+        for rank, tier in enumerate(self.tiers):
+            if tier.name == tier_name:
+                return Tier(rank)
+        return None
+
+    def account_by_key_digest(self, key_sha256: str) -> AccountEntry | None:
+        """Return the client account whose bearer key has this SHA-256 digest, or ``None``."""
+        for account in self.client_accounts:
+            if account.key_sha256 == key_sha256:
+                return account
+        return None
+
+    def account_weight(self, account_id: ClientAccountId) -> float:
+        """Return a client account's weight; 1.0 for one the document does not name."""
+        for account in self.client_accounts:
+            if account.name == account_id:
+                return account.weight
+        return 1.0
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Tell whether a request may be repeated: the first matching rule, else the method."""
+        for rule in self.paths:
+            if rule.matches(method, path):
+                return rule.idempotent
+        return is_model_path(path) or method in {"GET", "HEAD", "OPTIONS"}
+
+    def wants_model(self, model: ModelName) -> bool:
+        """Tell whether the document lists the model; every model counts when it lists none."""
+        return not self.models or any(wanted.name == model for wanted in self.models)
+
+    def group_of(self, upstream: UpstreamId) -> UpstreamGroup | None:
+        """Return the group that names this upstream as a member, or ``None``."""
+        for group in self.upstreams:
+            if any(entry.name == upstream for entry in group.members):
+                return group
+        return None
+
+
+def is_model_path(path: str) -> bool:
+    """Tell whether ``path`` is a model call, whose prompt the scheduler weighs in tokens."""
+    return re.fullmatch(r"/v1/(chat/)?completions", path) is not None
--- /dev/null
+++ b/lentilchute/errors.py
@@ -0,0 +1,43 @@
+"""Errors that reach a user, and findings collected with their place.
+
+``UserError`` is the one base class whose message the command line prints as a single plain line.
+Expected failures inside the package travel as ``result.Err`` values instead.
+"""
+
+from dataclasses import dataclass
+
+
+class UserError(Exception):
+    """A mistake or condition that the user can act on; its text is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A position in a file; lines and columns count from 1."""
+
+    file: str
+    line: int
+    column: int
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}"
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One fault in a file, with the offending key and what is allowed there."""
+
+    place: Place
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.key}: {self.message}"
+
+
+class FindingsError(UserError):
+    """All findings of one file, reported together."""
+
+    def __init__(self, findings: list[Finding]) -> None:
+        self.findings = findings
+        super().__init__("\n".join(str(finding) for finding in findings))
--- /dev/null
+++ b/lentilchute/events.py
@@ -0,0 +1,78 @@
+"""The catalogue of numbered log events, and the one function that writes them.
+
+Numbers are stable: an event keeps its number for good, and a number is never given to another
+event. The hundreds group events by area. ``docs/reference/events.md`` is generated from this
+catalogue.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import eliot
+
+
+@dataclass(frozen=True, slots=True)
+class EventInfo:
+    """Number and meaning of an event."""
+
+    number: int
+    meaning: str
+
+
+class Event(Enum):
+    """All events that a node or a command logs."""
+
+    NODE_STARTED = EventInfo(100, "A node bound its addresses and runs its roles.")
+    NODE_READY = EventInfo(101, "A node knows its configuration and admits requests.")
+    NODE_NOT_READY = EventInfo(102, "A node stopped admitting requests until it knows its version.")
+    NODE_STOPPING = EventInfo(103, "A planned stop began.")
+    NODE_STOPPED = EventInfo(104, "A planned stop ended; the fields say whether work was cut.")
+    REQUEST_ACCEPTED = EventInfo(200, "An entry accepted a request and submitted its ticket.")
+    REQUEST_REFUSED = EventInfo(201, "A request got a refusal, with its outcome and reason.")
+    REQUEST_DISPATCHED = EventInfo(202, "The first byte of a request went to an upstream.")
+    REQUEST_FINISHED = EventInfo(203, "A request's whole answer was delivered.")
+    REQUEST_BROKEN = EventInfo(204, "An answer could not be completed; the caller saw it broken.")
+    STREAM_RESUMED = EventInfo(205, "A broken stream was taken up again after its last event.")
+    CALLER_GONE = EventInfo(206, "A caller left before its answer was complete.")
+    BAD_INPUT = EventInfo(207, "A connection sent input that the protocol does not allow.")
+    ROUTE_GRANTED = EventInfo(300, "A scheduler chose an upstream for a ticket, with its reasons.")
+    ROUTE_REFUSED = EventInfo(301, "A scheduler refused a waiting ticket, with its reason.")
+    ROUTE_SCHEDULER = EventInfo(302, "An entry chose the scheduler of a shard.")
+    GRANT_DECLINED = EventInfo(303, "An entry did not use a grant.")
+    GRANT_EXPIRED = EventInfo(304, "A grant was not reported dispatched in time.")
+    UPSTREAM_ADDED = EventInfo(400, "An upstream was added to a shard.")
+    UPSTREAM_LEAVING = EventInfo(401, "An upstream is leaving and gets no new work.")
+    UPSTREAM_REMOVED = EventInfo(402, "An upstream was removed from a shard.")
+    UPSTREAM_DECLINING = EventInfo(403, "An upstream's progress fell behind its past or its peers.")
+    UPSTREAM_CRASHED = EventInfo(404, "An upstream failed with requests in flight.")
+    POISON_VERDICT = EventInfo(405, "A request's content was suspected, cleared or condemned.")
+    UPSTREAM_REPORT_FAILED = EventInfo(406, "An upstream's load report could not be read.")
+    PEER_ALIVE = EventInfo(500, "A peer was seen alive.")
+    PEER_SUSPECT = EventInfo(501, "A peer has been silent and gets no new shard.")
+    PEER_LINK_REFUSED = EventInfo(502, "A peer link failed its authentication or its framing.")
+    PEER_LEAVING = EventInfo(503, "A peer announced its planned stop.")
+    CONFIG_IN_FORCE = EventInfo(600, "A version of a service document came into force here.")
+    CONFIG_REJECTED = EventInfo(601, "A document was not taken into force.")
+    CONFIG_APPLIED = EventInfo(602, "An operator's change was accepted.")
+    CONFIG_CONFLICT = EventInfo(603, "An operator's change lost against another one.")
+    CLAIM_GRANTED = EventInfo(700, "An idempotency key was claimed for a request.")
+    CLAIM_REFUSED = EventInfo(701, "An idempotency key could not be claimed.")
+    CLAIM_RELEASED = EventInfo(702, "A claimant released a key whose request did not run.")
+    LEASE_TAKEN = EventInfo(710, "This node holds the lease for orders to a service's engines.")
+    LEASE_LOST = EventInfo(711, "This node no longer holds the lease.")
+    ORDER_SENT = EventInfo(712, "An order was sent to an engine, with the placement's reason.")
+    ORDER_REFUSED = EventInfo(713, "An engine refused an order.")
+    PLATFORM_DOWN = EventInfo(800, "A platform service does not answer.")
+    PLATFORM_BACK = EventInfo(801, "A platform service answers again.")
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Write one log line for ``event``.
+
+    Fields hold ids, numbers and reasons, never a key, a prompt or a body::
+
+        log_event(Event.ROUTE_GRANTED, request_id=grant.request_id, upstream=grant.upstream)
+    """
+    eliot.log_message(
+        message_type=f"lentilchute:{event.name.lower()}", number=event.value.number, **fields
+    )
--- /dev/null
+++ b/lentilchute/ids.py
@@ -0,0 +1,55 @@
+"""Identifiers used throughout the package.
+
+Each is a ``NewType`` over a plain type, so that a type checker tells an instance from an upstream
+while the value on the wire stays a string or an integer.
+"""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+"""Name of one entry instance, as its settings give it; stable over restarts."""
+
+IncarnationId = NewType("IncarnationId", str)
+"""One run of one instance: the instance's name and a random part drawn at start."""
+
+AvailabilityZone = NewType("AvailabilityZone", str)
+ClientAccountId = NewType("ClientAccountId", str)
+ServiceName = NewType("ServiceName", str)
+UpstreamId = NewType("UpstreamId", str)
+ModelName = NewType("ModelName", str)
+
+RequestId = NewType("RequestId", str)
+"""``<incarnation>/<sequence>``: names the process that alone may dispatch the request."""
+
+ShardId = NewType("ShardId", str)
+"""``<service>/<number>``: the group of a service's upstreams that one scheduler orders."""
+
+Attempt = NewType("Attempt", int)
+"""Counts the grants asked for one request; a grant for an older attempt is stale."""
+
+Fingerprint = NewType("Fingerprint", str)
+"""Digest of a request's content, the same for a resend of that content."""
+
+BlockHash = NewType("BlockHash", int)
+"""Hash of a prompt prefix up to the end of one block, chained over the blocks before it."""
+
+IdempotencyKey = NewType("IdempotencyKey", str)
+DocumentVersion = NewType("DocumentVersion", int)
+FencingNumber = NewType("FencingNumber", int)
+Tier = NewType("Tier", int)
+"""Rank of a request's tier; 0 is the highest and is shed last."""
+
+
+def request_id(incarnation: IncarnationId, sequence: int) -> RequestId:
+    """Return the id of the ``sequence``-th request that ``incarnation`` accepted."""
+    return RequestId(f"{incarnation}/{sequence}")
+
+
+def incarnation_of(request: RequestId) -> IncarnationId:
+    """Return the incarnation that accepted ``request``."""
+    return IncarnationId(request.rsplit("/", 1)[0])
+
+
+def instance_of(incarnation: IncarnationId) -> InstanceId:
+    """Return the instance whose run ``incarnation`` names (``<instance>.<random part>``)."""
+    return InstanceId(incarnation.rsplit(".", 1)[0])
--- /dev/null
+++ b/lentilchute/settings.py
@@ -0,0 +1,122 @@
+"""Settings of one node: its names, addresses, peers, platform and bounds.
+
+A node learns its addresses and its availability zone from here and asks nothing of the machine.
+Defaults stand in ``config_default.yaml`` beside this module.
+"""
+
+from enum import Enum
+from typing import Annotated
+
+from pydantic import Field
+
+from .document import Name, Part, Seconds
+from .ids import AvailabilityZone, InstanceId
+
+Address = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
+Bytes = Annotated[int, Field(ge=1)]
+
+
+class Role(Enum):
+    """What a node does; every node does all of it unless its settings say otherwise."""
+
+    ENTRY = "entry"
+    SCHEDULER = "scheduler"
+    CONTROLLERS = "controllers"
+
+
+class Listen(Part):
+    """Addresses that the node binds, by IP number and port."""
+
+    callers: Address
+    peers: Address
+    operators: Address
+
+
+class PeerSeed(Part):
+    """A node known from the start; others are learned from peers and the platform's list."""
+
+    instance: Name
+    address: Address
+
+
+class PlatformSettings(Part):
+    """Where the platform's services are and which adapter speaks to them."""
+
+    adapter: Name = "http-json"
+    table: Address
+    objects: Address
+    instances: Address
+    timeout_s: Seconds = 2.0
+
+
+class EntrySettings(Part):
+    """Bounds of the entry role."""
+
+    max_connections: Annotated[int, Field(ge=1)] = 2_000
+    max_header_bytes: Bytes = 32_768
+    header_timeout_s: Seconds = 10.0
+    body_timeout_s: Seconds = 30.0
+    keep_alive_timeout_s: Seconds = 60.0
+    max_held_body_bytes: Bytes = 64 * 1024 * 1024
+    """Sum of the request bodies that wait at this entry."""
+    answer_lifetime_s: Seconds = 10.0
+    """How long a caller may keep the answer to which entries to use."""
+    ticket_timeout_s: Seconds = 1.0
+    """A ticket without a word from its scheduler for this long goes to the next one."""
+
+
+class SchedulerSettings(Part):
+    """Bounds of the scheduler role."""
+
+    grant_timeout_s: Seconds = 1.0
+    """A grant that is not reported dispatched within this time is taken back."""
+    refresh_interval_s: Seconds = 2.0
+    report_max_age_s: Seconds = 15.0
+    retry_after_min_s: Seconds = 0.5
+    retry_after_max_s: Seconds = 60.0
+    retry_after_jitter: Annotated[float, Field(ge=0, le=1)] = 0.5
+    leaving_grace_s: Annotated[float, Field(ge=0, le=3)] = 0.0
+    max_tickets: Annotated[int, Field(ge=1)] = 100_000
+    prefix_block_tokens: Annotated[int, Field(ge=1)] = 64
+
+
+class MembershipSettings(Part):
+    """Pace of heartbeats and of the platform polls."""
+
+    heartbeat_interval_s: Seconds = 0.5
+    suspect_after_s: Seconds = 1.5
+    """A peer without a heartbeat for this long gets no new shard."""
+    forget_after_s: Seconds = 30.0
+    instance_poll_s: Seconds = 1.0
+    table_poll_s: Seconds = 2.0
+    pause_limit_s: Seconds = 5.0
+    """A node that was paused for longer confirms its configuration before it admits again."""
+
+
+class NodeSettings(Part):
+    """Everything that one process needs to know before it starts."""
+
+    instance: Name
+    availability_zone: Name
+    region: Name = "region-1"
+    roles: Annotated[tuple[Role, ...], Field(min_length=1)] = tuple(Role)
+    listen: Listen
+    peers: tuple[PeerSeed, ...] = ()
+    platform: PlatformSettings
+    shared_key: Annotated[str, Field(min_length=16)]
+    """Authenticates peer and operator links; the same on all nodes."""
+    entry: EntrySettings = EntrySettings()
+    scheduler: SchedulerSettings = SchedulerSettings()
+    membership: MembershipSettings = MembershipSettings()
+    stop_timeout_s: Seconds = 120.0
+    """A planned stop that has not finished after this long is reported as cut."""
+
+    @property
+    def instance_id(self) -> InstanceId:
+        """The instance's name as a typed id."""
+        return InstanceId(self.instance)
+
+    @property
+    def zone(self) -> AvailabilityZone:
+        """The availability zone as a typed id."""
+        return AvailabilityZone(self.availability_zone)
