Serve and call HTTP/1.1 with h11 over trio

http_server reads one bounded, timed request at a time and hands it to a handler with a Responder (whole, streamed or broken off); http_client carries one request at a time on each connection and pools a connection only after a whole answer.

Times for header and body are totals, so dribbling input runs into them as well. HTTP/1.0 is refused (505): such a caller could not tell a broken stream from a whole one. A planned close keeps an idle connection for longer than callers were told they may use it, so no request on its way is met by it. Between the hook and the first byte there is no checkpoint: trio's send attempts the system call before it yields, and a pending cancellation is taken before the hook.

Seen failing first, with the mechanism off: the dead pooled connection (no readable check: RESET), the abandoned and the cut answer (reuse without a whole answer; end of stream taken for the end), the hook (a checkpoint put between), the header and body that dribble (no total time), the caller that leaves (not watched), the planned close (closing at once).

--- /dev/null
+++ b/lentilchute/http_client.py
@@ -0,0 +1,344 @@
+"""HTTP/1.1 client side: h11 over trio streams, with a pool of idle connections for one address.
+
+A connection carries one request at a time. It is used again only after a whole answer, and only if
+it is known not to be closed. Nothing is ever sent twice: a caller that wants to repeat a request
+does so itself, knowing from ``HttpFault`` whether a byte had left.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from enum import Enum
+
+import h11
+import trio
+from result import Err, Ok, Result
+
+from .http_messages import (
+    READ_BYTES,
+    Headers,
+    from_wire,
+    header_value,
+    split_address,
+    to_wire,
+)
+
+
+class HttpFault(Enum):
+    """Why an exchange failed."""
+
+    NOT_SENT = "not-sent"
+    """No byte of the request left this process."""
+    RESET = "reset"
+    """The connection broke after the first byte was sent."""
+    TIMED_OUT = "timed-out"
+    WRONG_ANSWER = "wrong-answer"
+    """The answer is not valid HTTP/1.1 or larger than allowed."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpClientSettings:
+    """Bounds of a client's connections."""
+
+    connect_timeout_s: float = 2.0
+    write_timeout_s: float = 30.0
+    head_timeout_s: float = 60.0
+    """From the last byte sent to the whole head of the answer."""
+    read_timeout_s: float = 30.0
+    """Longest silence between two pieces of the body."""
+    max_header_bytes: int = 32_768
+    max_idle_connections: int = 16
+    idle_timeout_s: float = 8.0
+    """A connection idle for longer is not used again; servers may tell a shorter time."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A request to send; the timeouts replace the client's own when given."""
+
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b""
+    head_timeout_s: float | None = None
+    read_timeout_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HttpHead:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+Opener = Callable[[str], Awaitable[trio.abc.HalfCloseableStream]]
+BeforeFirstByte = Callable[[], bool]
+
+_BROKEN_STREAM = (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError)
+
+
+@dataclass(slots=True)
+class _Connection:
+    stream: trio.abc.HalfCloseableStream
+    http: h11.Connection
+    idle_until_s: float = 0.0
+
+
+async def open_tcp(address: str) -> trio.abc.HalfCloseableStream:
+    """Connect to ``address``; raises ``OSError`` when that fails."""
+    host, port = split_address(address)
+    return await trio.open_tcp_stream(host, port)
+
+
+def always_send() -> bool:
+    """Approve the first byte; the hook of requests that need no check."""
+    return True
+
+
+def is_known_open(stream: trio.abc.Stream) -> bool:
+    """Tell whether an idle connection is known not to be closed, without waiting.
+
+    An idle connection that is readable has met its end, or holds bytes that nobody asked for.
+    """
+    return isinstance(stream, trio.SocketStream) and not stream.socket.is_readable()
+
+
+class HttpClient:
+    """Exchanges with one address."""
+
+    def __init__(
+        self,
+        address: str,
+        settings: HttpClientSettings | None = None,
+        opener: Opener = open_tcp,
+    ) -> None:
+        self.address = address
+        self.settings = settings or HttpClientSettings()
+        self._opener = opener
+        self._idle: list[_Connection] = []
+        self._is_closed = False
+
+    @property
+    def idle_count(self) -> int:
+        """Number of pooled idle connections."""
+        return len(self._idle)
+
+    @asynccontextmanager
+    async def exchange(
+        self, request: ClientRequest, before_first_byte: BeforeFirstByte = always_send
+    ) -> AsyncIterator["HttpExchange"]:
+        """Give one exchange; leaving the block before the answer's end abandons it.
+
+        ``before_first_byte`` is called at most once, with the connection open; when it returns
+        false nothing is sent. There is no checkpoint between it and the first byte::
+
+            async with client.exchange(request) as exchange:
+                head = await exchange.head()
+                while (part := (await exchange.part()).ok()) is not None: ...
+        """
+        exchange = HttpExchange(self, request, before_first_byte)
+        try:
+            yield exchange
+        finally:
+            await exchange.finish()
+
+    async def call(
+        self,
+        request: ClientRequest,
+        before_first_byte: BeforeFirstByte = always_send,
+        max_body_bytes: int = 16 * 1024 * 1024,
+    ) -> Result[HttpAnswer, HttpFault]:
+        """Send a request and return the whole answer."""
+        async with self.exchange(request, before_first_byte) as exchange:
+            head = await exchange.head()
+            if isinstance(head, Err):
+                return head
+            body = bytearray()
+            while True:
+                part = await exchange.part()
+                if isinstance(part, Err):
+                    return part
+                if part.ok_value is None:
+                    answer = head.ok_value
+                    return Ok(HttpAnswer(answer.status, answer.headers, bytes(body)))
+                body += part.ok_value
+                if len(body) > max_body_bytes:
+                    return Err(HttpFault.WRONG_ANSWER)
+
+    async def acquire(self) -> Result[_Connection, HttpFault]:
+        """Take an idle connection that is known to be open, or connect."""
+        while self._idle:
+            connection = self._idle.pop()
+            is_fresh = trio.current_time() < connection.idle_until_s
+            if is_fresh and is_known_open(connection.stream):
+                return Ok(connection)
+            await trio.aclose_forcefully(connection.stream)
+        try:
+            with trio.fail_after(self.settings.connect_timeout_s):
+                stream = await self._opener(self.address)
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+            return Err(HttpFault.NOT_SENT)
+        limit_bytes = self.settings.max_header_bytes
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=limit_bytes)
+        return Ok(_Connection(stream, http))
+
+    async def release(self, connection: _Connection, idle_timeout_s: float) -> None:
+        """Take back a connection after its exchange: pool it after a whole answer, or close it."""
+        http = connection.http
+        is_whole = http.our_state is h11.DONE and http.their_state is h11.DONE
+        has_room = len(self._idle) < self.settings.max_idle_connections
+        if not is_whole or not has_room or self._is_closed or http.trailing_data[0]:
+            await trio.aclose_forcefully(connection.stream)
+            return
+        http.start_next_cycle()
+        connection.idle_until_s = trio.current_time() + idle_timeout_s
+        self._idle.append(connection)
+
+    async def aclose(self) -> None:
+        """Close the idle connections; those in use close when their exchange ends."""
+        self._is_closed = True
+        while self._idle:
+            await trio.aclose_forcefully(self._idle.pop().stream)
+
+
+class HttpExchange:
+    """One request and its answer."""
+
+    def __init__(
+        self, client: HttpClient, request: ClientRequest, before_first_byte: BeforeFirstByte
+    ) -> None:
+        self._client = client
+        self._settings = client.settings
+        self._request = request
+        self._before_first_byte = before_first_byte
+        self._connection: _Connection | None = None
+        self._idle_timeout_s = client.settings.idle_timeout_s
+
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        """Send the request and return the head of its answer; call it once."""
+        acquired = await self._client.acquire()
+        if isinstance(acquired, Err):
+            return acquired
+        self._connection = acquired.ok_value
+        wire = self._encode(self._connection)
+        # A pending cancellation is taken here, so that none strikes between the hook and the first
+        # byte. Without one this does not yield, so the idle check just made still holds.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        if not self._before_first_byte():
+            return Err(HttpFault.NOT_SENT)
+        sent = await self._write(self._connection, wire)
+        if isinstance(sent, Err):
+            return sent
+        event = await self._read_head(self._connection)
+        if isinstance(event, Err):
+            return event
+        head = HttpHead(event.ok_value.status_code, from_wire(list(event.ok_value.headers)))
+        self._idle_timeout_s = _idle_timeout_s(head.headers, self._settings.idle_timeout_s)
+        return Ok(head)
+
+    async def part(self) -> Result[bytes | None, HttpFault]:
+        """Return the next piece of the body, or ``None`` once the answer ended as it should."""
+        assert self._connection is not None
+        timeout_s = _or_default(self._request.read_timeout_s, self._settings.read_timeout_s)
+        event = await self._read_event(self._connection, timeout_s)
+        if isinstance(event, Err):
+            return event
+        if isinstance(event.ok_value, h11.Data):
+            return Ok(bytes(event.ok_value.data))
+        if isinstance(event.ok_value, h11.EndOfMessage):
+            return Ok(None)
+        return Err(HttpFault.RESET)
+
+    async def finish(self) -> None:
+        """Give the connection back, or close it when the answer is not whole."""
+        if self._connection is None:
+            return
+        connection = self._connection
+        self._connection = None
+        await self._client.release(connection, self._idle_timeout_s)
+
+    def _encode(self, connection: _Connection) -> bytes:
+        request = self._request
+        headers = request.headers
+        if header_value(headers, "host") is None:
+            headers = (("host", self._client.address), *headers)
+        if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            headers = (*headers, ("content-length", str(len(request.body))))
+        head = h11.Request(method=request.method, target=request.path, headers=to_wire(headers))
+        parts: list[h11.Event] = [head]
+        if request.body:
+            parts.append(h11.Data(data=request.body))
+        parts.append(h11.EndOfMessage())
+        return b"".join(connection.http.send(part) or b"" for part in parts)
+
+    async def _write(self, connection: _Connection, wire: bytes) -> Result[None, HttpFault]:
+        try:
+            with trio.move_on_after(self._settings.write_timeout_s) as scope:
+                await connection.stream.send_all(wire)
+        except _BROKEN_STREAM:
+            return Err(HttpFault.RESET)
+        return Err(HttpFault.TIMED_OUT) if scope.cancelled_caught else Ok(None)
+
+    async def _read_head(self, connection: _Connection) -> Result[h11.Response, HttpFault]:
+        timeout_s = _or_default(self._request.head_timeout_s, self._settings.head_timeout_s)
+        deadline_s = trio.current_time() + timeout_s
+        while True:
+            event = await self._read_event(connection, deadline_s - trio.current_time())
+            if isinstance(event, Err):
+                return event
+            if isinstance(event.ok_value, h11.Response):
+                return Ok(event.ok_value)
+            if not isinstance(event.ok_value, h11.InformationalResponse):
+                return Err(HttpFault.RESET)
+
+    async def _read_event(
+        self, connection: _Connection, timeout_s: float
+    ) -> Result[h11.Event, HttpFault]:
+        """Return h11's next event. An answer cut before its own end never yields that end."""
+        http = connection.http
+        try:
+            with trio.move_on_after(max(timeout_s, 0)):
+                while (event := http.next_event()) is h11.NEED_DATA:
+                    data = await connection.stream.receive_some(READ_BYTES)
+                    if not data:
+                        return _at_eof(http)
+                    http.receive_data(bytes(data))
+                return Ok(event) if isinstance(event, h11.Event) else Err(HttpFault.RESET)
+        except _BROKEN_STREAM:
+            return Err(HttpFault.RESET)
+        except h11.RemoteProtocolError:
+            return Err(HttpFault.WRONG_ANSWER)
+        return Err(HttpFault.TIMED_OUT)
+
+
+def _at_eof(http: h11.Connection) -> Result[h11.Event, HttpFault]:
+    """Tell what the connection's end means: only an answer framed by it is whole then."""
+    http.receive_data(b"")
+    try:
+        event = http.next_event()
+    except h11.RemoteProtocolError:
+        return Err(HttpFault.RESET)
+    return Ok(event) if isinstance(event, h11.EndOfMessage) else Err(HttpFault.RESET)
+
+
+def _idle_timeout_s(headers: Headers, own_timeout_s: float) -> float:
+    """Return how long a connection may idle: the server's word less a second, or our own bound."""
+    for item in (header_value(headers, "keep-alive") or "").split(","):
+        name, _, value = item.strip().partition("=")
+        if name == "timeout" and value.isdecimal():
+            return min(own_timeout_s, max(float(value) - 1.0, 0.0))
+    return own_timeout_s
+
+
+def _or_default(value: float | None, default: float) -> float:
+    return default if value is None else value
--- /dev/null
+++ b/lentilchute/http_messages.py
@@ -0,0 +1,75 @@
+"""Types and helpers that both sides of HTTP/1.1 share."""
+
+import json
+
+from .errors import UserError
+
+Headers = tuple[tuple[str, str], ...]
+"""Header names in lower case with their values, in order."""
+
+READ_BYTES = 65_536
+"""Most bytes taken from a stream in one read."""
+
+OUTCOME_HEADER = "lentilchute-outcome"
+TIER_HEADER = "lentilchute-tier"
+DEADLINE_HEADER = "lentilchute-deadline-s"
+IDEMPOTENCY_KEY_HEADER = "idempotency-key"
+RETRY_AFTER_HEADER = "retry-after"
+REQUEST_ID_HEADER = "x-request-id"
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def header_value(headers: Headers, name: str) -> str | None:
+    """Return the first value of the header ``name`` (lower case), or ``None``."""
+    for header_name, value in headers:
+        if header_name == name:
+            return value
+    return None
+
+
+def without_headers(headers: Headers, names: frozenset[str]) -> Headers:
+    """Return ``headers`` without those in ``names`` (lower case)."""
+    return tuple((name, value) for name, value in headers if name.lower() not in names)
+
+
+def to_wire(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as the byte pairs that h11 takes."""
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
+def from_wire(headers: list[tuple[bytes, bytes]]) -> Headers:
+    """Return h11's header pairs as text; h11 gives the names in lower case."""
+    return tuple((name.decode("ascii"), value.decode("latin-1")) for name, value in headers)
+
+
+def error_body(reason: str, message: str) -> bytes:
+    """Return the JSON body of an error answer: ``{"error": {"type", "message"}}``."""
+    return json.dumps({"error": {"type": reason, "message": message}}).encode()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port`` or ``[IPv6]:port``.
+
+    Raises ``UserError`` when the text is not an address.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdecimal():
+        raise UserError(f"not an address of the form host:port: {address}")
+    return host.strip("[]"), int(port)
+
+
+def join_address(host: str, port: int) -> str:
+    """Return ``host:port``, with brackets around an IPv6 number."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- /dev/null
+++ b/lentilchute/http_responder.py
@@ -0,0 +1,113 @@
+"""Writes one HTTP answer: whole, streamed, or visibly broken off."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import h11
+import trio
+
+from .http_messages import HOP_BY_HOP_HEADERS, Headers, to_wire, without_headers
+
+_FRAMING_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
+
+
+class WriteBounds(Protocol):
+    """What a responder reads from its server's settings."""
+
+    @property
+    def write_timeout_s(self) -> float: ...
+
+    @property
+    def advertised_keep_alive_s(self) -> float: ...
+
+
+class Responder:
+    """Writes the answer to one request.
+
+    Either ``answer`` once, or ``start``, ``send`` as often as needed, then ``end``. Each returns
+    false when the caller has gone. A streamed answer goes out in chunked encoding; ``break_off``
+    leaves out the last chunk, so that the caller sees that the answer is not whole. A handler that
+    returns without ``end`` breaks its answer off as well.
+    """
+
+    def __init__(
+        self,
+        http: h11.Connection,
+        stream: trio.abc.SendStream,
+        bounds: WriteBounds,
+        closes_after: Callable[[], bool],
+        method: str,
+        caller_gone: trio.Event,
+    ) -> None:
+        self._method = method
+        self._http = http
+        self._stream = stream
+        self._bounds = bounds
+        self._closes_after = closes_after
+        self._caller_gone = caller_gone
+        self._is_broken = False
+        self._has_body = True
+        self.is_started = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole answer was written."""
+        return not self._is_broken and self._http.our_state in (h11.DONE, h11.MUST_CLOSE)
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> bool:
+        """Write a whole answer."""
+        length = ("content-length", str(len(body)))
+        events = [self._head(status, (*headers_without_framing(headers), length))]
+        if self._has_body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        return await self._write(*events)
+
+    async def start(self, status: int, headers: Headers) -> bool:
+        """Write the head of a streamed answer."""
+        return await self._write(self._head(status, headers_without_framing(headers)))
+
+    async def send(self, data: bytes) -> bool:
+        """Write a part of a streamed answer."""
+        if not self._has_body or not data:
+            return not self._caller_gone.is_set()
+        return await self._write(h11.Data(data=data))
+
+    async def end(self) -> bool:
+        """Write the end of a streamed answer."""
+        return await self._write(h11.EndOfMessage())
+
+    def break_off(self) -> None:
+        """Leave the answer without its end; the connection is closed once the handler returns."""
+        self._is_broken = True
+
+    def _head(self, status: int, headers: Headers) -> h11.Event:
+        self.is_started = True
+        self._has_body = status not in (204, 304) and self._method != "HEAD"
+        if self._closes_after():
+            headers += (("connection", "close"),)
+        else:
+            timeout_s = int(self._bounds.advertised_keep_alive_s)
+            headers += (("connection", "keep-alive"), ("keep-alive", f"timeout={timeout_s}"))
+        return h11.Response(status_code=status, headers=to_wire(headers))
+
+    async def _write(self, *events: h11.Event) -> bool:
+        if self._is_broken or self._caller_gone.is_set():
+            return False
+        data = b"".join(self._http.send(event) or b"" for event in events)
+        try:
+            with trio.move_on_after(self._bounds.write_timeout_s) as scope:
+                await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return self._lose_caller()
+        return self._lose_caller() if scope.cancelled_caught else True
+
+    def _lose_caller(self) -> bool:
+        self._is_broken = True
+        self._caller_gone.set()
+        return False
+
+
+def headers_without_framing(headers: Headers) -> Headers:
+    """Return headers without those that belong to one connection or tell the body's length."""
+    return without_headers(headers, _FRAMING_HEADERS)
--- /dev/null
+++ b/test/test_http_client.py
@@ -0,0 +1,171 @@
+"""Tests of the HTTP client's side, against a server on loopback or a script of bytes."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+from result import Err
+from trio.testing import MockClock, memory_stream_pair
+
+from lentilchute.http_client import (
+    ClientRequest,
+    HttpClient,
+    HttpClientSettings,
+    HttpFault,
+    always_send,
+)
+from lentilchute.http_messages import join_address
+from lentilchute.http_responder import Responder
+from lentilchute.http_server import HttpRequest, HttpServer, HttpServerSettings, open_listeners
+
+GET = ClientRequest("GET", "/")
+OK_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@asynccontextmanager
+async def scripted(answer: bytes, close: bool) -> AsyncIterator[tuple[HttpClient, list[bytes]]]:
+    """Give a client whose every connection receives ``answer`` after one read of its request."""
+    received: list[bytes] = []
+
+    async with trio.open_nursery() as nursery:
+
+        async def serve(stream: trio.SocketStream) -> None:
+            data = await stream.receive_some()
+            received.append(bytes(data))
+            await stream.send_all(answer)
+            if not close:
+                while data := await stream.receive_some():
+                    received.append(bytes(data))
+
+        listeners = await open_listeners("127.0.0.1:0")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        client = HttpClient(join_address(*listeners[0].socket.getsockname()[:2]))
+        yield client, received
+        await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
+def test_a_dead_pooled_connection_is_never_sent_on() -> None:
+    async def main() -> None:
+        async with scripted(OK_ANSWER, close=True) as (client, received):
+            asked: list[int] = []
+
+            def hook() -> bool:
+                asked.append(1)
+                return True
+
+            for _ in range(3):
+                answer = await client.call(GET, hook)
+                assert answer.unwrap().body == b"ok"
+                # Let the server's close arrive while the connection idles in the pool.
+                await trio.testing.wait_all_tasks_blocked(0.01)
+            assert len(received) == 3
+            assert len(asked) == 3
+
+    trio.run(main)
+
+
+def test_a_whole_answer_frees_its_connection_for_the_next_request() -> None:
+    async def main() -> None:
+        opened: list[int] = []
+
+        async def handler(_request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, (), b"ok")
+
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(HttpServerSettings(), handler)
+            listeners = await open_listeners("127.0.0.1:0")
+            await nursery.start(server.serve, listeners)
+            client = HttpClient(join_address(*listeners[0].socket.getsockname()[:2]))
+            for _ in range(3):
+                assert (await client.call(GET)).unwrap().status == 200
+                opened.append(server.connection_count)
+            assert opened == [1, 1, 1]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_an_abandoned_answer_closes_its_connection() -> None:
+    async def main() -> None:
+        async with scripted(OK_ANSWER[:-1], close=False) as (client, _received):
+            async with client.exchange(GET) as exchange:
+                assert (await exchange.head()).is_ok()
+                assert (await exchange.part()).unwrap() == b"o"
+            assert client.idle_count == 0
+
+    trio.run(main)
+
+
+def test_a_cut_answer_never_ends_cleanly() -> None:
+    async def main(answer: bytes) -> None:
+        async with scripted(answer, close=True) as (client, _received):
+            assert await client.call(GET) == Err(HttpFault.RESET)
+            assert client.idle_count == 0
+
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    for answer in (chunked, OK_ANSWER):
+        for cut in range(len(answer)):
+            trio.run(main, answer[:cut])
+
+
+def test_nothing_is_sent_when_the_hook_says_no() -> None:
+    async def main() -> None:
+        async with scripted(OK_ANSWER, close=False) as (client, received):
+            assert await client.call(GET, lambda: False) == Err(HttpFault.NOT_SENT)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            assert received in ([], [b""])
+
+    trio.run(main)
+
+
+def test_the_hook_is_asked_with_no_checkpoint_before_the_first_byte() -> None:
+    async def main() -> None:
+        order: list[str] = []
+        ours, _theirs = memory_stream_pair()
+        original = ours.send_all
+
+        async def send_all(data: bytes) -> None:
+            order.append("send")
+            await original(data)
+
+        ours.send_all = send_all  # type: ignore[method-assign]
+
+        async def opener(_address: str) -> trio.abc.HalfCloseableStream:
+            return ours
+
+        client = HttpClient("127.0.0.1:1", HttpClientSettings(head_timeout_s=1), opener)
+
+        def hook() -> bool:
+            order.append("hook")
+            trio.lowlevel.spawn_system_task(other)
+            return True
+
+        async def other() -> None:
+            order.append("other task")
+
+        assert await client.call(GET, hook) == Err(HttpFault.TIMED_OUT)
+        assert order == ["hook", "send", "other task"]
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_refused_connection_is_not_sent() -> None:
+    async def main() -> None:
+        listeners = await open_listeners("127.0.0.1:0")
+        address = join_address(*listeners[0].socket.getsockname()[:2])
+        await listeners[0].aclose()
+        assert await HttpClient(address).call(GET, always_send) == Err(HttpFault.NOT_SENT)
+
+    trio.run(main)
+
+
+def test_an_answer_that_is_not_http_or_too_large_is_wrong() -> None:
+    async def main() -> None:
+        async with scripted(b"220 mail\r\n\r\n", close=False) as (client, _received):
+            assert await client.call(GET) == Err(HttpFault.WRONG_ANSWER)
+        async with scripted(OK_ANSWER, close=False) as (client, _received):
+            answer = await client.call(GET, max_body_bytes=1)
+            assert answer == Err(HttpFault.WRONG_ANSWER)
+
+    trio.run(main)
--- /dev/null
+++ b/test/test_http_server.py
@@ -0,0 +1,191 @@
+"""Tests of the HTTP server's side, over memory streams and a clock that the test drives."""
+
+import json
+
+import pytest
+import trio
+from trio.testing import MockClock, memory_stream_pair
+
+from lentilchute.http_responder import Responder
+from lentilchute.http_server import HttpRequest, HttpServer, HttpServerSettings
+
+SETTINGS = HttpServerSettings(max_header_bytes=2_000, max_body_bytes=100)
+GET = b"GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def echo(request: HttpRequest, responder: Responder) -> None:
+    if request.path == "/stream":
+        await responder.start(200, (("content-type", "text/plain"),))
+        await responder.send(b"one")
+        await responder.send(b"two")
+        await responder.end()
+    elif request.path == "/broken":
+        await responder.start(200, ())
+        await responder.send(b"one")
+        responder.break_off()
+    elif request.path == "/fails":
+        raise RuntimeError("a fault of the handler")
+    else:
+        body = f"{request.method} {request.path} ".encode() + request.body
+        await responder.answer(200, (), body)
+
+
+async def read_all(stream: trio.abc.ReceiveStream) -> bytes:
+    data = b""
+    while part := await stream.receive_some():
+        data += part
+    return data
+
+
+async def talk(*pieces: bytes, pause_s: float = 0.0, eof: bool = True) -> bytes:
+    """Send pieces to a server and return all that it answers."""
+    server = HttpServer(SETTINGS, echo)
+    ours, theirs = memory_stream_pair()
+    answer = b""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve_stream, theirs)
+
+        async def send() -> None:
+            for piece in pieces:
+                await ours.send_all(piece)
+                await trio.sleep(pause_s)
+            if eof:
+                await ours.send_eof()
+
+        nursery.start_soon(send)
+        answer = await read_all(ours)
+        nursery.cancel_scope.cancel()
+    assert server.connection_count == 0
+    return answer
+
+
+def run(*pieces: bytes, pause_s: float = 0.0, eof: bool = True) -> bytes:
+    async def main() -> bytes:
+        return await talk(*pieces, pause_s=pause_s, eof=eof)
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def error_type(answer: bytes) -> str:
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b"lentilchute-outcome: not-run" in head.lower()
+    return str(json.loads(body)["error"]["type"])
+
+
+def test_requests_follow_each_other_on_one_connection() -> None:
+    answer = run(GET, GET.replace(b"/a?b=c", b"/stream"), GET, eof=False)
+    assert answer.count(b"GET /a?b=c ") == 2
+    assert b"3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n" in answer
+
+
+def test_a_broken_off_answer_lacks_its_end() -> None:
+    answer = run(b"GET /broken HTTP/1.1\r\nHost: x\r\n\r\n", eof=False)
+    assert answer.endswith(b"3\r\none\r\n")
+
+
+def test_a_handler_that_fails_answers_500_and_the_server_lives() -> None:
+    answer = run(b"GET /fails HTTP/1.1\r\nHost: x\r\n\r\n", GET, eof=False)
+    assert b" 500 " in answer.split(b"\r\n")[0]
+    assert b"may-have-run" in answer
+    assert b"GET /a?b=c " in answer
+
+
+@pytest.mark.parametrize(
+    ("piece", "status", "reason"),
+    [
+        (b"hello\r\n\r\n", 400, "bad-request"),
+        (b"GET / HTTP/1.1\r\n\r\n", 400, "bad-request"),
+        (b"GET / HTTP/1.0\r\nHost: x\r\n\r\n", 505, "bad-request"),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 3_000, 431, "too-large"),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 3_000 + b"\r\n\r\n", 431, "too-large"),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n", 413, "too-large"),
+        (
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + b"z" * 101,
+            413,
+            "too-large",
+        ),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n", 501, "bad-request"),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nshort", 408, "timeout"),
+        (b"GET / HTTP/1.1\r\nHost", 408, "timeout"),
+    ],
+)
+def test_bad_input_is_answered_with_its_error(piece: bytes, status: int, reason: str) -> None:
+    answer = run(piece, eof=False)
+    assert f" {status} ".encode() in answer.split(b"\r\n")[0]
+    assert error_type(answer) == reason
+
+
+def test_a_header_that_dribbles_in_is_timed_out() -> None:
+    pieces = [GET[i : i + 1] for i in range(len(GET))]
+    answer = run(*pieces, pause_s=SETTINGS.header_timeout_s / 10, eof=False)
+    assert error_type(answer) == "timeout"
+
+
+def test_a_body_that_dribbles_in_is_timed_out() -> None:
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n"
+    answer = run(head, *[b"z"] * 50, pause_s=SETTINGS.body_timeout_s / 10, eof=False)
+    assert error_type(answer) == "timeout"
+
+
+def test_the_handler_learns_at_once_that_the_caller_has_gone() -> None:
+    seen: list[float] = []
+
+    async def wait_for_gone(request: HttpRequest, responder: Responder) -> None:
+        with trio.fail_after(60):
+            await request.caller_gone.wait()
+        seen.append(trio.current_time())
+        assert not await responder.answer(200, (), b"")
+
+    async def main() -> None:
+        server = HttpServer(SETTINGS, wait_for_gone)
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve_stream, theirs)
+            await ours.send_all(GET)
+            await trio.sleep(5)
+            await ours.aclose()
+            closed_s = trio.current_time()
+        assert seen == [closed_s]
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_planned_close_serves_a_request_on_its_way_and_ends_idle_connections() -> None:
+    async def main() -> None:
+        server = HttpServer(SETTINGS, echo)
+        used, theirs = memory_stream_pair()
+        idle, theirs_idle = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve_stream, theirs)
+            nursery.start_soon(server.serve_stream, theirs_idle)
+            for stream in (used, idle):
+                await stream.send_all(GET)
+                assert b"keep-alive: timeout=10" in await stream.receive_some()
+            server.begin_close()
+            # The caller may still use the connection within the time that it was told.
+            await trio.sleep(SETTINGS.advertised_keep_alive_s - 0.1)
+            await used.send_all(GET)
+            answer = await read_all(used)
+            assert b" 200 " in answer and b"connection: close" in answer
+            assert await read_all(idle) == b""
+            waited_s = SETTINGS.advertised_keep_alive_s + SETTINGS.linger_s
+            assert trio.current_time() <= waited_s + 0.1
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_connections_above_the_bound_are_refused() -> None:
+    async def main() -> bytes:
+        server = HttpServer(HttpServerSettings(max_connections=1), echo)
+        _first, theirs_first = memory_stream_pair()
+        second, theirs_second = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve_stream, theirs_first)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.start_soon(server.serve_stream, theirs_second)
+            answer = await read_all(second)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    answer = trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert b" 503 " in answer and error_type(answer) == "overloaded"
