--- /dev/null
+++ b/lentilchute/http_connection.py
@@ -0,0 +1,268 @@
+"""One connection of the HTTP server: reads requests, runs the handler, watches the caller."""
+
+import socket
+import struct
+from typing import Protocol
+
+import h11
+import trio
+
+from .events import Event, log_event
+from .http_messages import JSON_HEADER, OUTCOME_HEADER, READ_BYTES, error_body, from_wire, to_wire
+from .http_requests import (
+    Handler,
+    HeadCheck,
+    HeadRefusal,
+    HttpRequest,
+    HttpServerSettings,
+    InputError,
+    RequestHead,
+    input_error,
+)
+from .http_responder import Responder
+
+_LINGER_ZERO = struct.pack("ii", 1, 0)
+
+
+class ConnectionOwner(Protocol):
+    """What a connection asks of its server."""
+
+    settings: HttpServerSettings
+    handler: Handler
+    check_head: HeadCheck | None
+    is_closing: bool
+    reading_bytes: int
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        ...
+
+
+class ServerConnection:
+    """One connection: reads a request, runs the handler, starts again."""
+
+    def __init__(self, server: ConnectionOwner, stream: trio.abc.HalfCloseableStream) -> None:
+        self._server = server
+        self._settings = server.settings
+        self._stream = stream
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.settings.max_header_bytes
+        )
+        self._idle_scope: trio.CancelScope | None = None
+        self._idle_since_s = trio.current_time()
+        self._is_first = True
+        self._is_head_method = False
+
+    async def run(self) -> None:
+        """Serve requests until one side closes."""
+        try:
+            if self._server.connection_count > self._settings.max_connections:
+                raise input_error(503, "overloaded", "too many connections")
+            while await self._serve_one():
+                self._is_first = False
+        except InputError as error:
+            await self._answer_error(error)
+        await self._linger()
+
+    def shorten_idle(self) -> None:
+        """Move the end of an idle wait forward after the server began to close."""
+        if self._idle_scope is not None:
+            self._idle_scope.deadline = min(self._idle_scope.deadline, self._idle_deadline_s())
+
+    def reset_on_close(self) -> None:
+        """Have the socket send a reset in place of a proper end."""
+        if isinstance(self._stream, trio.SocketStream):
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; return whether the connection can carry another one."""
+        if not await self._wait_first_byte():
+            return False
+        request = await self._read_request()
+        if request is None:
+            return False
+        responder = Responder(
+            self._http,
+            self._stream,
+            self._settings,
+            self._closes_after,
+            request.method,
+            request.caller_gone,
+        )
+        await self._run_handler(request, responder)
+        if not responder.is_complete or request.caller_gone.is_set():
+            return False
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        self._idle_since_s = trio.current_time()
+        return True
+
+    def _closes_after(self) -> bool:
+        return self._server.is_closing
+
+    async def _wait_first_byte(self) -> bool:
+        if self._http.trailing_data[0]:
+            return True
+        with trio.CancelScope(deadline=self._idle_deadline_s()) as scope:
+            self._idle_scope = scope
+            data = await self._stream.receive_some(READ_BYTES)
+        self._idle_scope = None
+        if scope.cancelled_caught:
+            if self._is_first:
+                raise input_error(408, "timeout", "no request came in time")
+            return False
+        self._http.receive_data(bytes(data))
+        return bool(data)
+
+    def _idle_deadline_s(self) -> float:
+        settings = self._settings
+        if self._is_first:
+            return self._idle_since_s + settings.header_timeout_s
+        if not self._server.is_closing:
+            return self._idle_since_s + settings.keep_alive_timeout_s
+        # Callers were told not to use the connection after the advertised time; the linger time
+        # covers a request that they sent just before it.
+        told_s = min(settings.advertised_keep_alive_s, settings.keep_alive_timeout_s)
+        return self._idle_since_s + told_s + settings.linger_s
+
+    async def _read_request(self) -> HttpRequest | None:
+        with trio.move_on_after(self._settings.header_timeout_s) as scope:
+            event = await self._next_event()
+        if scope.cancelled_caught:
+            raise input_error(408, "timeout", "the request's header did not come in time")
+        if not isinstance(event, h11.Request):
+            return None
+        self._is_head_method = event.method == b"HEAD"
+        body = await self._read_body(self._check_head(event))
+        return HttpRequest(
+            method=event.method.decode("ascii"),
+            path=event.target.decode("ascii"),
+            headers=from_wire(list(event.headers)),
+            body=body,
+        )
+
+    def _check_head(self, head: h11.Request) -> int:
+        """Return the most body bytes that the request may have."""
+        if head.http_version != b"1.1":
+            # An HTTP/1.0 caller could not tell a broken streamed answer from a whole one.
+            raise input_error(505, "bad-request", "only HTTP/1.1 is served")
+        header_bytes = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if header_bytes + len(head.target) > self._settings.max_header_bytes:
+            raise input_error(431, "too-large", "the request's header is too large")
+        limit_bytes = min(self._settings.max_body_bytes, self._ask_check(head))
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > limit_bytes:
+                raise input_error(413, "too-large", f"the body exceeds {limit_bytes} bytes")
+        return limit_bytes
+
+    def _ask_check(self, head: h11.Request) -> int:
+        if self._server.check_head is None:
+            return self._settings.max_body_bytes
+        verdict = self._server.check_head(
+            RequestHead(
+                method=head.method.decode("ascii"),
+                path=head.target.decode("ascii"),
+                headers=from_wire(list(head.headers)),
+            )
+        )
+        if isinstance(verdict, HeadRefusal):
+            raise InputError(verdict, "refused by its header")
+        return verdict
+
+    async def _read_body(self, limit_bytes: int) -> bytes:
+        chunks: list[bytes] = []
+        body_bytes = 0
+        try:
+            with trio.move_on_after(self._settings.body_timeout_s) as scope:
+                while isinstance(event := await self._next_event(), h11.Data):
+                    chunk = bytes(event.data)
+                    chunks.append(chunk)
+                    body_bytes += len(chunk)
+                    self._server.reading_bytes += len(chunk)
+                    self._check_body(body_bytes, limit_bytes)
+        finally:
+            self._server.reading_bytes -= body_bytes
+        if scope.cancelled_caught:
+            raise input_error(408, "timeout", "the request's body did not come in time")
+        return b"".join(chunks)
+
+    def _check_body(self, body_bytes: int, limit_bytes: int) -> None:
+        if body_bytes > limit_bytes:
+            raise input_error(413, "too-large", f"the body exceeds {limit_bytes} bytes")
+        if self._server.reading_bytes > self._settings.max_reading_bytes:
+            raise input_error(503, "overloaded", "too many bytes of requests are being read")
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        try:
+            while (event := self._http.next_event()) is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+                    await self._stream.send_all(self._http.send(go_ahead) or b"")
+                self._http.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+        except h11.RemoteProtocolError as error:
+            raise _input_error(error) from error
+        return event  # type: ignore[return-value]
+
+    async def _run_handler(self, request: HttpRequest, responder: Responder) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, request)
+            try:
+                await self._server.handler(request, responder)
+            except Exception as error:
+                log_event(Event.BAD_INPUT, reason="handler-failed", error=repr(error))
+                await self._answer_failure(responder)
+            finally:
+                nursery.cancel_scope.cancel()
+
+    async def _watch_caller(self, request: HttpRequest) -> None:
+        """Read while the handler runs, to learn at once that the caller has gone."""
+        early_bytes = 0
+        while early_bytes <= self._settings.max_header_bytes:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                request.caller_gone.set()
+                return
+            # The beginning of the caller's next request; it waits for its turn.
+            early_bytes += len(data)
+            self._http.receive_data(bytes(data))
+
+    async def _answer_failure(self, responder: Responder) -> None:
+        if responder.is_started:
+            responder.break_off()
+            return
+        # The handler may have dispatched the request before it failed.
+        headers = (JSON_HEADER, (OUTCOME_HEADER, "may-have-run"))
+        await responder.answer(500, headers, error_body("internal", "the request failed"))
+
+    async def _answer_error(self, error: InputError) -> None:
+        refusal = error.refusal
+        log_event(Event.BAD_INPUT, status=refusal.status, message=str(error))
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        length = ("content-length", str(len(refusal.body)))
+        headers = (*refusal.headers, length, ("connection", "close"))
+        head = h11.Response(status_code=refusal.status, headers=to_wire(headers))
+        parts: list[h11.Event] = [head, h11.EndOfMessage()]
+        if not self._is_head_method:
+            parts.insert(1, h11.Data(data=refusal.body))
+        data = b"".join(self._http.send(part) or b"" for part in parts)
+        with trio.move_on_after(self._settings.write_timeout_s):
+            await self._stream.send_all(data)
+
+    async def _linger(self) -> None:
+        """End the output, then discard input for a while: closing with input unread resets."""
+        with trio.move_on_after(self._settings.linger_s):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(READ_BYTES):
+                pass
+
+
+def _input_error(error: h11.RemoteProtocolError) -> InputError:
+    if error.error_status_hint == 431:
+        return input_error(431, "too-large", "the request's header is too large")
+    return input_error(error.error_status_hint, "bad-request", f"not valid HTTP/1.1: {error}")
--- a/lentilchute/http_messages.py
+++ b/lentilchute/http_messages.py
@@ -17,6 +17,8 @@
 RETRY_AFTER_HEADER = "retry-after"
 REQUEST_ID_HEADER = "x-request-id"
 
+JSON_HEADER = ("content-type", "application/json")
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
--- a/lentilchute/platform.py
+++ b/lentilchute/platform.py
@@ -4,12 +4,16 @@
 tell a write that certainly did not happen from one whose outcome is unknown.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from result import Result
 
+from .errors import UserError
+from .settings import PlatformSettings
+
 
 class TableFault(Enum):
     """Why a table or object store operation gave no answer."""
@@ -116,3 +120,42 @@
     async def instances(self) -> Result[list[ListedInstance], TableFault]:
         """Return the list as the platform gives it now."""
         ...
+
+
+class Platform(Protocol):
+    """The three services of one platform, by one adapter."""
+
+    table: Table
+    objects: ObjectStore
+    instances: InstanceList
+
+    async def aclose(self) -> None:
+        """Close idle connections."""
+        ...
+
+
+PlatformFactory = Callable[[PlatformSettings], Platform]
+Factory = TypeVar("Factory", bound=PlatformFactory)
+
+_factories: dict[str, PlatformFactory] = {}
+
+
+def register_platform(name: str) -> Callable[[Factory], Factory]:
+    """Register an adapter under the name that ``PlatformSettings.adapter`` gives."""
+
+    def add(factory: Factory) -> Factory:
+        _factories[name] = factory
+        return factory
+
+    return add
+
+
+def platform_for(settings: PlatformSettings) -> Platform:
+    """Return a new adapter for the platform that the settings name.
+
+    Raises ``UserError`` when no adapter is registered under that name.
+    """
+    factory = _factories.get(settings.adapter)
+    if factory is None:
+        raise UserError(f"no platform adapter named {settings.adapter}")
+    return factory(settings)
--- /dev/null
+++ b/lentilchute/standins/platform.py
@@ -0,0 +1,203 @@
+"""The platform's stand-in: table, object store and instance list over HTTP with JSON.
+
+``docs/reference/platform-protocol.md`` describes the interface. ``POST /control`` sets the
+switches, and ``GET /record`` counts the operations.
+"""
+
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any
+from urllib.parse import unquote
+
+import trio
+
+from ..http_responder import Responder
+from ..http_server import HttpRequest
+from ..platform import Condition, ListedInstance, ListedState, Row, Transaction, Write
+from .host import StandinHost
+from .platform_state import Outage, PlatformControl, PlatformState, WriteFate
+from .routes import Route, Router, WireModel, read_body, reply_error, reply_json
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformStandinSettings:
+    """Where the stand-in listens, and the seed of its random choices."""
+
+    listen: str = "127.0.0.1:0"
+    seed: int = 0
+
+
+class _GetBody(WireModel):
+    keys: tuple[str, ...]
+
+
+class _ScanBody(WireModel):
+    prefix: str
+    limit: int = 1_000
+
+
+class _ConditionBody(WireModel):
+    key: str
+    version: int
+
+
+class _WriteBody(WireModel):
+    key: str
+    value: str | None
+
+
+class _CommitBody(WireModel):
+    conditions: tuple[_ConditionBody, ...] = ()
+    writes: tuple[_WriteBody, ...] = ()
+
+    def transaction(self) -> Transaction:
+        """Return the body as the package's own type."""
+        return Transaction(
+            tuple(Condition(line.key, line.version) for line in self.conditions),
+            tuple(Write(line.key, line.value) for line in self.writes),
+        )
+
+
+class _InstanceBody(WireModel):
+    kind: str
+    address: str
+    zone: str
+    state: ListedState = ListedState.LIVE
+
+
+class PlatformStandin:
+    """Handlers of the stand-in's interface."""
+
+    def __init__(self, settings: PlatformStandinSettings) -> None:
+        self.state = PlatformState(settings.seed)
+        self.router = Router()
+        self.host = StandinHost(settings.listen, self.router)
+        for method, prefix, handler in (
+            ("POST", "/table/get", self._read("table", self._get)),
+            ("POST", "/table/scan", self._read("table", self._scan)),
+            ("POST", "/table/commit", self._write("table", self._commit)),
+            ("GET", "/objects/", self._read("objects", self._get_object)),
+            ("PUT", "/objects/", self._write("objects", self._put_object)),
+            ("DELETE", "/objects/", self._write("objects", self._delete_object)),
+            ("GET", "/instances", self._read("instances", self._list)),
+            ("PUT", "/instances/", self._put_instance),
+            ("DELETE", "/instances/", self._delete_instance),
+            ("POST", "/control", self._control),
+            ("GET", "/record", self._record),
+        ):
+            self.router.route(method, prefix)(handler)
+
+    def _read(self, service: str, handler: Route) -> Route:
+        """Wrap a handler of reads with the switches."""
+
+        async def run(request: HttpRequest, responder: Responder) -> None:
+            is_admitted = self.state.reads.admits(
+                self.state.control.max_reads_per_s, trio.current_time()
+            )
+            if await self._passes(service, is_admitted, request, responder):
+                await handler(request, responder)
+
+        return run
+
+    def _write(self, service: str, apply: Callable[[HttpRequest], tuple[int, Any]]) -> Route:
+        """Wrap a write, which returns status and answer, with the switches."""
+
+        async def run(request: HttpRequest, responder: Responder) -> None:
+            is_admitted = self.state.writes.admits(
+                self.state.control.max_writes_per_s, trio.current_time()
+            )
+            if not await self._passes(service, is_admitted, request, responder):
+                return
+            fate = self.state.next_write_fate()
+            if fate is WriteFate.WRITE_LOST:
+                responder.break_off()
+                return
+            status, answer = apply(request)
+            if fate is WriteFate.ANSWER_LOST:
+                responder.break_off()
+                return
+            await reply_json(responder, status, answer)
+
+        return run
+
+    async def _passes(
+        self, service: str, is_admitted: bool, request: HttpRequest, responder: Responder
+    ) -> bool:
+        control = self.state.control
+        if service in control.services:
+            await trio.sleep(control.delay_s)
+            if control.outage is Outage.SILENT:
+                await request.caller_gone.wait()
+                return False
+            if control.outage is Outage.REFUSING:
+                await reply_error(responder, 503, "unavailable", "the service is down")
+                return False
+        if not is_admitted:
+            await reply_error(responder, 503, "unavailable", "too many operations a second")
+        return is_admitted
+
+    async def _get(self, request: HttpRequest, responder: Responder) -> None:
+        found = [self.state.table.get(key) for key in read_body(_GetBody, request).keys]
+        await reply_json(responder, 200, {"rows": [asdict(row) for row in found if row]})
+
+    async def _scan(self, request: HttpRequest, responder: Responder) -> None:
+        body = read_body(_ScanBody, request)
+        rows: list[Row] = self.state.table.scan(body.prefix, body.limit)
+        await reply_json(responder, 200, {"rows": [asdict(row) for row in rows]})
+
+    def _commit(self, request: HttpRequest) -> tuple[int, Any]:
+        if self.state.table.commit(read_body(_CommitBody, request).transaction()):
+            return 200, {}
+        return 409, {"error": {"type": "conflict", "message": "a condition does not hold"}}
+
+    async def _get_object(self, request: HttpRequest, responder: Responder) -> None:
+        body = self.state.objects.get(_last(request))
+        if body is None:
+            await reply_error(responder, 404, "not-found", "no such object")
+        else:
+            await responder.answer(200, (("content-type", "application/octet-stream"),), body)
+
+    def _put_object(self, request: HttpRequest) -> tuple[int, Any]:
+        self.state.objects[_last(request)] = request.body
+        return 200, {}
+
+    def _delete_object(self, request: HttpRequest) -> tuple[int, Any]:
+        self.state.objects.pop(_last(request), None)
+        return 200, {}
+
+    async def _list(self, _request: HttpRequest, responder: Responder) -> None:
+        time_s = trio.current_time() - self.state.control.instance_lag_s
+        lines = self.state.instances.seen_at(time_s)
+        listed = [{**asdict(line), "state": line.state.value} for line in lines]
+        await reply_json(responder, 200, {"instances": listed})
+
+    async def _put_instance(self, request: HttpRequest, responder: Responder) -> None:
+        body = read_body(_InstanceBody, request)
+        line = ListedInstance(_last(request), body.kind, body.address, body.zone, body.state)
+        self.state.instances.put(line, trio.current_time())
+        await reply_json(responder, 200, {})
+
+    async def _delete_instance(self, request: HttpRequest, responder: Responder) -> None:
+        self.state.instances.remove(_last(request), trio.current_time())
+        await reply_json(responder, 200, {})
+
+    async def _control(self, request: HttpRequest, responder: Responder) -> None:
+        self.state.change(read_body(PlatformControl, request))
+        await reply_json(responder, 200, self.state.control.model_dump(mode="json"))
+
+    async def _record(self, _request: HttpRequest, responder: Responder) -> None:
+        counts = {"reads": self.state.reads.total, "writes": self.state.writes.total}
+        await reply_json(responder, 200, counts)
+
+
+def _last(request: HttpRequest) -> str:
+    """Return the decoded rest of the path after its first segment."""
+    return unquote(request.path.split("/", 2)[2])
+
+
+async def serve(
+    settings: PlatformStandinSettings,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the stand-in until cancelled; the task status gets the bound address."""
+    await PlatformStandin(settings).host.run(task_status)
--- /dev/null
+++ b/lentilchute/standins/platform_state.py
@@ -0,0 +1,157 @@
+"""State of the platform's stand-in: a table, an object store, an instance list, and switches."""
+
+import random
+from enum import Enum
+
+from sortedcontainers import SortedDict
+
+from ..platform import Condition, ListedInstance, Row, Transaction
+from .routes import WireModel
+
+
+class Outage(Enum):
+    """How a service of the platform fails."""
+
+    NONE = "none"
+    REFUSING = "refusing"
+    """Every request is answered with status 503 and has no effect."""
+    SILENT = "silent"
+    """No request is answered, and none has an effect."""
+
+
+class PlatformControl(WireModel):
+    """Switches; a control request replaces those that it names."""
+
+    outage: Outage = Outage.NONE
+    services: tuple[str, ...] = ("table", "objects", "instances")
+    """The services that the outage and the delay affect."""
+    lost_answers: int = 0
+    """So many next writes take effect, but their connection is cut without an answer."""
+    lost_writes: int = 0
+    """So many next writes have no effect, and their connection is cut without an answer."""
+    lost_answer_share: float = 0.0
+    """Share of writes, drawn at random, whose answer is lost."""
+    delay_s: float = 0.0
+    instance_lag_s: float = 0.0
+    max_writes_per_s: int = 100_000
+    max_reads_per_s: int = 100_000
+
+
+class WriteFate(Enum):
+    """What the switches make of a write."""
+
+    ANSWERED = "answered"
+    ANSWER_LOST = "answer-lost"
+    WRITE_LOST = "write-lost"
+
+
+class TableState:
+    """Rows with versions, and conditional transactions over them.
+
+    A row's version counts from 1; a row that was deleted and written anew counts from 1 again.
+    """
+
+    def __init__(self) -> None:
+        self._rows: SortedDict[str, Row] = SortedDict()
+
+    def get(self, key: str) -> Row | None:
+        """Return a row."""
+        row: Row | None = self._rows.get(key)
+        return row
+
+    def scan(self, prefix: str, limit: int) -> list[Row]:
+        """Return the rows whose key starts with ``prefix``, in key order."""
+        rows: list[Row] = []
+        for key in self._rows.irange(prefix):
+            if len(rows) == limit or not key.startswith(prefix):
+                break
+            rows.append(self._rows[key])
+        return rows
+
+    def commit(self, transaction: Transaction) -> bool:
+        """Apply a transaction; return false when a condition does not hold."""
+        if not all(self._holds(condition) for condition in transaction.conditions):
+            return False
+        for write in transaction.writes:
+            if write.value is None:
+                self._rows.pop(write.key, None)
+            else:
+                self._rows[write.key] = Row(write.key, self._version(write.key) + 1, write.value)
+        return True
+
+    def _holds(self, condition: Condition) -> bool:
+        return self._version(condition.key) == condition.version
+
+    def _version(self, key: str) -> int:
+        row = self.get(key)
+        return row.version if row else 0
+
+
+class InstanceState:
+    """The instance list with its past, so that a lagging view can be given."""
+
+    def __init__(self) -> None:
+        self._history: list[tuple[float, dict[str, ListedInstance]]] = [(float("-inf"), {})]
+
+    def put(self, instance: ListedInstance, now_s: float) -> None:
+        """Add or replace a line."""
+        self._history.append((now_s, {**self._history[-1][1], instance.name: instance}))
+
+    def remove(self, name: str, now_s: float) -> None:
+        """Remove a line."""
+        lines = {key: line for key, line in self._history[-1][1].items() if key != name}
+        self._history.append((now_s, lines))
+
+    def seen_at(self, time_s: float) -> list[ListedInstance]:
+        """Return the list as it stood at ``time_s``."""
+        lines = [lines for since_s, lines in self._history if since_s <= time_s]
+        return list(lines[-1].values())
+
+
+class RateBound:
+    """Counts operations and tells which exceed a number a second."""
+
+    def __init__(self) -> None:
+        self.total = 0
+        self._second = -1
+        self._in_second = 0
+
+    def admits(self, limit: int, now_s: float) -> bool:
+        """Count one operation; return false when this second has had ``limit`` already."""
+        if int(now_s) != self._second:
+            self._second = int(now_s)
+            self._in_second = 0
+        self._in_second += 1
+        self.total += 1
+        return self._in_second <= limit
+
+
+class PlatformState:
+    """All that the stand-in holds."""
+
+    def __init__(self, seed: int) -> None:
+        self.table = TableState()
+        self.objects: dict[str, bytes] = {}
+        self.instances = InstanceState()
+        self.control = PlatformControl()
+        self.reads = RateBound()
+        self.writes = RateBound()
+        self._rng = random.Random(seed)
+
+    def change(self, changes: PlatformControl) -> None:
+        """Replace the switches that a control request names."""
+        named = {name: getattr(changes, name) for name in changes.model_fields_set}
+        self.control = self.control.model_copy(update=named)
+
+    def next_write_fate(self) -> WriteFate:
+        """Return what happens to the next write, and count down the switches."""
+        control = self.control
+        if control.lost_writes > 0:
+            self.control = control.model_copy(update={"lost_writes": control.lost_writes - 1})
+            return WriteFate.WRITE_LOST
+        if control.lost_answers > 0:
+            self.control = control.model_copy(update={"lost_answers": control.lost_answers - 1})
+            return WriteFate.ANSWER_LOST
+        if self._rng.random() < control.lost_answer_share:
+            return WriteFate.ANSWER_LOST
+        return WriteFate.ANSWERED
--- /dev/null
+++ b/lentilchute/standins/routes.py
@@ -0,0 +1,76 @@
+"""Routes of a stand-in's HTTP interface, and JSON helpers for its handlers."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from ..http_messages import JSON_HEADER, Headers, error_body
+from ..http_responder import Responder
+from ..http_server import HttpRequest
+
+Route = Callable[[HttpRequest, Responder], Awaitable[None]]
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class WireModel(BaseModel):
+    """Base of the JSON bodies that stand-ins read; unknown keys are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class BadBodyError(Exception):
+    """A request's body is not what the route takes; answered with status 400."""
+
+
+class Router:
+    """Finds the route with the longest matching path prefix."""
+
+    def __init__(self) -> None:
+        self._routes: list[tuple[str, str, Route]] = []
+
+    def route(self, method: str, prefix: str) -> Callable[[Route], Route]:
+        """Register a handler for a method and a path prefix; ``*`` stands for any method."""
+
+        def add(handler: Route) -> Route:
+            self._routes.append((method, prefix, handler))
+            self._routes.sort(key=lambda entry: -len(entry[1]))
+            return handler
+
+        return add
+
+    async def __call__(self, request: HttpRequest, responder: Responder) -> None:
+        """Handle one request."""
+        for method, prefix, handler in self._routes:
+            if method in ("*", request.method) and request.path.startswith(prefix):
+                await _handle(handler, request, responder)
+                return
+        await reply_error(responder, 404, "not-found", f"no {request.method} {request.path}")
+
+
+async def _handle(handler: Route, request: HttpRequest, responder: Responder) -> None:
+    try:
+        await handler(request, responder)
+    except BadBodyError as error:
+        await reply_error(responder, 400, "bad-request", str(error))
+
+
+def read_body(model: type[Model], request: HttpRequest) -> Model:
+    """Parse a request's JSON body; raises ``BadBodyError`` with what is wrong."""
+    try:
+        return model.model_validate_json(request.body)
+    except ValidationError as error:
+        first = error.errors()[0]
+        where = ".".join(str(part) for part in first["loc"]) or "body"
+        raise BadBodyError(f"{where}: {first['msg']}") from error
+
+
+async def reply_json(responder: Responder, status: int, value: Any, headers: Headers = ()) -> None:
+    """Answer with a JSON value."""
+    await responder.answer(status, (JSON_HEADER, *headers), json.dumps(value).encode())
+
+
+async def reply_error(responder: Responder, status: int, reason: str, message: str) -> None:
+    """Answer with a JSON error."""
+    await responder.answer(status, (JSON_HEADER,), error_body(reason, message))
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -7,7 +7,14 @@
 from trio.testing import MockClock, memory_stream_pair
 
 from lentilchute.http_responder import Responder
-from lentilchute.http_server import HttpRequest, HttpServer, HttpServerSettings
+from lentilchute.http_server import (
+    HeadCheck,
+    HeadRefusal,
+    HttpRequest,
+    HttpServer,
+    HttpServerSettings,
+    RequestHead,
+)
 
 SETTINGS = HttpServerSettings(max_header_bytes=2_000, max_body_bytes=100)
 GET = b"GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -37,9 +44,11 @@
     return data
 
 
-async def talk(*pieces: bytes, pause_s: float = 0.0, eof: bool = True) -> bytes:
+async def talk(
+    *pieces: bytes, pause_s: float = 0.0, eof: bool = True, check_head: HeadCheck | None = None
+) -> bytes:
     """Send pieces to a server and return all that it answers."""
-    server = HttpServer(SETTINGS, echo)
+    server = HttpServer(SETTINGS, echo, check_head)
     ours, theirs = memory_stream_pair()
     answer = b""
     async with trio.open_nursery() as nursery:
@@ -59,9 +68,11 @@
     return answer
 
 
-def run(*pieces: bytes, pause_s: float = 0.0, eof: bool = True) -> bytes:
+def run(
+    *pieces: bytes, pause_s: float = 0.0, eof: bool = True, check_head: HeadCheck | None = None
+) -> bytes:
     async def main() -> bytes:
-        return await talk(*pieces, pause_s=pause_s, eof=eof)
+        return await talk(*pieces, pause_s=pause_s, eof=eof, check_head=check_head)
 
     return trio.run(main, clock=MockClock(autojump_threshold=0))
 
@@ -174,6 +185,18 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
+def test_a_refused_head_is_answered_before_its_body() -> None:
+    def check_head(head: RequestHead) -> int | HeadRefusal:
+        refusal = HeadRefusal(401, (("lentilchute-outcome", "not-run"),), b"who are you?")
+        return refusal if head.path == "/closed" else 5
+
+    head = b"POST /closed HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n"
+    answer = run(head, eof=False, check_head=check_head)
+    assert b" 401 " in answer and answer.endswith(b"who are you?")
+    head = head.replace(b"/closed", b"/open").replace(b"50", b"6")
+    assert error_type(run(head, eof=False, check_head=check_head)) == "too-large"
+
+
 def test_connections_above_the_bound_are_refused() -> None:
     async def main() -> bytes:
         server = HttpServer(HttpServerSettings(max_connections=1), echo)
