Check YAML files with all findings at once; add the command line's frame

Pydantic alone names no place, and ruamel.yaml's constructor ends at the first doubled key, so the text is composed to nodes and walked here: keys and values get their places, and doubled keys, tags, self-containing aliases and values that JSON cannot hold are collected beside the model's findings. The model is validated in strict JSON mode, which refuses "64" for 64 and still takes lists for tuples. What is allowed is worded from the model's JSON schema (util/schema.py), which the reference pages will share. Ruled out: ruamel's round-trip mode, which raises at the first doubled key.

Small additions to agreed interfaces: ExitCode and UserError.exit_code in errors.py; attribute doc comments become schema descriptions; cross checks of the document (names, tiers, doubled keys, deadlines, min_ready) raise PartProblemsError with a path to each culprit.

Not seen failing: the bound on values (without it the walk does not end in useful time) and the first of the two size checks (the second one catches it).

--- /dev/null
+++ b/lentilchute/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line by ``python -m lentilchute``."""
+
+from .ui import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lentilchute/checked_yaml.py
@@ -0,0 +1,191 @@
+"""Checked YAML: a file against a model, with all findings at once and their places.
+
+result = load_document(text, "lentil-drafters.yaml")
+if isinstance(result, Err):
+    for finding in result.err_value:
+        print(finding)
+"""
+
+import difflib
+import json
+from importlib import resources
+from typing import Any, TypeVar
+
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from .document import Part, PartProblemsError, ServiceDocument
+from .errors import Finding, Place
+from .settings import NodeSettings
+from .util.schema import Schema, describe, schema_at, schema_of
+from .yaml_tree import Path, Plain, YamlTree, path_text, read_yaml
+
+MAX_FILE_BYTES = 1024 * 1024
+DEFAULTS_FILE = "config_default.yaml"
+
+Model = TypeVar("Model", bound=Part)
+
+
+def load_text(text: str, file: str, model: type[Model]) -> Result[Model, list[Finding]]:
+    """Check ``text`` against ``model``; ``file`` is the name that findings carry."""
+    return _check(read_bounded(text, file), model)
+
+
+def load_file(path: str, model: type[Model]) -> Result[Model, list[Finding]]:
+    """Check the file at ``path`` against ``model``."""
+    return read_text(path).and_then(lambda text: load_text(text, path, model))
+
+
+def load_document(text: str, file: str) -> Result[ServiceDocument, list[Finding]]:
+    """Check the text of a service document."""
+    return load_text(text, file, ServiceDocument)
+
+
+def load_settings(path: str) -> Result[NodeSettings, list[Finding]]:
+    """Check a node's settings file, merged over the packaged defaults."""
+    return read_text(path).and_then(lambda text: load_settings_text(text, path))
+
+
+def load_settings_text(text: str, file: str) -> Result[NodeSettings, list[Finding]]:
+    """Check the text of a node's settings, merged over the packaged defaults."""
+    tree = read_bounded(text, file)
+    if isinstance(tree.value, dict):
+        tree.value = merge_over(default_settings(), tree.value)
+    return _check(tree, NodeSettings)
+
+
+def default_settings() -> dict[str, Plain]:
+    """Return the packaged defaults as plain values."""
+    text = resources.files(__package__).joinpath(DEFAULTS_FILE).read_text("utf-8")
+    value = read_yaml(text, DEFAULTS_FILE).value
+    assert isinstance(value, dict)
+    return value
+
+
+def merge_over(base: dict[str, Plain], top: dict[str, Plain]) -> dict[str, Plain]:
+    """Return ``base`` with the values of ``top`` laid over it, mapping by mapping."""
+    merged = dict(base)
+    for key, value in top.items():
+        below = merged.get(key)
+        if isinstance(below, dict) and isinstance(value, dict):
+            merged[key] = merge_over(below, value)
+        else:
+            merged[key] = value
+    return merged
+
+
+def read_text(path: str) -> Result[str, list[Finding]]:
+    """Read a file as UTF-8, bounded; faults are findings."""
+    try:
+        with open(path, "rb") as file:
+            body = file.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        reason = error.strerror or type(error).__name__
+        return Err([Finding(Place(path, 1, 1), "file", f"cannot be read: {reason}")])
+    if len(body) > MAX_FILE_BYTES:
+        return Err([_too_large(path)])
+    try:
+        return Ok(body.decode("utf-8-sig"))
+    except UnicodeDecodeError as error:
+        return Err([_not_utf8(path, body, error.start)])
+
+
+def read_bounded(text: str, file: str) -> YamlTree:
+    """Parse text that may have come from anywhere: its size is checked first."""
+    if len(text.encode("utf-8", "surrogatepass")) > MAX_FILE_BYTES:
+        return YamlTree(file, findings=[_too_large(file)])
+    return read_yaml(text, file)
+
+
+def _too_large(file: str) -> Finding:
+    return Finding(Place(file, 1, 1), "file", f"is larger than {MAX_FILE_BYTES} bytes")
+
+
+def _not_utf8(path: str, body: bytes, position: int) -> Finding:
+    before = body[:position]
+    column = position - (before.rfind(b"\n") + 1) + 1
+    place = Place(path, before.count(b"\n") + 1, column)
+    return Finding(place, "file", f"is not UTF-8 at byte {position}")
+
+
+def _check(tree: YamlTree, model: type[Model]) -> Result[Model, list[Finding]]:
+    """Validate a tree; findings of reading and of the model are reported together."""
+    findings = list(tree.findings)
+    if tree.value is None and findings:
+        return Err(findings)
+    if not isinstance(tree.value, dict):
+        return Err([*findings, Finding(tree.place_of_value(()), "file", "must be a mapping")])
+    try:
+        # JSON mode is strict about types and still takes lists for tuples and texts for enums.
+        value = model.model_validate_json(json.dumps(tree.value), strict=True)
+    except ValidationError as error:
+        findings.extend(_model_findings(error, tree, schema_of(model)))
+    else:
+        if not findings:
+            return Ok(value)
+    return Err(_in_file_order(findings))
+
+
+def _in_file_order(findings: list[Finding]) -> list[Finding]:
+    """Sort by place; of the findings at one place and key only the first is kept."""
+    by_place: dict[tuple[int, int, str], Finding] = {}
+    for finding in findings:
+        by_place.setdefault((finding.place.line, finding.place.column, finding.key), finding)
+    return [by_place[key] for key in sorted(by_place)]
+
+
+def _model_findings(error: ValidationError, tree: YamlTree, schema: Schema) -> list[Finding]:
+    findings = []
+    details = error.errors(include_input=False, include_url=False)
+    paths = [tuple(detail["loc"]) for detail in details]
+    for detail, path in zip(details, paths, strict=True):
+        if detail["type"] == "too_short" and _has_deeper(path, paths):
+            # Pydantic counts only the items that are right; the wrong ones have their findings.
+            continue
+        cause = detail.get("ctx", {}).get("error")
+        if isinstance(cause, PartProblemsError):
+            findings.extend(_problem_findings(cause, path, tree))
+        else:
+            findings.append(_finding(detail["type"], detail["msg"], path, tree, schema))
+    return findings
+
+
+def _has_deeper(path: Path, paths: list[Path]) -> bool:
+    return any(len(other) > len(path) and other[: len(path)] == path for other in paths)
+
+
+def _problem_findings(cause: PartProblemsError, base: Path, tree: YamlTree) -> list[Finding]:
+    findings = []
+    for problem in cause.problems:
+        path = (*base, *problem.path)
+        place = tree.place_of_value(path)
+        findings.append(Finding(place, path_text(path), problem.message))
+    return findings
+
+
+def _finding(kind: str, message: str, path: Path, tree: YamlTree, schema: Schema) -> Finding:
+    key = path_text(path)
+    if kind == "extra_forbidden":
+        allowed = _allowed_keys(schema, path[:-1])
+        return Finding(tree.place_of_key(path), key, _unknown_key(str(path[-1]), allowed))
+    if kind == "missing":
+        target = schema_at(schema, path)
+        needed = f"; give {describe(schema, target)}" if target is not None else ""
+        return Finding(tree.place_of_value(path[:-1]), key, f"a required key is missing{needed}")
+    if kind == "value_error":
+        return Finding(tree.place_of_value(path), key, message.removeprefix("Value error, "))
+    target = schema_at(schema, path)
+    allowed_value = describe(schema, target) if target is not None else message
+    quotes = " (a number or a truth value needs quotes)" if kind == "string_type" else ""
+    return Finding(tree.place_of_value(path), key, f"must be {allowed_value}{quotes}")
+
+
+def _allowed_keys(schema: Schema, path: Path) -> list[str]:
+    parent: Any = schema_at(schema, path) or {}
+    return list(parent.get("properties", {}))
+
+
+def _unknown_key(key: str, allowed: list[str]) -> str:
+    near = difflib.get_close_matches(key, allowed, n=1)
+    hint = f" (did you mean {near[0]}?)" if near else ""
+    return f"unknown key{hint}; allowed: {', '.join(allowed)}"
--- a/lentilchute/document.py
+++ b/lentilchute/document.py
@@ -6,8 +6,9 @@
 """
 
 import re
+from collections.abc import Iterator
 from enum import Enum
-from typing import Annotated, Self
+from typing import Annotated, NamedTuple, Self
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
@@ -17,10 +18,25 @@
 Seconds = Annotated[float, Field(gt=0, le=604_800)]
 
 
+class PartProblem(NamedTuple):
+    """What is wrong between values that are right one by one, and the path to the culprit."""
+
+    path: tuple[str | int, ...]
+    message: str
+
+
+class PartProblemsError(ValueError):
+    """All such problems of one part, so that they are reported together with their places."""
+
+    def __init__(self, problems: list[PartProblem]) -> None:
+        self.problems = tuple(problems)
+        super().__init__("; ".join(problem.message for problem in problems))
+
+
 class Part(BaseModel):
     """Base of all parts: unknown keys are findings, values do not change after loading."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, use_attribute_docstrings=True)
 
 
 class UpstreamKind(Enum):
@@ -84,6 +100,13 @@
     floor_share: Annotated[float, Field(ge=0, le=0.5)] = 0.0
     """Part of the grants this tier gets even while higher tiers wait; 0 keeps strict order."""
 
+    @model_validator(mode="after")
+    def _default_is_allowed(self) -> Self:
+        if self.default_deadline_s > self.max_deadline_s:
+            message = f"must not be above max_deadline_s, which is {self.max_deadline_s:g}"
+            raise PartProblemsError([PartProblem(("default_deadline_s",), message)])
+        return self
+
 
 class AccountEntry(Part):
     """One client account with the digest of its bearer key."""
@@ -122,6 +145,13 @@
     min_ready: Annotated[int, Field(ge=0)] = 1
     """Engines that stay ready with this model while others change."""
 
+    @model_validator(mode="after")
+    def _enough_engines(self) -> Self:
+        if self.min_ready > self.engines:
+            message = f"must not be above engines, which is {self.engines}"
+            raise PartProblemsError([PartProblem(("min_ready",), message)])
+        return self
+
 
 class Limits(Part):
     """Bounds of one service."""
@@ -148,16 +178,10 @@
     limits: Limits = Limits()
 
     @model_validator(mode="after")
-    def _names_are_unique(self) -> Self:
-        members = [entry.name for group in self.upstreams for entry in group.members]
-        for what, names in (
-            ("tier", [tier.name for tier in self.tiers]),
-            ("client account", [account.name for account in self.client_accounts]),
-            ("upstream", members),
-        ):
-            doubled = sorted({name for name in names if names.count(name) > 1})
-            if doubled:
-                raise ValueError(f"{what} named twice: {', '.join(doubled)}")
+    def _parts_agree(self) -> Self:
+        problems = [*_doubled_names(self), *_unknown_tiers(self), *_doubled_keys(self)]
+        if problems:
+            raise PartProblemsError(problems)
         return self
 
     @property
@@ -208,3 +232,40 @@
 def is_model_path(path: str) -> bool:
     """Tell whether ``path`` is a model call, whose prompt the scheduler weighs in tokens."""
     return re.fullmatch(r"/v1/(chat/)?completions", path) is not None
+
+
+def _doubled_names(document: ServiceDocument) -> Iterator[PartProblem]:
+    """Yield a problem for each tier, client account or upstream named a second time."""
+    named: list[tuple[str, tuple[str | int, ...], str]] = []
+    for i, tier in enumerate(document.tiers):
+        named.append(("tier", ("tiers", i, "name"), tier.name))
+    for i, account in enumerate(document.client_accounts):
+        named.append(("client account", ("client_accounts", i, "name"), account.name))
+    for i, group in enumerate(document.upstreams):
+        for j, member in enumerate(group.members):
+            named.append(("upstream", ("upstreams", i, "members", j, "name"), member.name))
+    seen: set[tuple[str, str]] = set()
+    for what, path, name in named:
+        if (what, name) in seen:
+            yield PartProblem(path, f"{what} named twice: {name}")
+        seen.add((what, name))
+
+
+def _unknown_tiers(document: ServiceDocument) -> Iterator[PartProblem]:
+    """Yield a problem for each client account whose highest tier the document does not list."""
+    tiers = ", ".join(tier.name for tier in document.tiers)
+    for i, account in enumerate(document.client_accounts):
+        tier = account.highest_tier
+        if tier is not None and document.tier_rank(tier) is None:
+            path = ("client_accounts", i, "highest_tier")
+            yield PartProblem(path, f"no tier is named {tier}; allowed: {tiers}")
+
+
+def _doubled_keys(document: ServiceDocument) -> Iterator[PartProblem]:
+    """Yield a problem for each client account that shares its key with an earlier one."""
+    owners: dict[str, str] = {}
+    for i, account in enumerate(document.client_accounts):
+        owner = owners.setdefault(account.key_sha256, account.name)
+        if owner != account.name:
+            path = ("client_accounts", i, "key_sha256")
+            yield PartProblem(path, f"the same key as client account {owner}")
--- a/lentilchute/errors.py
+++ b/lentilchute/errors.py
@@ -5,11 +5,27 @@
 """
 
 from dataclasses import dataclass
+from enum import IntEnum
+from typing import ClassVar
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the command line; ``docs/reference/commands.md`` documents them."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    UNKNOWN_OUTCOME = 5
+    INTERRUPTED = 130
 
 
 class UserError(Exception):
     """A mistake or condition that the user can act on; its text is one plain line."""
 
+    exit_code: ClassVar[ExitCode] = ExitCode.FAILED
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
--- /dev/null
+++ b/lentilchute/ui/check.py
@@ -0,0 +1,79 @@
+"""``lentilchute check``: all findings of a service document or a node's settings."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Annotated, Any
+
+import cappa
+from result import Err, Result
+
+from ..checked_yaml import load_document, load_settings_text, read_bounded, read_text
+from ..errors import ExitCode, Finding
+from .registry import register_command
+
+
+class FileKind(Enum):
+    """What a file is checked as."""
+
+    AUTO = "auto"
+    DOCUMENT = "document"
+    SETTINGS = "settings"
+
+
+@register_command("check", help="Check a service document or a node's settings.")
+@dataclass
+class Check:
+    """Checks a file without touching a node; every finding is printed, one a line."""
+
+    file: Annotated[str, cappa.Arg(help="Service document or node settings, in YAML.")]
+    kind: Annotated[
+        FileKind, cappa.Arg(long=True, help="What the file is; auto tells by its keys.")
+    ] = FileKind.AUTO
+    json: Annotated[bool, cappa.Arg(long=True, help="Print findings as JSON.")] = False
+
+    def __call__(self) -> ExitCode:
+        result = check_file(self.file, self.kind)
+        findings = result.err_value if isinstance(result, Err) else []
+        if self.json:
+            print(json.dumps({"file": self.file, "findings": [as_json(f) for f in findings]}))
+        else:
+            self._print(findings)
+        return ExitCode.FAILED if findings else ExitCode.OK
+
+    def _print(self, findings: list[Finding]) -> None:
+        for finding in findings:
+            print(finding)
+        if not findings:
+            print(f"{self.file}: no findings")
+
+
+def check_file(file: str, kind: FileKind) -> Result[Any, list[Finding]]:
+    """Check a file as what it is, or as what its keys look like."""
+    text = read_text(file)
+    if isinstance(text, Err):
+        return text
+    if kind is FileKind.AUTO:
+        kind = guess_kind(text.ok_value, file)
+    if kind is FileKind.SETTINGS:
+        return load_settings_text(text.ok_value, file)
+    return load_document(text.ok_value, file)
+
+
+def guess_kind(text: str, file: str) -> FileKind:
+    """Tell settings from a service document by the keys that only settings have."""
+    value = read_bounded(text, file).value
+    if isinstance(value, dict) and not value.keys().isdisjoint({"instance", "listen", "platform"}):
+        return FileKind.SETTINGS
+    return FileKind.DOCUMENT
+
+
+def as_json(finding: Finding) -> dict[str, Any]:
+    """Return a finding as a script reads it."""
+    return {
+        "file": finding.place.file,
+        "line": finding.place.line,
+        "column": finding.place.column,
+        "key": finding.key,
+        "message": finding.message,
+    }
--- /dev/null
+++ b/lentilchute/ui/registry.py
@@ -0,0 +1,37 @@
+"""The registry of subcommands, filled by decorator.
+
+A command is a class whose fields are its arguments and whose call runs it. It returns an
+``ExitCode`` and raises ``UserError`` for what the user can act on::
+
+    @register_command("check", help="Check a file.")
+    @dataclass
+    class Check:
+        file: str
+
+        def __call__(self) -> ExitCode: ...
+"""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import cappa
+
+Command = TypeVar("Command")
+
+_commands: list[type] = []
+
+
+def register_command(name: str, *, help: str) -> Callable[[type[Command]], type[Command]]:
+    """Register a dataclass as the subcommand ``name``; the class doc comment describes it."""
+
+    def add(command: type[Command]) -> type[Command]:
+        wrapped = cappa.command(command, name=name, help=help)
+        _commands.append(wrapped)
+        return wrapped
+
+    return add
+
+
+def registered_commands() -> tuple[type, ...]:
+    """Return all commands in the order of their registration."""
+    return tuple(_commands)
--- /dev/null
+++ b/lentilchute/util/__init__.py
@@ -0,0 +1,1 @@
+"""Pure helpers without knowledge of the scheduler."""
--- /dev/null
+++ b/lentilchute/util/schema.py
@@ -0,0 +1,92 @@
+"""What a model allows, in words, read from its JSON schema.
+
+Findings and the reference pages share these words, so that both say the same of a key.
+"""
+
+from collections.abc import Mapping
+from functools import lru_cache
+from typing import Any
+
+from pydantic import BaseModel
+
+Schema = Mapping[str, Any]
+
+
+@lru_cache(maxsize=64)
+def schema_of(model: type[BaseModel]) -> Schema:
+    """Return the model's JSON schema, made once."""
+    return model.model_json_schema()
+
+
+def follow(root: Schema, schema: Schema) -> Schema:
+    """Return the schema behind a reference or an optional value."""
+    while True:
+        options = [option for option in schema.get("anyOf", ()) if option.get("type") != "null"]
+        if "$ref" in schema:
+            schema = root["$defs"][schema["$ref"].rsplit("/", 1)[1]]
+        elif len(options) == 1:
+            schema = options[0]
+        else:
+            return schema
+
+
+def schema_at(root: Schema, path: tuple[str | int, ...]) -> Schema | None:
+    """Return the schema of the value at ``path``, or ``None`` where the model has none."""
+    schema = follow(root, root)
+    for step in path:
+        if isinstance(step, int):
+            found = schema.get("items")
+        else:
+            found = schema.get("properties", {}).get(step)
+        if found is None:
+            return None
+        schema = follow(root, found)
+    return schema
+
+
+def describe(root: Schema, schema: Schema) -> str:
+    """Return what is allowed, as in ``an integer, at least 1, at most 4096``."""
+    target = follow(root, schema)
+    if "enum" in target:
+        return "one of: " + ", ".join(map(str, target["enum"]))
+    kind = target.get("type")
+    if kind == "array":
+        return _describe_list(root, target)
+    words = {
+        "integer": "an integer",
+        "number": "a number",
+        "boolean": "true or false",
+        "string": "a text",
+        "object": "a mapping",
+    }
+    return words.get(str(kind), "a value") + _describe_bounds(target)
+
+
+def _describe_list(root: Schema, target: Schema) -> str:
+    items = describe(root, target.get("items", {}))
+    words = {"a text": "texts", "a mapping": "mappings"}
+    bounds = ""
+    if target.get("minItems"):
+        bounds += f", at least {target['minItems']}"
+    if "maxItems" in target:
+        bounds += f", at most {target['maxItems']}"
+    if items.startswith("one of"):
+        return f"a list with items from {items.removeprefix('one of: ')}{bounds}"
+    first, _, rest = items.partition(" that ")
+    suffix = f" that {rest}" if rest else ""
+    return f"a list of {words.get(first, first)}{suffix}{bounds}"
+
+
+def _describe_bounds(target: Schema) -> str:
+    text = ""
+    if "exclusiveMinimum" in target:
+        text += f", above {target['exclusiveMinimum']:g}"
+    if "minimum" in target:
+        text += f", at least {target['minimum']}"
+    if "maximum" in target:
+        text += f", at most {target['maximum']}"
+    if "minLength" in target:
+        text += f" of at least {target['minLength']} characters"
+    if "pattern" in target:
+        text += f" that matches {target['pattern']}"
+    return text
