--- a/lentilchute/document.py
+++ b/lentilchute/document.py
@@ -57,24 +57,34 @@
     """One upstream named in the document."""
 
     name: Name
+    """Name of the upstream, unique in the document."""
     address: Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
+    """IP number and port."""
     availability_zone: Name
+    """Availability zone of the upstream."""
 
 
 class UpstreamGroup(Part):
     """Upstreams of one kind: named here, or selected from the platform's list by ``selector``."""
 
     kind: UpstreamKind
+    """Which protocol the upstreams speak."""
     fencing: Fencing = Fencing.IGNORED
+    """Whether the upstreams refuse an order with an old fencing number."""
     reports_load: bool = True
+    """Whether the upstreams answer a request for their load."""
     selector: Name | None = None
+    """Group name in the platform's list of instances; in place of `members`."""
     members: tuple[UpstreamEntry, ...] = ()
+    """Upstreams named here; in place of `selector`."""
     hardware: Name = "unspecified"
     """Hardware generation; upstreams of one generation are each other's peers for comparison."""
     max_streams: Annotated[int, Field(ge=1, le=4096)] = 64
+    """Requests in flight at one upstream."""
     max_prompt_tokens: Annotated[int, Field(ge=1)] = 200_000
     """Upper bound on prompt tokens outstanding at one upstream; the scheduler adapts below it."""
     initial_prefill_tokens_per_s: Annotated[float, Field(gt=0)] = 8_000.0
+    """Expected prefill rate until the upstream's own rate is learned."""
     initial_decode_tokens_per_s: Annotated[float, Field(gt=0)] = 40.0
     """Expected rate of one stream until the upstream's own rate is learned."""
     cache_tokens: Annotated[int, Field(ge=0)] = 500_000
@@ -91,8 +101,11 @@
     """One tier; the document lists tiers from the highest to the lowest."""
 
     name: Name
+    """Name that callers give in the tier header."""
     default_deadline_s: Seconds = 60.0
+    """Deadline of a request that gives none."""
     max_deadline_s: Seconds = 3_600.0
+    """Longest deadline that a request may give."""
     max_waiting: Annotated[int, Field(ge=0)] = 1_000
     """Tickets of this tier that may wait in one shard."""
     reserved_share: Annotated[float, Field(ge=0, le=0.9)] = 0.0
@@ -112,8 +125,11 @@
     """One client account with the digest of its bearer key."""
 
     name: Name
+    """Name of the client account."""
     key_sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    """SHA-256 digest of the bearer key, in lower-case hexadecimal."""
     weight: Annotated[float, Field(gt=0, le=1_000)] = 1.0
+    """Share of the account against others within a tier."""
     highest_tier: Name | None = None
     """The highest tier that the account may ask for; all tiers when absent."""
 
@@ -122,9 +138,11 @@
     """How requests to paths that match ``pattern`` (a prefix; ``*`` ends it) are treated."""
 
     pattern: Annotated[str, Field(pattern=r"^/[^*\s]*\*?$")]
+    """Path that the rule covers; a `*` at the end covers all that start so."""
     methods: tuple[str, ...] = ()
     """HTTP methods that the rule covers; all when empty."""
     idempotent: bool
+    """Whether the request may be repeated."""
 
     def matches(self, method: str, path: str) -> bool:
         """Tell whether the rule covers this method and path."""
@@ -139,9 +157,13 @@
     """A model, with its version and adapters, that a number of engines shall hold."""
 
     name: Name
+    """Name of the model as callers ask for it."""
     version: Name = "1"
+    """Version of the model's weights."""
     adapters: tuple[Name, ...] = ()
+    """Adapters to load with the model."""
     engines: Annotated[int, Field(ge=1)] = 1
+    """Engines that shall hold the model."""
     min_ready: Annotated[int, Field(ge=0)] = 1
     """Engines that stay ready with this model while others change."""
 
@@ -157,9 +179,13 @@
     """Bounds of one service."""
 
     max_body_bytes: Annotated[int, Field(ge=1, le=64 * 1024 * 1024)] = 4 * 1024 * 1024
+    """Largest request body; a larger one is refused."""
     max_output_tokens: Annotated[int, Field(ge=1)] = 4_096
+    """Most output tokens of one request."""
     first_token_target_s: Seconds = 1.8
+    """Time to the first token that the service aims at."""
     between_tokens_target_s: Seconds = 0.05
+    """Time between tokens that the service aims at."""
     stream_idle_timeout_s: Seconds = 10.0
     """A stream without a byte for this long is taken for broken and resumed."""
     kept_answer_bytes: Annotated[int, Field(ge=0)] = 65_536
@@ -170,12 +196,19 @@
     """Everything a team declares about its service."""
 
     service: Name
+    """Name of the service; it does not change between versions."""
     upstreams: Annotated[tuple[UpstreamGroup, ...], Field(min_length=1)]
+    """Groups of upstreams."""
     tiers: Annotated[tuple[TierEntry, ...], Field(min_length=1, max_length=8)]
+    """Tiers from the highest to the lowest."""
     client_accounts: Annotated[tuple[AccountEntry, ...], Field(min_length=1)]
+    """Who may call the service."""
     paths: tuple[PathRule, ...] = ()
+    """Rules for idempotency; the first that covers a request decides."""
     models: tuple[WantedModel, ...] = ()
+    """Models that engines shall hold; any model is served when empty."""
     limits: Limits = Limits()
+    """Bounds of the service."""
 
     @model_validator(mode="after")
     def _parts_agree(self) -> Self:
--- /dev/null
+++ b/lentilchute/logs.py
@@ -0,0 +1,159 @@
+"""The log's destination: one JSON line for each event, buffered, without secrets.
+
+    log = open_log(path)           # standard error without a path
+    nursery.start_soon(log.run)    # writes from a thread, so a slow reader stops no request
+    ...
+    log.close()
+
+A field is written only as a short scalar or a short list of scalars, and a field whose name
+promises a key, a prompt or a body is withheld, so that a mistake at one call does not put a secret
+in the log.
+"""
+
+import io
+import json
+import sys
+import threading
+from collections import deque
+from enum import Enum
+from typing import BinaryIO
+
+import eliot
+import trio
+
+from .errors import UserError
+
+FLUSH_INTERVAL_S = 0.25
+MAX_BUFFERED_LINES = 20_000
+"""Older lines are dropped, and counted, when the reader is slower than the events."""
+MAX_TEXT_CHARACTERS = 300
+MAX_LIST_ITEMS = 64
+WITHHELD = "[withheld]"
+
+_SECRET_NAMES = frozenset(
+    {
+        "authorization",
+        "bearer",
+        "bearer_key",
+        "body",
+        "content",
+        "data",
+        "headers",
+        "idempotency_key",
+        "key",
+        "messages",
+        "prompt",
+        "reason_text",
+        "secret",
+        "shared_key",
+        "text",
+        "token",
+    }
+)
+_TRACEBACK_FIELD = "traceback"
+_EXCEPTION_REASON_FIELD = "reason"
+_EXCEPTION_FIELD = "exception"
+DROPPED_TYPE = "lentilchute:lines_dropped"
+
+Scalar = str | int | float | bool | None
+
+
+class LogWriter:
+    """An eliot destination that keeps lines until they are flushed."""
+
+    def __init__(self, file: BinaryIO) -> None:
+        self._file = file
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        self._write_lock = threading.Lock()
+
+    def __call__(self, message: dict[str, object]) -> None:
+        """Take one message from eliot; never blocks and never raises."""
+        if len(self._lines) >= MAX_BUFFERED_LINES:
+            self._lines.popleft()
+            self._dropped += 1
+        self._lines.append(as_line(message))
+
+    def flush(self) -> None:
+        """Write what is buffered; may block as long as the file does."""
+        with self._write_lock:
+            lines = self._take_lines()
+            if not lines:
+                return
+            try:
+                self._file.write("".join(lines).encode("utf-8", "replace"))
+                self._file.flush()
+            except (OSError, ValueError):
+                # The reader of the log has gone; a node serves on without it.
+                self._dropped += len(lines)
+
+    async def run(self) -> None:
+        """Flush at intervals, from a thread, until cancelled."""
+        while True:
+            await trio.sleep(FLUSH_INTERVAL_S)
+            if self._lines:
+                await trio.to_thread.run_sync(self.flush, abandon_on_cancel=True)
+
+    def close(self) -> None:
+        """Stop receiving messages and write the rest."""
+        eliot.remove_destination(self)
+        self.flush()
+        if self._file is not sys.stderr.buffer:
+            self._file.close()
+
+    def _take_lines(self) -> list[str]:
+        lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        if self._dropped:
+            lines.append(as_line({"message_type": DROPPED_TYPE, "lines": self._dropped}))
+            self._dropped = 0
+        return lines
+
+
+def open_log(path: str | None = None) -> LogWriter:
+    """Send the log to a file, which is appended to, or to standard error without one.
+
+    Raises ``UserError`` when the file cannot be opened.
+    """
+    try:
+        file = io.BufferedWriter(io.FileIO(path, "ab")) if path else sys.stderr.buffer
+    except OSError as error:
+        raise UserError(f"cannot open the log {path}: {error.strerror}") from error
+    writer = LogWriter(file)
+    eliot.add_destinations(writer)
+    return writer
+
+
+def as_line(message: dict[str, object]) -> str:
+    """Return a message as one JSON line with fields that are safe to write."""
+    is_traceback = _EXCEPTION_FIELD in message and _TRACEBACK_FIELD in message
+    safe = {name: safe_value(name, value) for name, value in message.items()}
+    if is_traceback:
+        # An exception's own words may quote input; the places in the code do not.
+        safe[_EXCEPTION_REASON_FIELD] = WITHHELD
+        safe[_TRACEBACK_FIELD] = _code_places(str(message[_TRACEBACK_FIELD]))
+    return json.dumps(safe, ensure_ascii=False, separators=(",", ":")) + "\n"
+
+
+def safe_value(name: str, value: object) -> Scalar | list[Scalar]:
+    """Return a field's value as it may stand in the log."""
+    if name.lower() in _SECRET_NAMES:
+        return WITHHELD
+    if isinstance(value, (list, tuple, set, frozenset)):
+        return [_safe_scalar(item) for item in list(value)[:MAX_LIST_ITEMS]]
+    return _safe_scalar(value)
+
+
+def _safe_scalar(value: object) -> Scalar:
+    if isinstance(value, Enum):
+        value = value.value
+    if value is None or isinstance(value, (bool, int, float)):
+        return value
+    if isinstance(value, str):
+        return value if len(value) <= MAX_TEXT_CHARACTERS else value[:MAX_TEXT_CHARACTERS] + "..."
+    return f"[{type(value).__name__}]"
+
+
+def _code_places(traceback: str) -> list[Scalar]:
+    lines = (line.strip() for line in traceback.splitlines())
+    places: list[Scalar] = [line for line in lines if line.startswith('File "')]
+    return places[-MAX_LIST_ITEMS:]
--- a/test/test_checked_yaml.py
+++ b/test/test_checked_yaml.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from pydantic import BaseModel
 from result import Err, Ok
+from sample_files import DOCUMENT, SETTINGS
 
 from lentilchute.checked_yaml import (
     MAX_FILE_BYTES,
@@ -19,29 +20,6 @@
 from lentilchute.document import ServiceDocument
 from lentilchute.settings import NodeSettings
 
-DOCUMENT = f"""\
-service: drafts
-upstreams:
-  - kind: engine
-    selector: drafters
-tiers:
-  - name: top
-  - name: bulk
-client_accounts:
-  - name: sfax
-    key_sha256: {"ab" * 32}
-"""
-
-SETTINGS = """\
-instance: entry-1
-availability_zone: tunis-a
-listen: {callers: "127.0.0.1:1", peers: "127.0.0.1:2", operators: "127.0.0.1:3"}
-platform: {table: "127.0.0.1:4", objects: "127.0.0.1:5", instances: "127.0.0.1:6"}
-shared_key: 0123456789abcdef
-entry:
-  max_connections: 7
-"""
-
 
 def findings_of(text: str) -> list[str]:
     result = load_document(text, "f.yaml")
