Add membership by heartbeats and the book of documents in force

Membership: full mesh up to 16 nodes, neighbours on a hash ring and one random peer above, with a bounded number of peer states in each heartbeat. A pause of the node itself never counts as silence of a peer.

ConfigBook: only moves to higher versions, learned from one polled index row and from peers. ApplyOperation: compare-and-set with a change id; a write of unknown outcome is repeated under the same conditions until its fate is certain.

Settings gain the mesh limit and the bounds of a heartbeat.

--- /dev/null
+++ b/lentilchute/configuration.py
@@ -0,0 +1,293 @@
+"""Which version of each service document is in force on this node; free of I/O.
+
+A node only moves to higher versions. It learns them by polling one small row of the table and from
+peers: when a heartbeat shows another digest, the two nodes compare versions and the one that is
+ahead pushes its documents. A node is ready when the table, or a live peer that is ready itself, has
+lately confirmed that nothing newer is known.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from .configuration_records import (
+    DocumentRecord,
+    digest_of,
+    document_key,
+    read_document,
+    read_index,
+)
+from .document import ServiceDocument
+from .ids import DocumentVersion, InstanceId, ServiceName
+from .platform import Row, TableFault
+from .settings import MembershipSettings
+
+BEHIND_LIMIT_S = 5.0
+"""A node that knows of a higher version but cannot get it stops being ready after this long."""
+POLL_TIMEOUT_S = 10.0
+"""A poll without an answer for this long is given up and asked anew."""
+COMPARE_INTERVAL_S = 0.5
+"""Versions are compared with one peer at most this often."""
+
+DocumentCheck = Callable[[ServiceName, str], Result[ServiceDocument, str]]
+"""Parses and checks a document's text; the error is one line for the log."""
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentText:
+    """One version of a service document as it travels between nodes."""
+
+    service: ServiceName
+    version: DocumentVersion
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReadIndex:
+    """Read the row ``config-index``; answer with ``index_answered``."""
+
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadDocuments:
+    """Read these rows at once; answer with ``documents_answered``."""
+
+    call_id: int
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SendVersions:
+    """Tell a peer this node's versions; the peer calls ``peer_versions``."""
+
+    peer: InstanceId
+    versions: dict[ServiceName, DocumentVersion]
+
+
+@dataclass(frozen=True, slots=True)
+class PushDocument:
+    """Send a peer a document that is newer than its own; the peer calls ``learn``."""
+
+    peer: InstanceId
+    document: DocumentText
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentInForce:
+    """A version came into force here."""
+
+    service: ServiceName
+    version: DocumentVersion
+    document: ServiceDocument
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentRejected:
+    """A version failed its checks and was not taken into force."""
+
+    service: ServiceName
+    version: DocumentVersion
+    reason: str
+
+
+ConfigAction = (
+    ReadIndex | ReadDocuments | SendVersions | PushDocument | DocumentInForce | DocumentRejected
+)
+
+
+class ConfigBook:
+    """The documents in force on one node, and whether it may admit requests under them."""
+
+    def __init__(self, check: DocumentCheck, settings: MembershipSettings, now_s: float) -> None:
+        self._check = check
+        self._settings = settings
+        self._texts: dict[ServiceName, DocumentText] = {}
+        self._documents: dict[ServiceName, ServiceDocument] = {}
+        self._rejected: dict[ServiceName, DocumentVersion] = {}
+        self._behind_since_s: dict[ServiceName, float] = {}
+        self._compared_s: dict[InstanceId, float] = {}
+        self._confirmed_s: float | None = None
+        self._last_run_s = now_s
+        self._next_poll_s = now_s
+        self._last_call_id = 0
+        self._poll_call: int | None = None
+        self._polled_s = now_s
+
+    def versions(self) -> dict[ServiceName, DocumentVersion]:
+        """Return the version in force of each service."""
+        return {service: held.version for service, held in self._texts.items()}
+
+    def digest(self) -> int:
+        """Return the digest of the versions in force, which heartbeats carry."""
+        return digest_of(self.versions())
+
+    def document(self, service: ServiceName) -> ServiceDocument | None:
+        """Return the document in force, or ``None`` where the service is unknown."""
+        return self._documents.get(service)
+
+    def is_ready(self, now_s: float) -> bool:
+        """Tell whether this node may admit requests under its versions in force."""
+        self._notice_pause(now_s)
+        if self._confirmed_s is None:
+            return False
+        if now_s - self._confirmed_s > self._settings.pause_limit_s:
+            return False
+        behind = self._behind_since_s.values()
+        return all(now_s - since_s <= BEHIND_LIMIT_S for since_s in behind)
+
+    def woke_after_pause(self, now_s: float) -> None:
+        """Forget the confirmation: anything may have been accepted while this node stood still."""
+        self._last_run_s = now_s
+        self._confirmed_s = None
+        self._poll_call = None
+        self._next_poll_s = now_s
+        self._compared_s.clear()
+
+    def tick(self, now_s: float) -> list[ConfigAction]:
+        """Poll the table when it is time."""
+        self._notice_pause(now_s)
+        if now_s < self._next_poll_s:
+            return []
+        if self._poll_call is not None and now_s - self._polled_s < POLL_TIMEOUT_S:
+            return []
+        self._polled_s = now_s
+        self._next_poll_s = now_s + self._settings.table_poll_s
+        self._poll_call = self._new_call()
+        return [ReadIndex(self._poll_call)]
+
+    def next_tick_s(self) -> float:
+        """Return when ``tick`` has work."""
+        return self._next_poll_s
+
+    def learn(
+        self, service: ServiceName, version: DocumentVersion, text: str, now_s: float
+    ) -> list[ConfigAction]:
+        """Take a document that the table, a peer or an accepted change gives."""
+        self._notice_pause(now_s)
+        held = self._texts.get(service)
+        if held is not None and version <= held.version:
+            return []
+        if version <= self._rejected.get(service, 0):
+            return []
+        checked = self._check(service, text)
+        if isinstance(checked, Err):
+            self._rejected[service] = version
+            self._behind_since_s.pop(service, None)
+            return [DocumentRejected(service, version, checked.err_value)]
+        self._texts[service] = DocumentText(service, version, text)
+        self._documents[service] = checked.ok_value
+        self._behind_since_s.pop(service, None)
+        return [DocumentInForce(service, version, checked.ok_value)]
+
+    def index_answered(
+        self, call_id: int, answer: Result[Row | None, TableFault], now_s: float
+    ) -> list[ConfigAction]:
+        """Take the answer to ``ReadIndex``."""
+        self._notice_pause(now_s)
+        if call_id != self._poll_call:
+            return []
+        if isinstance(answer, Err):
+            self._poll_call = None
+            return []
+        versions = _versions_of(answer.ok_value)
+        missing = [] if versions is None else self._newer_than_held(versions)
+        if versions is None or not missing:
+            self._poll_call = None
+            if versions is not None:
+                self._confirmed_s = now_s
+            return []
+        for service in missing:
+            self._behind_since_s.setdefault(service, now_s)
+        return [ReadDocuments(call_id, tuple(document_key(service) for service in missing))]
+
+    def documents_answered(
+        self, call_id: int, answer: Result[dict[str, Row], TableFault], now_s: float
+    ) -> list[ConfigAction]:
+        """Take the answer to ``ReadDocuments``."""
+        self._notice_pause(now_s)
+        if call_id != self._poll_call:
+            return []
+        self._poll_call = None
+        if isinstance(answer, Err):
+            return []
+        actions: list[ConfigAction] = []
+        for key, row in sorted(answer.ok_value.items()):
+            record = read_document(row.value)
+            if isinstance(record, Ok):
+                service = ServiceName(key.split("/", 1)[1])
+                actions += self._learn_record(service, record.ok_value, now_s)
+        # The next poll confirms; it is due at once.
+        self._next_poll_s = now_s
+        return actions
+
+    def peer_heartbeat(
+        self, peer: InstanceId, digest: int, *, ready: bool, fresh: bool, now_s: float
+    ) -> list[ConfigAction]:
+        """Compare a peer's digest with this node's; ``fresh`` as ``Membership.is_fresh`` says."""
+        self._notice_pause(now_s)
+        if digest == self.digest():
+            if ready and fresh:
+                self._confirmed_s = now_s
+            return []
+        if now_s - self._compared_s.get(peer, -COMPARE_INTERVAL_S) < COMPARE_INTERVAL_S:
+            return []
+        self._compared_s[peer] = now_s
+        return [SendVersions(peer, self.versions())]
+
+    def peer_versions(
+        self, peer: InstanceId, versions: dict[ServiceName, DocumentVersion], now_s: float
+    ) -> list[ConfigAction]:
+        """Push what is newer here, and answer with this node's versions where the peer's are."""
+        self._notice_pause(now_s)
+        actions: list[ConfigAction] = [
+            PushDocument(peer, held)
+            for service, held in sorted(self._texts.items())
+            if held.version > versions.get(service, 0)
+        ]
+        ahead = self._newer_than_held(versions)
+        for service in ahead:
+            self._behind_since_s.setdefault(service, now_s)
+        if ahead:
+            actions.append(SendVersions(peer, self.versions()))
+        return actions
+
+    def forget_peer(self, peer: InstanceId) -> None:
+        """Drop what is kept for a peer that is gone."""
+        self._compared_s.pop(peer, None)
+
+    def _learn_record(
+        self, service: ServiceName, record: DocumentRecord, now_s: float
+    ) -> list[ConfigAction]:
+        return self.learn(service, DocumentVersion(record.version), record.text, now_s)
+
+    def _newer_than_held(self, versions: dict[ServiceName, DocumentVersion]) -> list[ServiceName]:
+        newer = []
+        for service, version in sorted(versions.items()):
+            held = self._texts.get(service)
+            known = max(0 if held is None else held.version, self._rejected.get(service, 0))
+            if version > known:
+                newer.append(service)
+        return newer
+
+    def _new_call(self) -> int:
+        self._last_call_id += 1
+        return self._last_call_id
+
+    def _notice_pause(self, now_s: float) -> None:
+        gap_s = now_s - self._last_run_s
+        self._last_run_s = max(now_s, self._last_run_s)
+        if gap_s > self._settings.pause_limit_s:
+            self.woke_after_pause(now_s)
+
+
+def _versions_of(row: Row | None) -> dict[ServiceName, DocumentVersion] | None:
+    """Return the versions in the index row, ``None`` where it cannot be read."""
+    if row is None:
+        return {}
+    index = read_index(row.value)
+    if isinstance(index, Err):
+        return None
+    versions = index.ok_value.versions
+    return {ServiceName(name): DocumentVersion(number) for name, number in versions.items()}
--- /dev/null
+++ b/lentilchute/configuration_apply.py
@@ -0,0 +1,196 @@
+"""One change of a service document: compare-and-set on its version; free of I/O.
+
+The change carries an id. When the answer to the write is lost, the operation reads back and looks
+for that id, also in the history in case another change has followed. A write that may still arrive
+late is repeated with the same conditions until its fate is certain: of all the copies only one can
+take effect. What cannot be settled in time is reported as unresolved, and the operator repeats the
+change under the same id.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from result import Err, Ok, Result
+
+from .configuration_records import (
+    INDEX_KEY,
+    DocumentRecord,
+    IndexRecord,
+    document_key,
+    history_key,
+    read_document,
+    read_index,
+)
+from .ids import DocumentVersion, ServiceName
+from .platform import Condition, Row, TableFault, Transaction, Write
+
+RETRY_DELAY_S = 0.25
+"""Wait after a failed read or write before the next try."""
+
+
+class ApplyState(Enum):
+    """What became of a change."""
+
+    RUNNING = "running"
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    """Another change won; this one has not taken effect and never will."""
+    NOT_APPLIED = "not-applied"
+    """The table could not be reached; nothing was written."""
+    UNRESOLVED = "unresolved"
+    """The write may have taken effect or may yet; repeat the change under the same id."""
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentChange:
+    """What an operator asks for. ``expected_version`` is 0 for a new service."""
+
+    service: ServiceName
+    text: str
+    expected_version: DocumentVersion
+    change_id: str
+    author: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRows:
+    """Read these keys at once; answer with ``rows_answered``."""
+
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CommitChange:
+    """Commit this transaction; answer with ``commit_answered``."""
+
+    transaction: Transaction
+
+
+@dataclass(frozen=True, slots=True)
+class WaitBeforeRetry:
+    """Call ``resume`` after this long."""
+
+    delay_s: float
+
+
+ApplyAction = ReadRows | CommitChange | WaitBeforeRetry | None
+"""The one thing to do next; ``None`` when the operation has ended."""
+
+
+class ApplyOperation:
+    """Carries one checked change into the table.
+
+    The document's checks come before: this operation does not look into the text. After
+    ``ACCEPTED``, ``accepted_version`` is the version that the change became.
+    """
+
+    def __init__(self, change: DocumentChange, deadline_s: float) -> None:
+        self.change = change
+        self.state = ApplyState.RUNNING
+        self.current_version = DocumentVersion(0)
+        """The version in force when the operation ended in a conflict."""
+        self.current_author = ""
+        self._deadline_s = deadline_s
+        self._may_be_written = False
+
+    @property
+    def accepted_version(self) -> DocumentVersion:
+        """The version that this change has or would have."""
+        return DocumentVersion(self.change.expected_version + 1)
+
+    def start(self, now_s: float) -> ApplyAction:
+        """Return the first action."""
+        return self.resume(now_s)
+
+    def resume(self, now_s: float) -> ApplyAction:
+        """Read what the table holds, unless the deadline has passed."""
+        if now_s >= self._deadline_s:
+            unresolved = self._may_be_written
+            return self._end(ApplyState.UNRESOLVED if unresolved else ApplyState.NOT_APPLIED)
+        return ReadRows((self._document_key, self._history_key, INDEX_KEY))
+
+    def rows_answered(
+        self, answer: Result[dict[str, Row], TableFault], now_s: float
+    ) -> ApplyAction:
+        """Decide by what the table holds: accepted, lost, or still to be written."""
+        if isinstance(answer, Err):
+            return WaitBeforeRetry(RETRY_DELAY_S)
+        rows = answer.ok_value
+        current = _record_in(rows.get(self._document_key))
+        kept = _record_in(rows.get(self._history_key))
+        if any(record and record.change_id == self.change.change_id for record in (current, kept)):
+            return self._end(ApplyState.ACCEPTED)
+        held_version = 0 if current is None else current.version
+        if kept is not None or held_version < self.change.expected_version:
+            # A late copy of this write can no longer take effect either: its condition fails.
+            self.current_version = DocumentVersion(held_version)
+            self.current_author = "" if current is None else current.author
+            return self._end(ApplyState.CONFLICT)
+        if now_s >= self._deadline_s:
+            return self.resume(now_s)
+        if held_version > self.change.expected_version:
+            # The rows were read at different moments: the version's history must exist by now.
+            return self.resume(now_s)
+        return CommitChange(self._transaction(rows))
+
+    def commit_answered(self, answer: Result[None, TableFault], now_s: float) -> ApplyAction:
+        """Take the answer to the write; anything but success is settled by reading back."""
+        if isinstance(answer, Ok):
+            return self._end(ApplyState.ACCEPTED)
+        if answer.err_value is TableFault.CONFLICT:
+            return ReadRows((self._document_key, self._history_key, INDEX_KEY))
+        if answer.err_value is TableFault.UNKNOWN:
+            self._may_be_written = True
+        return WaitBeforeRetry(RETRY_DELAY_S)
+
+    @property
+    def _document_key(self) -> str:
+        return document_key(self.change.service)
+
+    @property
+    def _history_key(self) -> str:
+        return history_key(self.change.service, self.accepted_version)
+
+    def _transaction(self, rows: dict[str, Row]) -> Transaction:
+        record = DocumentRecord(
+            version=self.accepted_version,
+            change_id=self.change.change_id,
+            author=self.change.author,
+            text=self.change.text,
+        )
+        value = record.model_dump_json()
+        versions = _index_in(rows.get(INDEX_KEY))
+        versions[self.change.service] = self.accepted_version
+        index = IndexRecord(versions=versions)
+        return Transaction(
+            conditions=(
+                Condition(self._document_key, _row_version(rows.get(self._document_key))),
+                Condition(self._history_key, 0),
+                Condition(INDEX_KEY, _row_version(rows.get(INDEX_KEY))),
+            ),
+            writes=(
+                Write(self._document_key, value),
+                Write(self._history_key, value),
+                Write(INDEX_KEY, index.model_dump_json()),
+            ),
+        )
+
+    def _end(self, state: ApplyState) -> ApplyAction:
+        self.state = state
+        return None
+
+
+def _row_version(row: Row | None) -> int:
+    return 0 if row is None else row.version
+
+
+def _record_in(row: Row | None) -> DocumentRecord | None:
+    if row is None:
+        return None
+    return read_document(row.value).unwrap()
+
+
+def _index_in(row: Row | None) -> dict[str, int]:
+    if row is None:
+        return {}
+    return dict(read_index(row.value).unwrap().versions)
--- /dev/null
+++ b/lentilchute/gossip.py
@@ -0,0 +1,43 @@
+"""Which peer states travel with a heartbeat: recent changes first, then all peers in turn.
+
+A change is sent a number of times that grows with the logarithm of the number of peers, which
+suffices for it to reach all of them. The number of states in one heartbeat is bounded, so that its
+size does not depend on the number of nodes.
+"""
+
+from .ids import InstanceId
+
+CHANGE_REPEATS = 3
+"""A change is sent this many times for each doubling of the number of peers."""
+
+
+class GossipQueue:
+    """Chooses the peers whose states the next heartbeat carries."""
+
+    def __init__(self, change_limit: int, rotation_limit: int) -> None:
+        self._change_limit = change_limit
+        self._rotation_limit = rotation_limit
+        self._remaining: dict[InstanceId, int] = {}
+        self._position = 0
+
+    def changed(self, instance: InstanceId, peer_count: int) -> None:
+        """Note that the peer's state changed and has to reach all others."""
+        self._remaining[instance] = CHANGE_REPEATS * (peer_count + 1).bit_length()
+
+    def take(self, names: list[InstanceId]) -> list[InstanceId]:
+        """Return the peers whose states go into one heartbeat; ``names`` are all of them."""
+        chosen = self._take_changes()
+        for _ in range(min(self._rotation_limit, len(names))):
+            self._position = (self._position + 1) % len(names)
+            if names[self._position] not in chosen:
+                chosen.append(names[self._position])
+        return chosen
+
+    def _take_changes(self) -> list[InstanceId]:
+        by_need = sorted(self._remaining, key=lambda name: -self._remaining[name])
+        chosen = by_need[: self._change_limit]
+        for name in chosen:
+            self._remaining[name] -= 1
+            if self._remaining[name] <= 0:
+                del self._remaining[name]
+        return chosen
--- /dev/null
+++ b/lentilchute/membership.py
@@ -0,0 +1,299 @@
+"""Which nodes are alive, seen from one node; free of I/O.
+
+Nodes send heartbeats. In a small group each node sends to all others and judges each by its own
+ears and by what others report. In a larger group a node sends to its neighbours on a hash ring and
+to one random peer: the neighbours notice its silence and changes spread with the heartbeats, so
+that bytes per node do not grow with the number of nodes.
+
+Time in which this node itself did not run never counts as silence of a peer, and after a long
+pause a peer counts as alive only once it, or a peer that heard this node since, says so.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from .hash_ring import Direction, HashRing
+from .ids import IncarnationId, InstanceId, ShardId
+from .peer_view import PeerView, run_order
+from .peers import (
+    Heartbeat,
+    OutgoingHeartbeat,
+    PeerAddress,
+    PeerChange,
+    PeerChangeKind,
+    PeerInfo,
+    PeerState,
+    PeerStatus,
+)
+from .rendezvous import rendezvous_order
+from .settings import MembershipSettings, Role
+
+JOIN_WINDOW_S = 10.0
+"""A node may raise its own generation above an earlier run's for this long after its start."""
+VIEW_REQUESTS = 2
+"""A node that needs the whole view asks this many peers for it with each round of heartbeats."""
+
+
+class Membership:
+    """The view of one node; ``tick`` and ``heartbeat`` are called at the heartbeat interval.
+
+    ``seeds`` are tried for ever, other addresses as long as the platform's list names them.
+    """
+
+    def __init__(
+        self,
+        self_info: PeerInfo,
+        settings: MembershipSettings,
+        rng: random.Random,
+        now_s: float,
+        seeds: Iterable[PeerAddress] = (),
+    ) -> None:
+        self._info = self_info
+        self._settings = settings
+        self._rng = rng
+        self._started_s = now_s
+        self._last_run_s = now_s
+        self._status = PeerStatus.ALIVE
+        self._sequence = 0
+        self._wake_sequence = 0
+        self._may_raise_generation = True
+        self._wants_view = True
+        self._is_replaced = False
+        self._digest = 0
+        self._is_ready = False
+        self._view = PeerView(settings)
+        self._seeds = {seed.instance: seed.address for seed in seeds}
+        self._listed: dict[InstanceId, str] = {}
+        self._reply_to: dict[InstanceId, str] = {}
+        self._view_wanted_by: set[InstanceId] = set()
+        self._ring = HashRing(())
+        self._ring_revision = 0
+
+    @property
+    def info(self) -> PeerInfo:
+        """This node's own entry, with its current generation."""
+        return self._info
+
+    @property
+    def is_replaced(self) -> bool:
+        """True once a later run under this node's name has been seen."""
+        return self._is_replaced
+
+    @property
+    def is_unconfirmed(self) -> bool:
+        """True from the end of a long pause until a peer has answered this node."""
+        return self._wake_sequence > 0 and self._wants_view
+
+    def set_configuration(self, digest: int, *, ready: bool) -> None:
+        """Set what the next heartbeats say about this node's configuration in force."""
+        self._digest = digest
+        self._is_ready = ready
+
+    def leave(self, now_s: float) -> None:
+        """Announce this node's planned stop with the next heartbeats."""
+        self._notice_pause(now_s)
+        self._status = PeerStatus.LEAVING
+
+    def learn_peers(self, addresses: Iterable[PeerAddress], now_s: float) -> None:
+        """Take the platform's list as places where a peer may be found, never as its state."""
+        self._notice_pause(now_s)
+        self._listed = {item.instance: item.address for item in addresses}
+
+    def alive(self, now_s: float) -> tuple[PeerInfo, ...]:
+        """Return the nodes alive, this one included unless it is leaving or replaced."""
+        self._notice_pause(now_s)
+        found = [peer.info for peer in self._view.peers.values() if peer.counts_as_alive]
+        if self._status is PeerStatus.ALIVE and not self._is_replaced:
+            found.append(self._info)
+        return tuple(sorted(found, key=lambda info: info.instance))
+
+    def present(self) -> tuple[PeerInfo, ...]:
+        """Return the peers that may still answer: alive, suspected or leaving."""
+        return tuple(peer.info for peer in self._view.peers.values())
+
+    def is_present(self, incarnation: IncarnationId) -> bool:
+        """Tell whether this very run is among the peers that may still answer."""
+        return any(info.incarnation == incarnation for info in self.present())
+
+    def scheduler_order(self, shard: ShardId, now_s: float) -> tuple[InstanceId, ...]:
+        """Return the nodes that may schedule ``shard``, the first choice first.
+
+        Nodes with which this one cannot exchange heartbeats in both directions come last, since
+        grants or tickets would be lost on the way.
+        """
+        names = [info.instance for info in self.alive(now_s) if Role.SCHEDULER in info.roles]
+        order = [InstanceId(name) for name in rendezvous_order(shard, names)]
+        return tuple(sorted(order, key=lambda name: self.link_is_cut(name, now_s)))
+
+    def link_is_cut(self, name: InstanceId, now_s: float) -> bool:
+        """Tell whether heartbeats to or from a peer are lost; unknown in a large group."""
+        peer = self._view.peers.get(name)
+        if peer is None or not self._view.is_full_mesh:
+            return False
+        limit_s = 2 * self._settings.suspect_after_s
+        if peer.echo_s is None or peer.direct_s is None:
+            return now_s - peer.changed_s > limit_s
+        return now_s - min(peer.echo_s, peer.direct_s) > limit_s
+
+    def heartbeat(self, now_s: float) -> list[OutgoingHeartbeat]:
+        """Return the heartbeats to send now, to a bounded number of peers."""
+        self._notice_pause(now_s)
+        self._sequence += 1
+        targets = self._targets()
+        asked: set[InstanceId] = set()
+        if self._wants_view:
+            asked.update(self._rng.sample(sorted(targets), min(VIEW_REQUESTS, len(targets))))
+        outgoing = [
+            OutgoingHeartbeat(name, address, self._heartbeat_to(name, wants_view=name in asked))
+            for name, address in targets.items()
+        ]
+        self._view_wanted_by.clear()
+        self._reply_to.clear()
+        return outgoing
+
+    def received(self, heartbeat: Heartbeat, now_s: float) -> list[PeerChange]:
+        """Take in a peer's heartbeat; duplicates and reordered ones change nothing."""
+        self._notice_pause(now_s)
+        sender = heartbeat.sender
+        if sender.info.incarnation == self._info.incarnation:
+            return []
+        changes = self._merge(sender, now_s, direct=True)
+        for state in heartbeat.states:
+            changes += self._merge(state, now_s, direct=False)
+        self._note_sender(heartbeat, now_s)
+        if self.is_fresh(heartbeat):
+            self._confirm(heartbeat)
+        return changes
+
+    def is_fresh(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a heartbeat was sent after the sender heard this node run, or run again."""
+        first = max(self._wake_sequence, 1)
+        return first <= heartbeat.heard <= self._sequence
+
+    def tick(self, now_s: float) -> list[PeerChange]:
+        """Suspect silent peers and forget those suspected for long."""
+        self._notice_pause(now_s)
+        if not self._view.is_full_mesh:
+            self._update_watch(now_s)
+        return self._view.judge_silence(now_s)
+
+    def _targets(self) -> dict[InstanceId, str]:
+        targets = dict(self._reply_to)
+        for name in [*self._regular_targets(), *sorted(self._view_wanted_by)]:
+            if name in self._view.peers:
+                targets[name] = self._view.peers[name].info.address
+        for name, address in self._candidates():
+            targets.setdefault(name, address)
+        return targets
+
+    def _regular_targets(self) -> list[InstanceId]:
+        known = list(self._view.peers)
+        if self._view.is_full_mesh:
+            return known
+        return [*self._neighbours(Direction.FORWARDS), self._rng.choice(known)]
+
+    def _candidates(self) -> list[tuple[InstanceId, str]]:
+        places = {**self._listed, **self._seeds}
+        unknown = [
+            (name, address)
+            for name, address in sorted(places.items())
+            if name not in self._view.peers and name != self._info.instance
+        ]
+        return self._rng.sample(unknown, min(len(unknown), self._settings.fanout))
+
+    def _heartbeat_to(self, name: InstanceId, *, wants_view: bool) -> Heartbeat:
+        peer = self._view.peers.get(name)
+        return Heartbeat(
+            sender=PeerState(self._info, self._status, self._sequence),
+            heard=0 if peer is None else peer.sequence,
+            digest=self._digest,
+            ready=self._is_ready,
+            wants_view=wants_view,
+            is_view=name in self._view_wanted_by,
+            states=self._states_for(name),
+        )
+
+    def _states_for(self, receiver: InstanceId) -> tuple[PeerState, ...]:
+        names = list(self._view.peers)
+        if receiver not in self._view_wanted_by:
+            names = self._view.gossip.take([name for name in names if name != receiver])
+        if receiver in self._reply_to and receiver not in names:
+            names.append(receiver)
+        states = [self._view.reported_state(name) for name in names]
+        return tuple(state for state in states if state is not None)
+
+    def _note_sender(self, heartbeat: Heartbeat, now_s: float) -> None:
+        sender = heartbeat.sender.info
+        peer = self._view.peers.get(sender.instance)
+        if peer is None or peer.info.incarnation != sender.incarnation:
+            # An older run, or one whose clock is behind, learns from the reply who replaced it.
+            self._reply_to[sender.instance] = sender.address
+            return
+        if heartbeat.wants_view:
+            self._view_wanted_by.add(sender.instance)
+        if heartbeat.heard > peer.echoed:
+            peer.echoed = heartbeat.heard
+            peer.echo_s = now_s
+
+    def _confirm(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.is_view:
+            self._wants_view = False
+        alive = [state for state in heartbeat.states if state.status is PeerStatus.ALIVE]
+        for state in [heartbeat.sender, *alive]:
+            peer = self._view.peers.get(state.info.instance)
+            if peer is not None and peer.info.incarnation == state.info.incarnation:
+                peer.confirmed = True
+
+    def _merge(self, state: PeerState, now_s: float, *, direct: bool) -> list[PeerChange]:
+        if state.info.instance == self._info.instance:
+            return self._merge_own_name(state, now_s)
+        return self._view.merge(state, now_s, direct=direct, confirmed=not self.is_unconfirmed)
+
+    def _merge_own_name(self, state: PeerState, now_s: float) -> list[PeerChange]:
+        if state.info.incarnation == self._info.incarnation:
+            return []
+        if run_order(state.info) < run_order(self._info):
+            return self._view.bury_earlier_run(state, now_s)
+        if self._may_raise_generation and now_s - self._started_s <= JOIN_WINDOW_S:
+            later = state.info.generation + 1
+            self._info = dataclasses.replace(self._info, generation=later)
+            return self._view.bury_earlier_run(state, now_s)
+        if self._is_replaced:
+            return []
+        self._is_replaced = True
+        return [PeerChange(PeerChangeKind.SELF_REPLACED, state.info)]
+
+    def _notice_pause(self, now_s: float) -> None:
+        gap_s = now_s - self._last_run_s
+        self._last_run_s = max(now_s, self._last_run_s)
+        if gap_s <= 2 * self._settings.heartbeat_interval_s:
+            return
+        for peer in self._view.peers.values():
+            peer.shift(gap_s)
+        if gap_s > self._settings.pause_limit_s:
+            self._distrust_view()
+
+    def _distrust_view(self) -> None:
+        self._may_raise_generation = False
+        self._wants_view = True
+        self._wake_sequence = self._sequence + 1
+        for peer in self._view.peers.values():
+            peer.confirmed = False
+
+    def _update_watch(self, now_s: float) -> None:
+        watched = set(self._neighbours(Direction.BACKWARDS))
+        for name, peer in self._view.peers.items():
+            if name not in watched:
+                peer.watched_since_s = None
+            elif peer.watched_since_s is None:
+                peer.watched_since_s = now_s
+
+    def _neighbours(self, direction: Direction) -> list[InstanceId]:
+        if self._ring_revision != self._view.revision:
+            self._ring_revision = self._view.revision
+            peers = self._view.peers.items()
+            self._ring = HashRing(
+                name for name, peer in peers if peer.status is not PeerStatus.SUSPECT
+            )
+        return self._ring.neighbours(self._info.instance, direction, self._settings.fanout - 1)
--- a/lentilchute/settings.py
+++ b/lentilchute/settings.py
@@ -91,6 +91,14 @@
     table_poll_s: Seconds = 2.0
     pause_limit_s: Seconds = 5.0
     """A node that was paused for longer confirms its configuration before it admits again."""
+    full_mesh_nodes: Annotated[int, Field(ge=2)] = 16
+    """Up to this many nodes, each sends its heartbeat to all others."""
+    fanout: Annotated[int, Field(ge=2)] = 3
+    """Peers that get each heartbeat in a larger group: neighbours on the ring and one at random."""
+    change_states: Annotated[int, Field(ge=1)] = 6
+    """Recent changes that travel with one heartbeat at most."""
+    rotation_states: Annotated[int, Field(ge=1)] = 2
+    """Unchanged peers, taken in turn, that travel with one heartbeat at most."""
 
 
 class NodeSettings(Part):
