--- a/lentilchute/ids.py
+++ b/lentilchute/ids.py
@@ -53,3 +53,13 @@
 def instance_of(incarnation: IncarnationId) -> InstanceId:
     """Return the instance whose run ``incarnation`` names (``<instance>.<random part>``)."""
     return InstanceId(incarnation.rsplit(".", 1)[0])
+
+
+def shard_id(service: ServiceName, number: int = 0) -> ShardId:
+    """Return the id of a service's ``number``-th shard."""
+    return ShardId(f"{service}/{number}")
+
+
+def service_of(shard: ShardId) -> ServiceName:
+    """Return the service that ``shard`` belongs to."""
+    return ServiceName(shard.rsplit("/", 1)[0])
--- /dev/null
+++ b/lentilchute/local_share.py
@@ -0,0 +1,66 @@
+"""Grants that an entry gives itself while no scheduler answers.
+
+Each entry uses only a small part of every upstream's streams, so that all entries together stay
+within what the upstreams can take. Higher tiers go first within this entry.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .ids import UpstreamId
+from .request_state import HeldRequest, RequestState
+from .tickets import Grant
+
+
+@dataclass(frozen=True, slots=True)
+class LocalUpstream:
+    """An upstream and the number of this entry's streams that it may carry."""
+
+    upstream: UpstreamId
+    max_streams: int
+
+
+def local_grants(
+    held: Iterable[HeldRequest],
+    upstreams: Iterable[LocalUpstream],
+    leaving: frozenset[UpstreamId],
+    expires_s: float,
+) -> list[Grant]:
+    """Return grants for the waiting requests that the local share has room for."""
+    held = list(held)
+    running: Counter[UpstreamId | None] = Counter(one.upstream for one in held)
+    usable = [one for one in upstreams if one.upstream not in leaving]
+    waiting = [one for one in held if one.state is RequestState.WAITING]
+    grants = []
+    for request in sorted(waiting, key=lambda one: (one.request.tier, one.accepted_s)):
+        upstream = _emptiest(usable, running, request)
+        if upstream is None:
+            continue
+        running[upstream] += 1
+        grants.append(_local_grant(request, upstream, expires_s))
+    return grants
+
+
+def _emptiest(
+    usable: list[LocalUpstream], running: Counter[UpstreamId | None], request: HeldRequest
+) -> UpstreamId | None:
+    free = [
+        one
+        for one in usable
+        if running[one.upstream] < one.max_streams and one.upstream not in request.ticket.excluded
+    ]
+    if not free:
+        return None
+    return min(free, key=lambda one: running[one.upstream] / one.max_streams).upstream
+
+
+def _local_grant(request: HeldRequest, upstream: UpstreamId, expires_s: float) -> Grant:
+    return Grant(
+        request_id=request.request_id,
+        attempt=request.attempt,
+        entry=request.ticket.entry,
+        upstream=upstream,
+        expires_s=expires_s,
+        reason="no scheduler answers; within this entry's local share",
+    )
--- /dev/null
+++ b/lentilchute/scheduler_choice.py
@@ -0,0 +1,65 @@
+"""Which instance schedules a shard for this entry.
+
+Membership gives the order of candidates. A candidate that leaves a message unanswered for the
+ticket timeout is passed over for a while. When none is left the entry schedules for itself, within
+a small share of the room.
+"""
+
+from .ids import InstanceId
+
+SILENT_FOR_S = 5.0
+
+
+class SchedulerChoice:
+    """The candidates of one shard, and the one in use."""
+
+    def __init__(self, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._order: tuple[InstanceId, ...] = ()
+        self._silent_until_s: dict[InstanceId, float] = {}
+        self._asked_s: float | None = None
+        self.current: InstanceId | None = None
+
+    def set_order(self, order: tuple[InstanceId, ...], now_s: float) -> bool:
+        """Take a new order of candidates; return whether the choice changed."""
+        self._order = order
+        return self._choose(now_s)
+
+    def asked(self, now_s: float) -> None:
+        """Note that the current scheduler owes an answer."""
+        if self._asked_s is None:
+            self._asked_s = now_s
+
+    def heard(self, scheduler: InstanceId) -> None:
+        """Note a sign of life of a scheduler."""
+        self._silent_until_s.pop(scheduler, None)
+        if scheduler == self.current:
+            self._asked_s = None
+
+    def tick(self, now_s: float) -> bool:
+        """Pass over a silent scheduler, take back a forgiven one; return whether it changed."""
+        if self.current is not None and self._is_overdue(now_s):
+            self._silent_until_s[self.current] = now_s + SILENT_FOR_S
+        return self._choose(now_s)
+
+    def next_tick_s(self) -> float:
+        """Return when ``tick`` may change the choice."""
+        times = list(self._silent_until_s.values())
+        if self._asked_s is not None:
+            times.append(self._asked_s + self._timeout_s)
+        return min(times, default=float("inf"))
+
+    def _is_overdue(self, now_s: float) -> bool:
+        return self._asked_s is not None and now_s >= self._asked_s + self._timeout_s
+
+    def _choose(self, now_s: float) -> bool:
+        for scheduler, until_s in list(self._silent_until_s.items()):
+            if now_s >= until_s:
+                del self._silent_until_s[scheduler]
+        candidates = (one for one in self._order if one not in self._silent_until_s)
+        chosen = next(candidates, None)
+        if chosen == self.current:
+            return False
+        self.current = chosen
+        self._asked_s = None
+        return True
--- a/lentilchute/upstreams.py
+++ b/lentilchute/upstreams.py
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerPart:
-    """A piece of the body. ``event_id`` is the SSE event's id; ``data`` is its exact bytes."""
+    """A piece of the body. ``event_id`` is the SSE event's id, from 1 on; ``data`` its bytes."""
 
     data: bytes
     event_id: int | None = None
