--- a/test/test_answer_relay.py
+++ b/test/test_answer_relay.py
@@ -1,5 +1,7 @@
 """Tests of passing an answer on: whole, without gaps or repeats, never a clean short one."""
 
+from entry_fixtures import BOOKING, dispatched, has, new_entry, only
+
 from lentilchute.entry_actions import (
     BreakAnswer,
     KeepAnswer,
@@ -13,8 +15,6 @@
 )
 from lentilchute.upstreams import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
 
-from .entry_fixtures import BOOKING, dispatched, has, new_entry, only
-
 
 def test_a_whole_answer_is_passed_on_and_counted() -> None:
     requests = new_entry()
--- a/test/test_entry_requests.py
+++ b/test/test_entry_requests.py
@@ -3,6 +3,22 @@
 from dataclasses import replace
 
 import pytest
+from entry_fixtures import (
+    BOOKING,
+    CLAIMED,
+    ENGINE,
+    FIRST,
+    OTHER_ENGINE,
+    REQUEST,
+    SECOND,
+    SERVICE,
+    SHARD,
+    dispatched,
+    grant,
+    has,
+    new_entry,
+    only,
+)
 
 from lentilchute.claim_answers import ClaimAnswer, ClaimState, KeptAnswer
 from lentilchute.entry_actions import (
@@ -28,23 +44,6 @@
 from lentilchute.tickets import EndState, Outcome, Refusal, RefusalReason
 from lentilchute.upstreams import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
 
-from .entry_fixtures import (
-    BOOKING,
-    CLAIMED,
-    ENGINE,
-    FIRST,
-    OTHER_ENGINE,
-    REQUEST,
-    SECOND,
-    SERVICE,
-    SHARD,
-    dispatched,
-    grant,
-    has,
-    new_entry,
-    only,
-)
-
 
 def test_a_request_is_submitted_granted_and_dispatched_once() -> None:
     requests = new_entry()
