Check callers' requests with a chain of filters

Cause: nothing turned an HTTP request into the request that the entry accepts.

Change: filters registered by decorator for two stages, before and after the body is read. All findings of a stage are reported together.

Ruled out: parsing the body before the account and the bounds are known; passing the bearer key or hop-by-hop headers on to an upstream.

--- /dev/null
+++ b/lentilchute/filters/deadline.py
@@ -0,0 +1,32 @@
+"""Filter: the deadline, from ``Lentilchute-Deadline-S``, seconds from now."""
+
+import math
+
+from .chain import Stage, request_filter
+from .draft import FilterContext, FilterRefusal, RequestDraft
+
+DEADLINE_HEADER = "lentilchute-deadline-s"
+
+
+@request_filter(Stage.HEAD, order=40)
+def find_deadline(draft: RequestDraft, context: FilterContext) -> FilterRefusal | None:
+    """Set the deadline to the caller's wish, or to the tier's default."""
+    tier = draft.in_service.tiers[draft.tier]
+    draft.deadline_s = context.now_s + tier.default_deadline_s
+    text = draft.single(DEADLINE_HEADER)
+    if text is None:
+        return None
+    wish_s = _seconds(text)
+    if not 0 < wish_s <= tier.max_deadline_s:
+        allowed = f"allowed: seconds above 0 and up to {tier.max_deadline_s:g}"
+        draft.find(DEADLINE_HEADER, f"is not a time that tier {tier.name} allows; {allowed}")
+        return None
+    draft.deadline_s = context.now_s + wish_s
+    return None
+
+
+def _seconds(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
