Schedule a shard: tiers, room, grants, displacement and refresh

ShardScheduler has the whole agreed interface as decision code without I/O. A tier may use the waiting places of the tiers below it and displaces their newest tickets. A grant that expires keeps its room until its entry's refresh. Verdicts on suspects, cache events and load reports are taken but not used yet. Policy holds switches with which a measurement turns mechanisms off.

--- /dev/null
+++ b/lentilchute/scheduler.py
@@ -0,0 +1,420 @@
+"""The scheduler of one shard: decides which waiting request goes to which upstream, and when.
+
+It is free of I/O. Methods take the time and return decisions; its state is soft, since the entries
+refresh it. A ticket waits here until it is granted, withdrawn, refused or past its deadline::
+
+    scheduler = ShardScheduler(shard, document, SchedulerSettings(), random.Random(1), now_s)
+    scheduler.add_upstream(upstream, group, now_s)
+    for decision in scheduler.submit(ticket, now_s):
+        ...
+"""
+
+import math
+import random
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from .document import ServiceDocument, UpstreamGroup
+from .ids import Attempt, InstanceId, RequestId, ShardId, Tier, UpstreamId
+from .placements import Placement, PlacementBook, PlacementState
+from .placing import Choice, UpstreamPool
+from .policy import FULL_POLICY, Policy
+from .retry_after import DrainRate, RetryAfter
+from .settings import SchedulerSettings
+from .shard_status import ShardStatus
+from .suspects import PoisonVerdict
+from .tickets import (
+    CacheEvent,
+    Decision,
+    EndState,
+    Grant,
+    InFlight,
+    LoadReport,
+    Refusal,
+    RefusalReason,
+    Ticket,
+)
+from .upstreams import Upstream
+from .waiting import Waiting, WaitingList
+
+REMEMBERED_ENDS = 4_096
+"""Ended requests whose late or repeated messages are recognised."""
+
+REFRESH_GUARD_S = 0.5
+"""A refresh says nothing about what this scheduler learned or decided in the last moment."""
+
+_FINAL = Attempt(2**31)
+
+
+class ShardScheduler:
+    """Orders the tickets of one shard and grants them to its upstreams."""
+
+    def __init__(
+        self,
+        shard: ShardId,
+        document: ServiceDocument,
+        settings: SchedulerSettings,
+        rng: random.Random,
+        now_s: float,
+        policy: Policy = FULL_POLICY,
+    ) -> None:
+        self._shard = shard
+        self._settings = settings
+        self._policy = policy
+        self._pool = UpstreamPool()
+        self._waiting = WaitingList()
+        self._placements = PlacementBook()
+        self._ended: OrderedDict[RequestId, Attempt] = OrderedDict()
+        self._drain = DrainRate(now_s)
+        self._retry_after = RetryAfter(settings, rng, policy.retry_spread)
+        self._verdicts: list[PoisonVerdict] = []
+        self._take_document(document)
+
+    def _take_document(self, document: ServiceDocument) -> None:
+        self._document = document
+        self._reserved_shares = tuple(tier.reserved_share for tier in document.tiers)
+        if not self._policy.reserve:
+            self._reserved_shares = ()
+
+    # Upstreams
+
+    def configure(self, document: ServiceDocument, now_s: float) -> list[Decision]:
+        """Take a new document; waiting tickets stay."""
+        self._take_document(document)
+        for load in self._pool.all():
+            group = document.group_of(load.upstream)
+            if group is not None and load.group is not None:
+                load.configure(group)
+        return self._decide(now_s)
+
+    def add_upstream(
+        self, upstream: Upstream, group: UpstreamGroup, now_s: float
+    ) -> list[Decision]:
+        """Add an upstream, or take its group's bounds anew; a leaving one stays leaving."""
+        self._pool.known(upstream.upstream).configure(group)
+        return self._decide(now_s)
+
+    def remove_upstream(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
+        """Grant nothing more to an upstream and forget it once nothing is in flight there."""
+        load = self._pool.get(upstream_id)
+        if load is not None:
+            load.group = None
+            self._discard_idle(upstream_id)
+        return self._decide(now_s)
+
+    def mark_leaving(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
+        """Grant nothing more to an upstream until it is removed and added again."""
+        load = self._pool.get(upstream_id)
+        if load is not None:
+            load.leaving = True
+        return self._decide(now_s)
+
+    def _discard_idle(self, upstream_id: UpstreamId) -> None:
+        load = self._pool.get(upstream_id)
+        if load is not None and load.group is None and load.streams == 0:
+            self._pool.discard(upstream_id)
+
+    def load_report(self, report: LoadReport, now_s: float) -> list[Decision]:
+        """Take an upstream's lagging word on its load."""
+        return self._decide(now_s)
+
+    def cache_events(self, events: Iterable[CacheEvent], now_s: float) -> None:
+        """Take entries of upstreams' prefix cache logs."""
+
+    # Tickets
+
+    def submit(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        """Take a ticket; a known request with the same or an older attempt changes nothing."""
+        if not self._is_news(ticket):
+            return []
+        self._forget(ticket.request_id)
+        return self._admit(ticket, now_s) + self._decide(now_s)
+
+    def _is_news(self, ticket: Ticket) -> bool:
+        known: list[Attempt] = []
+        request_id = ticket.request_id
+        if request_id in self._ended:
+            known.append(self._ended[request_id])
+        waiting = self._waiting.get(request_id)
+        if waiting is not None:
+            known.append(waiting.ticket.attempt)
+        placement = self._placements.get(request_id)
+        if placement is not None:
+            known.append(placement.ticket.attempt)
+        return all(ticket.attempt > attempt for attempt in known)
+
+    def _forget(self, request_id: RequestId) -> None:
+        self._waiting.remove(request_id)
+        self._release(request_id)
+
+    def _admit(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        if ticket.deadline_s <= now_s:
+            return [self._refuse(ticket, RefusalReason.EXPIRED)]
+        if not self._pool.has_open(ticket):
+            return [self._refuse(ticket, RefusalReason.NO_UPSTREAM)]
+        self._waiting.add(Waiting(ticket, now_s, self._start_by_s(ticket)))
+        return []
+
+    def _start_by_s(self, ticket: Ticket) -> float:
+        return ticket.deadline_s
+
+    def withdraw(self, request_id: RequestId, now_s: float) -> list[Decision]:
+        """Drop a request that its entry gave up before dispatch."""
+        waiting = self._waiting.remove(request_id)
+        if waiting is not None:
+            self._remember_end(request_id, waiting.ticket.attempt)
+        placement = self._release(request_id)
+        if placement is not None:
+            self._remember_end(request_id, placement.ticket.attempt)
+        return self._decide(now_s)
+
+    def _remember_end(self, request_id: RequestId, attempt: Attempt) -> None:
+        self._ended[request_id] = attempt
+        self._ended.move_to_end(request_id)
+        if len(self._ended) > REMEMBERED_ENDS:
+            self._ended.popitem(last=False)
+
+    def _refuse(self, ticket: Ticket, reason: RefusalReason) -> Refusal:
+        self._remember_end(ticket.request_id, ticket.attempt)
+        ahead = self._waiting.count_up_to(ticket.tier) + 1
+        retry_after_s = self._retry_after.draw_s(ahead, self._drain.per_s)
+        return Refusal(ticket.request_id, ticket.attempt, ticket.entry, reason, retry_after_s)
+
+    # Progress of granted requests
+
+    def dispatched(
+        self, request_id: RequestId, attempt: Attempt, upstream_id: UpstreamId, now_s: float
+    ) -> list[Decision]:
+        """Note that the first byte of a granted request went to its upstream."""
+        placement = self._placements.get(request_id)
+        if placement is None or placement.ticket.attempt != attempt:
+            return []
+        if placement.upstream != upstream_id:
+            self._release(request_id)
+            tokens = placement.prompt_tokens
+            placement = self._reserve(placement.ticket, upstream_id, tokens, now_s)
+        if placement.state is not PlacementState.DISPATCHED:
+            placement.state = PlacementState.DISPATCHED
+            placement.dispatched_s = now_s
+        return []
+
+    def progress(self, request_id: RequestId, output_tokens: int, now_s: float) -> None:
+        """Note the output tokens of a request so far; the first report is its first token."""
+        placement = self._placements.get(request_id)
+        if placement is None or output_tokens <= placement.output_tokens:
+            return
+        if placement.first_token_s is None:
+            placement.first_token_s = now_s
+            self._release_prompt(placement)
+        placement.output_tokens = output_tokens
+
+    def _release_prompt(self, placement: Placement) -> None:
+        self._pool.known(placement.upstream).release_prompt(placement.prompt_tokens)
+        placement.prompt_tokens = 0
+
+    def ended(
+        self, request_id: RequestId, end: EndState, cached_prompt_tokens: int, now_s: float
+    ) -> list[Decision]:
+        """Note that a dispatched request is over, and give its room back."""
+        self._waiting.remove(request_id)
+        self._release(request_id)
+        self._remember_end(request_id, _FINAL)
+        self._drain.record(now_s)
+        return self._decide(now_s)
+
+    def declined(self, request_id: RequestId, attempt: Attempt, now_s: float) -> list[Decision]:
+        """Give back the room of a grant that was not used; the entry submits a newer attempt."""
+        placement = self._placements.get(request_id)
+        if placement is None or placement.ticket.attempt != attempt:
+            return []
+        if placement.state is PlacementState.DISPATCHED:
+            return []
+        self._release(request_id)
+        self._remember_end(request_id, attempt)
+        return self._decide(now_s)
+
+    def _release(self, request_id: RequestId) -> Placement | None:
+        placement = self._placements.remove(request_id)
+        if placement is None:
+            return None
+        load = self._pool.known(placement.upstream)
+        load.release_prompt(placement.prompt_tokens)
+        load.release_stream(placement.ticket.tier)
+        self._discard_idle(placement.upstream)
+        return placement
+
+    # What entries say about all of their requests
+
+    def refresh(
+        self, entry: InstanceId, waiting: list[Ticket], in_flight: list[InFlight], now_s: float
+    ) -> list[Decision]:
+        """Bring this scheduler's view of one entry in line with the entry's own."""
+        decisions: list[Decision] = []
+        listed = {ticket.request_id for ticket in waiting}
+        listed.update(flight.ticket.request_id for flight in in_flight)
+        self._drop_unlisted(entry, listed, now_s)
+        for flight in in_flight:
+            self._learn_in_flight(flight, now_s)
+        for ticket in waiting:
+            decisions += self._learn_waiting(ticket, now_s)
+        return decisions + self._decide(now_s)
+
+    def _drop_unlisted(self, entry: InstanceId, listed: set[RequestId], now_s: float) -> None:
+        for waiting in self._waiting.of_entry(entry):
+            if self._is_settled(waiting.ticket, listed, waiting.since_s, now_s):
+                self._waiting.remove(waiting.ticket.request_id)
+        for placement in self._placements.of_entry(entry):
+            since_s = max(placement.granted_s, placement.dispatched_s)
+            if placement.state is PlacementState.GRANTED:
+                continue
+            if self._is_settled(placement.ticket, listed, since_s, now_s):
+                self._release(placement.ticket.request_id)
+
+    @staticmethod
+    def _is_settled(ticket: Ticket, listed: set[RequestId], since_s: float, now_s: float) -> bool:
+        return ticket.request_id not in listed and now_s - since_s >= REFRESH_GUARD_S
+
+    def _learn_in_flight(self, flight: InFlight, now_s: float) -> None:
+        request_id = flight.ticket.request_id
+        if request_id in self._ended and self._ended[request_id] == _FINAL:
+            return
+        placement = self._placements.get(request_id)
+        if placement is None or placement.upstream != flight.upstream:
+            self._forget(request_id)
+            tokens = 0 if flight.output_tokens else flight.ticket.prompt_tokens
+            self._reserve(flight.ticket, flight.upstream, tokens, now_s)
+        self.dispatched(request_id, flight.ticket.attempt, flight.upstream, now_s)
+        self.progress(request_id, flight.output_tokens, now_s)
+
+    def _learn_waiting(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        placement = self._placements.get(ticket.request_id)
+        if placement is not None and placement.state is PlacementState.UNCONFIRMED:
+            # The entry still waits after the grant expired, so it did not use the grant.
+            self._release(ticket.request_id)
+        if not self._is_news(ticket):
+            return []
+        self._forget(ticket.request_id)
+        return self._admit(ticket, now_s)
+
+    def forget_entry(self, entry: InstanceId, now_s: float) -> list[Decision]:
+        """Drop all requests of an entry process that is gone."""
+        for waiting in self._waiting.of_entry(entry):
+            self._waiting.remove(waiting.ticket.request_id)
+        for placement in self._placements.of_entry(entry):
+            self._release(placement.ticket.request_id)
+        return self._decide(now_s)
+
+    # Suspects
+
+    def learn_verdict(self, verdict: PoisonVerdict, now_s: float) -> list[Decision]:
+        """Take a peer's verdict on a fingerprint."""
+        return self._decide(now_s)
+
+    def take_verdicts(self) -> list[PoisonVerdict]:
+        """Return the verdicts found since the last call."""
+        verdicts = self._verdicts
+        self._verdicts = []
+        return verdicts
+
+    # Decisions
+
+    def tick(self, now_s: float) -> list[Decision]:
+        """Do what is due by time alone."""
+        return self._decide(now_s)
+
+    def next_tick_s(self) -> float:
+        """Return when ``tick`` has work; infinity for never."""
+        return min(self._waiting.next_late_s(), self._placements.next_expiry_s(), math.inf)
+
+    def _decide(self, now_s: float) -> list[Decision]:
+        self._placements.expire(now_s)
+        decisions: list[Decision] = []
+        for waiting in self._waiting.take_late(now_s):
+            decisions.append(self._refuse(waiting.ticket, RefusalReason.EXPIRED))
+        decisions += self._grant_all(now_s)
+        decisions += self._displace()
+        return decisions
+
+    def _grant_all(self, now_s: float) -> list[Decision]:
+        grants: list[Decision] = []
+        for tier in self._waiting.tiers():
+            while (found := self._next_placeable(tier)) is not None:
+                waiting, choice = found
+                grants.append(self._grant(waiting.ticket, choice, now_s))
+            if self._waiting.count(tier) and self._policy.tiers:
+                break
+        return grants
+
+    def _next_placeable(self, tier: Tier) -> tuple[Waiting, Choice] | None:
+        for waiting in self._waiting.in_order(tier):
+            choice = self._pool.choose(waiting.ticket, self._reserved_shares)
+            if choice is not None:
+                return waiting, choice
+            if not waiting.ticket.excluded:
+                # A ticket without excluded upstreams waits for room, and all behind it do too.
+                return None
+        return None
+
+    def _grant(self, ticket: Ticket, choice: Choice, now_s: float) -> Grant:
+        self._waiting.remove(ticket.request_id)
+        placement = self._reserve(ticket, choice.load.upstream, choice.uncached_tokens, now_s)
+        reason = f"first token expected in {choice.first_token_s:.3f} s"
+        return Grant(
+            ticket.request_id,
+            ticket.attempt,
+            ticket.entry,
+            placement.upstream,
+            placement.expires_s,
+            reason,
+        )
+
+    def _reserve(
+        self, ticket: Ticket, upstream: UpstreamId, tokens: int, now_s: float
+    ) -> Placement:
+        expires_s = now_s + self._settings.grant_timeout_s
+        placement = Placement(
+            ticket, upstream, PlacementState.GRANTED, now_s, expires_s, tokens, tokens
+        )
+        self._placements.add(placement)
+        self._pool.known(upstream).reserve(ticket.tier, tokens)
+        return placement
+
+    def _displace(self) -> list[Decision]:
+        refusals: list[Decision] = []
+        while (tier := self._tier_over_bound()) is not None:
+            lowest = self._waiting.tiers()[-1]
+            victim = self._waiting.newest(lowest).ticket
+            self._waiting.remove(victim.request_id)
+            reason = RefusalReason.OVERLOADED if lowest == tier else RefusalReason.DISPLACED
+            refusals.append(self._refuse(victim, reason))
+        return refusals
+
+    def _tier_over_bound(self) -> Tier | None:
+        """Return the tier whose waiting bound is passed, or ``None``.
+
+        A tier may use the places of the tiers below it, so its bound is the sum of its own places
+        and of theirs.
+        """
+        waiting = 0
+        places = 0
+        for rank in reversed(range(len(self._document.tiers))):
+            waiting += self._waiting.count(Tier(rank))
+            places += self._document.tiers[rank].max_waiting
+            if waiting > min(places, self._settings.max_tickets):
+                return Tier(rank)
+        return None
+
+    def status(self, now_s: float) -> ShardStatus:
+        """Describe the shard for operators and metrics."""
+        tiers = [Tier(rank) for rank in range(len(self._document.tiers))]
+        in_flight = {
+            tier: sum(load.streams_by_tier.get(tier, 0) for load in self._pool.all())
+            for tier in tiers
+        }
+        return ShardStatus(
+            self._shard,
+            {tier: self._waiting.count(tier) for tier in tiers},
+            in_flight,
+            tuple(load.status() for load in self._pool.all()),
+            self._drain.per_s,
+        )
--- /dev/null
+++ b/lentilchute/waiting.py
@@ -0,0 +1,100 @@
+"""The waiting list of one shard, in tier order."""
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .ids import InstanceId, RequestId, Tier
+from .tickets import Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A ticket with the time when it came and the latest time to start it."""
+
+    ticket: Ticket
+    since_s: float
+    start_by_s: float
+
+
+class WaitingList:
+    """Tickets by tier, first come first within a tier."""
+
+    def __init__(self) -> None:
+        self._tiers: dict[Tier, dict[RequestId, Waiting]] = {}
+        self._by_id: dict[RequestId, Waiting] = {}
+        self._by_entry: dict[InstanceId, set[RequestId]] = {}
+        self._start_by: list[tuple[float, RequestId]] = []
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def get(self, request_id: RequestId) -> Waiting | None:
+        """Return a waiting ticket, or ``None``."""
+        return self._by_id.get(request_id)
+
+    def add(self, waiting: Waiting) -> None:
+        """Append a ticket to its tier."""
+        ticket = waiting.ticket
+        self._tiers.setdefault(ticket.tier, {})[ticket.request_id] = waiting
+        self._by_id[ticket.request_id] = waiting
+        self._by_entry.setdefault(ticket.entry, set()).add(ticket.request_id)
+        heapq.heappush(self._start_by, (waiting.start_by_s, ticket.request_id))
+
+    def remove(self, request_id: RequestId) -> Waiting | None:
+        """Take a ticket out; ``None`` when it does not wait."""
+        waiting = self._by_id.pop(request_id, None)
+        if waiting is None:
+            return None
+        ticket = waiting.ticket
+        del self._tiers[ticket.tier][request_id]
+        of_entry = self._by_entry[ticket.entry]
+        of_entry.discard(request_id)
+        if not of_entry:
+            del self._by_entry[ticket.entry]
+        return waiting
+
+    def tiers(self) -> list[Tier]:
+        """Return the tiers with waiting tickets, the highest first."""
+        return sorted(tier for tier, tickets in self._tiers.items() if tickets)
+
+    def in_order(self, tier: Tier) -> Iterator[Waiting]:
+        """Yield a tier's tickets in dispatch order; do not change the list meanwhile."""
+        return iter(self._tiers.get(tier, {}).values())
+
+    def newest(self, tier: Tier) -> Waiting:
+        """Return the ticket of a tier that came last."""
+        return next(reversed(self._tiers[tier].values()))
+
+    def count(self, tier: Tier) -> int:
+        """Return how many tickets of a tier wait."""
+        return len(self._tiers.get(tier, {}))
+
+    def count_up_to(self, tier: Tier) -> int:
+        """Return how many tickets of this tier and of higher ones wait."""
+        return sum(len(tickets) for rank, tickets in self._tiers.items() if rank <= tier)
+
+    def of_entry(self, entry: InstanceId) -> list[Waiting]:
+        """Return the tickets that wait at an entry."""
+        return [self._by_id[request_id] for request_id in self._by_entry.get(entry, ())]
+
+    def take_late(self, now_s: float) -> list[Waiting]:
+        """Take out the tickets that can no longer start in time."""
+        late = []
+        while self._start_by and self._start_by[0][0] <= now_s:
+            start_by_s, request_id = heapq.heappop(self._start_by)
+            waiting = self._by_id.get(request_id)
+            if waiting is not None and waiting.start_by_s == start_by_s:
+                self.remove(request_id)
+                late.append(waiting)
+        return late
+
+    def next_late_s(self) -> float:
+        """Return when ``take_late`` has work; infinity for never."""
+        while self._start_by:
+            start_by_s, request_id = self._start_by[0]
+            waiting = self._by_id.get(request_id)
+            if waiting is not None and waiting.start_by_s == start_by_s:
+                return start_by_s
+            heapq.heappop(self._start_by)
+        return float("inf")
