Measure the decisions in virtual time against fake engines and baselines

The fake engine batches continuously with chunked prefill, has a limited prefix cache and knows no priorities. Bounds are those of one fluid server that may split and interrupt work at no cost.

--- /dev/null
+++ b/lentilchute/measure/__main__.py
@@ -0,0 +1,54 @@
+"""``python -m lentilchute.measure``: run cases, print the table, write JSON and a picture."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from .cases import CASES
+from .report import draw, table, write_json
+from .runs import RunKey, run_all
+from .variants import VARIANTS
+
+
+@dataclass
+class Measure:
+    """Measure the scheduler's decisions in virtual time.
+
+    Without options all cases run under all variants with seed 1.
+    """
+
+    cases: Annotated[list[str], cappa.Arg(long=True, num_args=-1)] = field(
+        default_factory=lambda: [case.name for case in CASES]
+    )
+    variants: Annotated[list[str], cappa.Arg(long=True, num_args=-1)] = field(
+        default_factory=lambda: list(VARIANTS)
+    )
+    seeds: Annotated[list[int], cappa.Arg(long=True, num_args=-1)] = field(
+        default_factory=lambda: [1]
+    )
+    jobs: Annotated[int, cappa.Arg(long=True)] = 1
+    """Processes that run cases side by side."""
+    json: Annotated[Path | None, cappa.Arg(long=True)] = None
+    picture: Annotated[Path | None, cappa.Arg(long=True)] = None
+
+
+def main(options: Measure) -> None:
+    """Run what the options name."""
+    keys = [
+        RunKey(case, variant, seed)
+        for case in options.cases
+        for variant in options.variants
+        for seed in options.seeds
+    ]
+    results = run_all(keys, options.jobs)
+    print(table(results))
+    if options.json is not None:
+        write_json(results, options.json)
+    if options.picture is not None:
+        draw(results, options.picture)
+
+
+if __name__ == "__main__":
+    main(cappa.parse(Measure))
--- /dev/null
+++ b/lentilchute/measure/bounds.py
@@ -0,0 +1,74 @@
+"""Stated bounds: the most that any router could have reached on the same requests.
+
+The fleet is taken as one fluid server that works at the sum of the engines' rates and may split,
+interrupt and resume all work at no cost, with the best reuse of prefixes.
+"""
+
+import heapq
+from collections.abc import Iterable, Sequence
+
+from ..ids import BlockHash
+from .fake_engine import EngineSpec
+from .job import Job
+from .workload import uncached_tokens
+
+
+def work_of(jobs: Iterable[Job], specs: Sequence[EngineSpec]) -> dict[int, float]:
+    """Return each request's work, in seconds of the whole fleet, at the best reuse of prefixes."""
+    prefill_per_s = sum(spec.prefill_tokens_per_s for spec in specs)
+    decode_per_s = sum(spec.max_batch / spec.step_s for spec in specs)
+    seen: set[BlockHash] = set()
+    work: dict[int, float] = {}
+    for job in jobs:
+        uncached = uncached_tokens(job.prompt_tokens, job.blocks, seen)
+        work[job.number] = uncached / prefill_per_s + job.output_tokens / decode_per_s
+    return work
+
+
+def fluid_work(jobs: Sequence[Job], work: dict[int, float]) -> float:
+    """Return the most work that can be done in time: earliest deadline first, in parts.
+
+    Unlimited preemption makes this the most of any order, as long as work counts in parts.
+    """
+    queue: list[tuple[float, int, float]] = []
+    now_s = 0.0
+    done = 0.0
+    pending = sorted(jobs, key=lambda job: job.arrival_s)
+    position = 0
+    while position < len(pending) or queue:
+        if not queue:
+            now_s = max(now_s, pending[position].arrival_s)
+        while position < len(pending) and pending[position].arrival_s <= now_s:
+            job = pending[position]
+            heapq.heappush(queue, (job.deadline_s, job.number, work[job.number]))
+            position += 1
+        if not queue:
+            continue
+        next_s = pending[position].arrival_s if position < len(pending) else float("inf")
+        deadline_s, number, left = heapq.heappop(queue)
+        step = min(left, next_s - now_s, max(deadline_s - now_s, 0.0))
+        done += step
+        now_s += step
+        if left - step > 1e-12 and now_s < deadline_s:
+            heapq.heappush(queue, (deadline_s, number, left - step))
+    return done
+
+
+def is_feasible(job: Job, specs: Sequence[EngineSpec]) -> bool:
+    """Tell whether the fastest engine, alone, could answer in time without any cached prefix."""
+    patience_s = job.deadline_s - job.arrival_s
+    return any(
+        job.prompt_tokens / spec.prefill_tokens_per_s + job.output_tokens * spec.step_s
+        <= patience_s
+        for spec in specs
+    )
+
+
+def top_tier_bound(jobs: Sequence[Job], specs: Sequence[EngineSpec]) -> float:
+    """Return how many top-tier requests could have been answered with the fleet to themselves."""
+    top = [job for job in jobs if job.tier == 0 and is_feasible(job, specs)]
+    if not top:
+        return 0.0
+    work = work_of(top, specs)
+    total = sum(work.values())
+    return len(top) * min(1.0, fluid_work(top, work) / total)
--- /dev/null
+++ b/lentilchute/measure/cases.py
@@ -0,0 +1,125 @@
+"""The cases of the measurement: load, engines, and what goes wrong."""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from .fake_engine import EngineSpec
+from .workload import (
+    Draft,
+    DraftSource,
+    Mix,
+    default_mix,
+    long_short_mix,
+    notary_mix,
+    terminal_mix,
+)
+
+ENGINE_COUNT = 10
+BASE_PREFILL_TOKENS_PER_S = 4_000.0
+BASE_STEP_S = 0.03
+MAX_BATCH = 32
+CACHE_TOKENS = 200_000
+
+
+class FaultKind(Enum):
+    """What happens at a fault's time."""
+
+    SLOW = "an engine becomes slower without a word"
+    CRASH = "an engine crashes and comes back later"
+    NODE_KILL = "the node that is an entry and the scheduler dies"
+    POISON = "a request arrives that crashes its engine, and its caller repeats it"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault at a time; ``engine`` and ``factor`` where the kind uses them."""
+
+    kind: FaultKind
+    at_s: float
+    engine: int = 0
+    factor: float = 1.0
+    down_s: float = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One case; ``load`` lists (from second, load as a part of capacity)."""
+
+    name: str
+    mix: Mix = default_mix
+    load: tuple[tuple[float, float], ...] = ((0.0, 0.7),)
+    arrivals_s: float = 60.0
+    speeds: tuple[float, ...] = (1.5,) * ENGINE_COUNT
+    report_lag_s: float = 0.5
+    cache_event_loss: float = 0.0
+    faults: tuple[Fault, ...] = ()
+    callers_return: bool = False
+    accounts: tuple[float, ...] = ()
+    """Load of each account as a part of capacity, where the case gives it."""
+
+    @property
+    def specs(self) -> tuple[EngineSpec, ...]:
+        """The engines of the case."""
+        return tuple(_spec(index, speed) for index, speed in enumerate(self.speeds))
+
+    @property
+    def crashes_engines(self) -> bool:
+        """Whether an engine crashes in the case."""
+        return any(fault.kind in {FaultKind.CRASH, FaultKind.POISON} for fault in self.faults)
+
+    def load_at(self, now_s: float) -> float:
+        """Return the load at a time, as a part of capacity."""
+        load = 0.0
+        for from_s, part in self.load:
+            if now_s >= from_s:
+                load = part
+        return load
+
+
+def _spec(index: int, speed: float) -> EngineSpec:
+    return EngineSpec(
+        f"e{index}",
+        BASE_PREFILL_TOKENS_PER_S * speed,
+        BASE_STEP_S / speed,
+        MAX_BATCH,
+        CACHE_TOKENS,
+        f"gen-{speed:g}",
+    )
+
+
+def _by_account(shares: tuple[float, ...]) -> Mix:
+    def mix(source: DraftSource) -> Draft:
+        return replace(default_mix(source), account=source.choice(shares))
+
+    return mix
+
+
+BURST = ((0.0, 0.6), (10.0, 3.0), (70.0, 0.6))
+LARGE_ACCOUNT = (2.0, 0.16, 0.16, 0.16, 0.16)
+
+CASES = (
+    Case("steady"),
+    Case("burst", load=BURST, arrivals_s=90.0),
+    Case("unlike", speeds=(1.0, 1.0, 1.0, 1.0, 2.0, 2.0, 2.0, 2.0, 5.0, 5.0)),
+    Case("long-short", mix=long_short_mix),
+    Case("slow-engine", faults=(Fault(FaultKind.SLOW, 20.0, engine=3, factor=5.0),)),
+    Case("report-lag", report_lag_s=5.0),
+    Case("event-loss", mix=terminal_mix, cache_event_loss=0.2),
+    Case("engine-crash", faults=(Fault(FaultKind.CRASH, 20.0, engine=2),)),
+    Case("node-kill", faults=(Fault(FaultKind.NODE_KILL, 20.0),)),
+    Case(
+        "large-account",
+        mix=_by_account(LARGE_ACCOUNT),
+        load=((0.0, sum(LARGE_ACCOUNT)),),
+        accounts=LARGE_ACCOUNT,
+    ),
+    Case("retry-storm", load=((0.0, 0.6), (10.0, 2.0), (40.0, 0.6)), callers_return=True),
+    Case("notary", mix=notary_mix, load=((0.0, 0.7), (20.0, 1.5), (50.0, 0.7))),
+    Case("terminal", mix=terminal_mix, load=((0.0, 0.7), (20.0, 1.5), (50.0, 0.7))),
+    Case("poison", faults=(Fault(FaultKind.POISON, 20.0),), callers_return=True),
+)
+
+
+def case_named(name: str) -> Case:
+    """Return a case by its name. Raises ``KeyError`` for an unknown one."""
+    return {case.name: case for case in CASES}[name]
--- /dev/null
+++ b/lentilchute/measure/figures.py
@@ -0,0 +1,213 @@
+"""What a run is judged by, and the targets."""
+
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from .bounds import fluid_work, top_tier_bound, work_of
+from .cases import Case, FaultKind
+from .fake_engine import MIXED_PREFILL
+from .job import Job, JobState
+from .world import World
+
+FIRST_TOKEN_TARGET_S = 1.8
+TOKEN_GAP_TARGET_S = 0.05
+SHARE_WINDOW_S = 5.0
+TOP_TIER_TARGET = 0.99
+TOTAL_TARGET = 0.90
+WASTE_TARGET = 0.03
+PERCENTILE_TARGET = 0.95
+SHARE_CUT_TARGET_S = 5.0
+SMALL_ACCOUNT_TARGET = 0.95
+OVERLOAD = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Figures of one run; ``None`` where a case does not ask for one."""
+
+    tier_goodput: tuple[float, ...]
+    """Useful answers of each tier, as a part of the requests offered."""
+    top_of_bound: float
+    """Useful top-tier answers, as a part of the stated bound."""
+    work_of_bound: float
+    """Useful work, as a part of the fluid bound."""
+    wasted_prefill: float
+    """Prefill for answers that were not useful, or that another engine held."""
+    first_token_in_time: float
+    token_gap_in_time: float
+    inversions: int
+    share_cut_s: float | None
+    small_accounts: float | None
+    crashes: int
+    decision_us: float
+
+
+def figures_of(world: World, decision_us: float) -> Figures:
+    """Judge a finished run."""
+    case = world.case
+    offered = offered_jobs(world)
+    useful = useful_origins(world.jobs)
+    return Figures(
+        tuple(_part_useful(offered, useful, tier) for tier in range(4)),
+        _top_of_bound(offered, useful, case),
+        _work_of_bound(offered, useful, case),
+        wasted_prefill(world.jobs),
+        _first_tokens(world.jobs, case),
+        _token_gaps(world.jobs),
+        count_inversions(world.jobs),
+        _share_cut_s(world),
+        _small_accounts(offered, useful, case),
+        sum(1 for job in world.jobs if job.state is JobState.CUT),
+        decision_us,
+    )
+
+
+def offered_jobs(world: World) -> list[Job]:
+    """Return first tries, without those that died with their entry and without poison."""
+    lost = {job.origin for job in world.jobs if job.state is JobState.LOST}
+    return [
+        job for job in world.jobs if job.tries == 1 and job.origin not in lost and not job.is_poison
+    ]
+
+
+def useful_origins(jobs: Sequence[Job]) -> set[int]:
+    """Return the callers' requests that were answered in time, at whichever try."""
+    return {job.origin for job in jobs if job.is_useful}
+
+
+def _part_useful(offered: Sequence[Job], useful: set[int], tier: int) -> float:
+    of_tier = [job for job in offered if job.tier == tier]
+    if not of_tier:
+        return 1.0
+    return sum(1 for job in of_tier if job.origin in useful) / len(of_tier)
+
+
+def _top_of_bound(offered: Sequence[Job], useful: set[int], case: Case) -> float:
+    bound = top_tier_bound(offered, case.specs)
+    if not bound:
+        return 1.0
+    return sum(1 for job in offered if job.tier == 0 and job.origin in useful) / bound
+
+
+def _work_of_bound(offered: Sequence[Job], useful: set[int], case: Case) -> float:
+    work = work_of(offered, case.specs)
+    done = sum(work[job.number] for job in offered if job.origin in useful)
+    return done / fluid_work(offered, work)
+
+
+def wasted_prefill(jobs: Sequence[Job]) -> float:
+    """Return wasted prompt tokens as a part of all prefilled prompt tokens."""
+    total = sum(job.prefilled_tokens for job in jobs)
+    wasted = 0.0
+    for job in jobs:
+        wasted += job.repeated_tokens if job.is_useful else job.prefilled_tokens
+    return wasted / total if total else 0.0
+
+
+def _first_tokens(jobs: Sequence[Job], case: Case) -> float:
+    fastest = max(spec.prefill_tokens_per_s for spec in case.specs) * MIXED_PREFILL
+    waits = [
+        job.first_token_s - job.arrival_s if job.first_token_s is not None else float("inf")
+        for job in jobs
+        if job.tier == 0
+        and job.started_s is not None
+        and job.state is not JobState.LOST
+        and not job.is_poison
+        and job.prompt_tokens / fastest <= FIRST_TOKEN_TARGET_S
+    ]
+    return _part_within(waits, FIRST_TOKEN_TARGET_S)
+
+
+def _token_gaps(jobs: Sequence[Job]) -> float:
+    gaps = [job.token_gap_s for job in jobs if job.tier == 0 and job.state is JobState.DONE]
+    return _part_within(gaps, TOKEN_GAP_TARGET_S)
+
+
+def _part_within(values: Sequence[float], bound: float) -> float:
+    if not values:
+        return 1.0
+    return sum(1 for value in values if value <= bound) / len(values)
+
+
+def count_inversions(jobs: Sequence[Job]) -> int:
+    """Count requests that ended without a token while a lower tier was started meanwhile."""
+    starts: dict[int, list[float]] = defaultdict(list)
+    for job in jobs:
+        if job.started_s is not None:
+            starts[job.tier].append(job.started_s)
+    for times in starts.values():
+        times.sort()
+    inversions = 0
+    for job in jobs:
+        shed = job.state in {JobState.REFUSED, JobState.GAVE_UP} and job.first_token_s is None
+        if shed and _lower_started(job, starts):
+            inversions += 1
+    return inversions
+
+
+def _lower_started(job: Job, starts: dict[int, list[float]]) -> bool:
+    assert job.ended_s is not None
+    # A start within a message's way of the arrival or the end was decided before or after.
+    begin_s = job.arrival_s + 0.005
+    end_s = job.ended_s - 0.005
+    for tier, times in starts.items():
+        if tier > job.tier and bisect_right(times, end_s) > bisect_left(times, begin_s):
+            return True
+    return False
+
+
+def _share_cut_s(world: World) -> float | None:
+    slow = [fault for fault in world.case.faults if fault.kind is FaultKind.SLOW]
+    if not slow:
+        return None
+    fault = slow[0]
+    before = _share(world, fault.engine, fault.at_s - 2 * SHARE_WINDOW_S, fault.at_s)
+    step_s = 0.25
+    for step in range(int((world.case.arrivals_s - fault.at_s) / step_s)):
+        from_s = fault.at_s + step * step_s
+        if _share(world, fault.engine, from_s, from_s + SHARE_WINDOW_S) <= before / 2:
+            return step * step_s
+    return float("inf")
+
+
+def _share(world: World, engine: int, from_s: float, to_s: float) -> float:
+    sent = [one for time_s, one, _ in world.dispatches if from_s <= time_s < to_s]
+    return sent.count(engine) / len(sent) if sent else 0.0
+
+
+def _small_accounts(offered: Sequence[Job], useful: set[int], case: Case) -> float | None:
+    if not case.accounts:
+        return None
+    parts = []
+    for account, load in enumerate(case.accounts):
+        if load == max(case.accounts):
+            continue
+        own = [job for job in offered if job.account == account]
+        parts.append(sum(1 for job in own if job.origin in useful) / max(len(own), 1))
+    return min(parts)
+
+
+def missed_targets(figures: Figures, case: Case, best_waste: float) -> list[str]:
+    """Return the targets that a run misses; ``best_waste`` is the best baseline's."""
+    missed = []
+    if figures.top_of_bound < TOP_TIER_TARGET:
+        missed.append("top tier")
+    if max(part for _, part in case.load) >= OVERLOAD and figures.work_of_bound < TOTAL_TARGET:
+        missed.append("total")
+    if figures.inversions:
+        missed.append("inversions")
+    if not case.crashes_engines and figures.wasted_prefill > WASTE_TARGET:
+        missed.append("waste")
+    if figures.wasted_prefill > best_waste / 2:
+        missed.append("waste of baseline")
+    if figures.first_token_in_time < PERCENTILE_TARGET:
+        missed.append("first token")
+    if figures.token_gap_in_time < PERCENTILE_TARGET:
+        missed.append("token gap")
+    if figures.share_cut_s is not None and figures.share_cut_s > SHARE_CUT_TARGET_S:
+        missed.append("share cut")
+    if figures.small_accounts is not None and figures.small_accounts < SMALL_ACCOUNT_TARGET:
+        missed.append("small accounts")
+    return missed
--- /dev/null
+++ b/lentilchute/measure/scheduled.py
@@ -0,0 +1,314 @@
+"""The router under measurement: entries that ask the package's scheduler for grants."""
+
+import math
+import random
+import time
+
+from ..document import (
+    AccountEntry,
+    ServiceDocument,
+    TierEntry,
+    UpstreamEntry,
+    UpstreamGroup,
+    UpstreamKind,
+)
+from ..ids import (
+    Attempt,
+    AvailabilityZone,
+    ClientAccountId,
+    Fingerprint,
+    InstanceId,
+    ModelName,
+    RequestId,
+    ServiceName,
+    ShardId,
+    Tier,
+    UpstreamId,
+)
+from ..policy import Policy
+from ..scheduler import ShardScheduler
+from ..settings import SchedulerSettings
+from ..tickets import CacheEvent, Decision, EndState, Grant, InFlight, LoadReport, Refusal, Ticket
+from ..upstreams import Upstream
+from .cases import Case
+from .job import Job, JobState
+from .workload import ACCOUNT_SHARES, TIER_SHARES
+from .world import ENTRY_COUNT, REPORT_INTERVAL_S, World
+
+LATENCY_S = 0.001
+PROGRESS_INTERVAL_S = 0.5
+REFRESH_INTERVAL_S = 2.0
+NEW_SCHEDULER_S = 1.5
+"""Time until the other nodes agree that the scheduler's node is dead."""
+
+ZONE = AvailabilityZone("tunis-a")
+SERVICE = ServiceName("drafters")
+MAX_WAITING = 400
+
+
+def document_for(case: Case) -> ServiceDocument:
+    """Return the service document of a case: one group for each generation of hardware."""
+    by_hardware: dict[str, list[UpstreamEntry]] = {}
+    for spec in case.specs:
+        member = UpstreamEntry(name=spec.name, address="127.0.0.1:1", availability_zone=ZONE)
+        by_hardware.setdefault(spec.hardware, []).append(member)
+    first = case.specs[0]
+    groups = tuple(
+        UpstreamGroup(
+            kind=UpstreamKind.ENGINE,
+            members=tuple(members),
+            hardware=hardware,
+            max_streams=first.max_batch,
+            max_prompt_tokens=100_000,
+            # Every group states the same rates, so that the scheduler has to learn the real ones.
+            initial_prefill_tokens_per_s=first.prefill_tokens_per_s,
+            initial_decode_tokens_per_s=1.0 / first.step_s,
+            cache_tokens=first.cache_tokens,
+        )
+        for hardware, members in by_hardware.items()
+    )
+    tiers = tuple(
+        TierEntry(name=f"tier-{rank}", max_waiting=MAX_WAITING) for rank in range(len(TIER_SHARES))
+    )
+    accounts = tuple(
+        AccountEntry(name=f"account-{number}", key_sha256=f"{number:064x}")
+        for number in range(len(ACCOUNT_SHARES))
+    )
+    return ServiceDocument(service=SERVICE, upstreams=groups, tiers=tiers, client_accounts=accounts)
+
+
+class ScheduledRouter:
+    """Entries and one scheduler; messages between them take ``LATENCY_S``."""
+
+    def __init__(self, policy: Policy, seed: int) -> None:
+        self._policy = policy
+        self._rng = random.Random(seed + 3_000)
+        self._jobs: dict[RequestId, Job] = {}
+        self._attempts: dict[RequestId, Attempt] = {}
+        self._excluded: dict[RequestId, frozenset[UpstreamId]] = {}
+        self._scheduler: ShardScheduler | None = None
+        self._tick_s = math.inf
+        self.decision_s = 0.0
+        self.calls = 0
+
+    def start(self, world: World) -> None:
+        """Begin a run with a scheduler that knows all engines."""
+        self._world = world
+        self._document = document_for(world.case)
+        self._listed = set(range(len(world.engines)))
+        self._new_scheduler()
+        world.clock.after(REPORT_INTERVAL_S, self._report_loads)
+        world.clock.after(PROGRESS_INTERVAL_S, self._report_progress)
+        for entry in range(ENTRY_COUNT):
+            world.clock.after(REFRESH_INTERVAL_S * (entry + 1) / ENTRY_COUNT, self._refresh, entry)
+
+    def _new_scheduler(self) -> None:
+        now_s = self._world.clock.now_s
+        self._scheduler = ShardScheduler(
+            ShardId("drafters/0"),
+            self._document,
+            SchedulerSettings(),
+            self._rng,
+            now_s,
+            policy=self._policy,
+        )
+        for engine in sorted(self._listed):
+            self._add_engine(engine)
+
+    def _add_engine(self, engine: int) -> None:
+        name = UpstreamId(self._world.case.specs[engine].name)
+        group = self._document.group_of(name)
+        assert group is not None and self._scheduler is not None
+        upstream = Upstream(name, "127.0.0.1:1", ZONE, UpstreamKind.ENGINE)
+        self._apply(self._scheduler.add_upstream(upstream, group, self._world.clock.now_s))
+
+    # Messages to the scheduler
+
+    def _call(self, method: str, *arguments: object) -> None:
+        self._world.clock.after(LATENCY_S, self._deliver, self._scheduler, method, arguments)
+
+    def _deliver(
+        self, scheduler: ShardScheduler | None, method: str, arguments: tuple[object, ...]
+    ) -> None:
+        if scheduler is None or scheduler is not self._scheduler:
+            return
+        started = time.perf_counter()
+        decisions = getattr(scheduler, method)(*arguments, self._world.clock.now_s)
+        self.decision_s += time.perf_counter() - started
+        self.calls += 1
+        self._apply(decisions or [])
+
+    def _apply(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, Grant):
+                self._world.clock.after(LATENCY_S, self._granted, decision)
+            else:
+                self._world.clock.after(LATENCY_S, self._refused, decision)
+        self._plan_tick()
+
+    def _plan_tick(self) -> None:
+        if self._scheduler is None:
+            return
+        next_s = self._scheduler.next_tick_s()
+        if next_s < self._tick_s:
+            self._tick_s = next_s
+            self._world.clock.at(next_s, self._tick, next_s)
+
+    def _tick(self, planned_s: float) -> None:
+        if planned_s != self._tick_s:
+            return
+        self._tick_s = math.inf
+        self._deliver(self._scheduler, "tick", ())
+
+    # Entries
+
+    def _ticket(self, request_id: RequestId, job: Job) -> Ticket:
+        return Ticket(
+            request_id,
+            self._attempts[request_id],
+            InstanceId(f"i{job.entry}"),
+            ZONE,
+            SERVICE,
+            Tier(job.tier),
+            ClientAccountId(f"account-{job.account}"),
+            job.deadline_s,
+            job.prompt_tokens,
+            job.max_output_tokens,
+            ModelName("m"),
+            Fingerprint(str(job.origin)),
+            job.blocks,
+            excluded=self._excluded.get(request_id, frozenset()),
+        )
+
+    def arrive(self, job: Job) -> None:
+        """Submit a ticket."""
+        request_id = _request_id(job)
+        self._jobs[request_id] = job
+        self._attempts[request_id] = Attempt(1)
+        self._call("submit", self._ticket(request_id, job))
+
+    def _granted(self, grant: Grant) -> None:
+        job = self._jobs.get(grant.request_id)
+        if job is None or job.state is not JobState.WAITING:
+            self._call("declined", grant.request_id, grant.attempt)
+            return
+        if grant.attempt != self._attempts[grant.request_id]:
+            return
+        engine = int(grant.upstream[1:])
+        if self._world.dispatch(job, engine):
+            self._call("dispatched", grant.request_id, grant.attempt, grant.upstream)
+            return
+        self._call("declined", grant.request_id, grant.attempt)
+        self._attempts[grant.request_id] = Attempt(grant.attempt + 1)
+        excluded = self._excluded.get(grant.request_id, frozenset())
+        self._excluded[grant.request_id] = excluded | {grant.upstream}
+        self._call("submit", self._ticket(grant.request_id, job))
+
+    def _refused(self, refusal: Refusal) -> None:
+        job = self._jobs.get(refusal.request_id)
+        if job is not None and job.state is JobState.WAITING:
+            del self._jobs[refusal.request_id]
+            self._world.refuse(job, refusal.retry_after_s)
+
+    def gave_up(self, job: Job) -> None:
+        """Withdraw a ticket, or report the end of a request that ran."""
+        request_id = _request_id(job)
+        self._jobs.pop(request_id, None)
+        if job.started_s is None:
+            self._call("withdraw", request_id)
+        else:
+            self._call("ended", request_id, EndState.CALLER_GONE, job.cached_tokens)
+
+    def first_token(self, job: Job) -> None:
+        """Report the first token."""
+        self._call("progress", _request_id(job), 1)
+
+    def ended(self, job: Job) -> None:
+        """Report an end."""
+        request_id = _request_id(job)
+        self._jobs.pop(request_id, None)
+        is_done = job.state is JobState.DONE
+        end = EndState.COMPLETE if is_done else EndState.UPSTREAM_CRASHED
+        self._call("ended", request_id, end, job.cached_tokens)
+
+    def _report_progress(self) -> None:
+        for request_id, job in self._jobs.items():
+            if job.state is JobState.RUNNING and job.first_token_s is not None:
+                assert job.engine is not None
+                tokens = self._world.engines[job.engine].output_so_far(job)
+                self._call("progress", request_id, tokens)
+        self._world.clock.after(PROGRESS_INTERVAL_S, self._report_progress)
+
+    def _refresh(self, entry: int) -> None:
+        if not self._world.entry_is_up[entry]:
+            return
+        self._refresh_once(entry)
+        self._world.clock.after(REFRESH_INTERVAL_S, self._refresh, entry)
+
+    def _refresh_once(self, entry: int) -> None:
+        waiting = []
+        in_flight = []
+        for request_id, job in self._jobs.items():
+            if job.entry != entry:
+                continue
+            ticket = self._ticket(request_id, job)
+            if job.state is JobState.WAITING:
+                waiting.append(ticket)
+            elif job.state is JobState.RUNNING:
+                in_flight.append(self._flight(ticket, job))
+        self._call("refresh", InstanceId(f"i{entry}"), waiting, in_flight)
+
+    def _flight(self, ticket: Ticket, job: Job) -> InFlight:
+        assert job.engine is not None and job.started_s is not None
+        tokens = self._world.engines[job.engine].output_so_far(job)
+        return InFlight(ticket, UpstreamId(f"e{job.engine}"), job.started_s, tokens)
+
+    # The platform and the engines
+
+    def _report_loads(self) -> None:
+        lag_s = self._world.case.report_lag_s
+        for engine in self._world.engines:
+            if engine.is_up:
+                report = engine.load_report()
+                aged = LoadReport(
+                    report.upstream,
+                    report.running,
+                    report.waiting,
+                    report.outstanding_prompt_tokens,
+                    lag_s,
+                )
+                self._world.clock.after(
+                    lag_s, self._deliver, self._scheduler, "load_report", (aged,)
+                )
+        self._world.clock.after(REPORT_INTERVAL_S, self._report_loads)
+
+    def cache_event(self, engine: int, event: CacheEvent) -> None:
+        """Pass a cache event on."""
+        self._call("cache_events", [event])
+
+    def list_changed(self, engine: int, is_listed: bool) -> None:
+        """Follow the platform's list."""
+        if is_listed:
+            self._listed.add(engine)
+            if self._scheduler is not None:
+                self._add_engine(engine)
+        else:
+            self._listed.discard(engine)
+            self._call("remove_upstream", UpstreamId(f"e{engine}"))
+
+    def node_killed(self, lost: list[Job]) -> None:
+        """Lose the scheduler's state; the next one starts from the entries' refreshes."""
+        for job in lost:
+            self._jobs.pop(_request_id(job), None)
+        self._scheduler = None
+        self._tick_s = math.inf
+        self._world.clock.after(NEW_SCHEDULER_S, self._take_over)
+
+    def _take_over(self) -> None:
+        self._new_scheduler()
+        for entry in range(ENTRY_COUNT):
+            self._refresh_once(entry)
+
+
+def _request_id(job: Job) -> RequestId:
+    return RequestId(f"i{job.entry}.a/{job.number}")
--- /dev/null
+++ b/lentilchute/measure/workload.py
@@ -0,0 +1,193 @@
+"""Requests of the measurement: what callers ask for, and when."""
+
+import itertools
+import math
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from ..ids import BlockHash
+from .fake_engine import BLOCK_TOKENS, MIXED_PREFILL, EngineSpec
+from .job import Job
+
+TIER_SHARES = (0.2, 0.25, 0.3, 0.25)
+TIER_DEADLINES_S = (20.0, 25.0, 30.0, 40.0)
+ACCOUNT_SHARES = (0.4, 0.3, 0.15, 0.1, 0.05)
+SAMPLE_SIZE = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """A request before it has an arrival time."""
+
+    tier: int
+    account: int
+    prompt_tokens: int
+    output_tokens: int
+    blocks: tuple[BlockHash, ...]
+    patience_s: float
+
+
+class DraftSource:
+    """Draws requests. Shared prefixes are drawn by key; all other blocks are new."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self._new_block = itertools.count(1)
+        self._shared: dict[str, tuple[BlockHash, ...]] = {}
+
+    def lognormal(self, median: float, sigma: float, low: int, high: int) -> int:
+        """Draw a token count."""
+        return int(min(max(median * math.exp(self.rng.gauss(0, sigma)), low), high))
+
+    def choice(self, shares: tuple[float, ...]) -> int:
+        """Draw an index by shares."""
+        return self.rng.choices(range(len(shares)), shares)[0]
+
+    def blocks(
+        self, prompt_tokens: int, shared_key: str, shared_tokens: int
+    ) -> tuple[BlockHash, ...]:
+        """Return the blocks of a prompt that begins with a shared prefix."""
+        total = prompt_tokens // BLOCK_TOKENS
+        shared = min(shared_tokens // BLOCK_TOKENS, total)
+        if shared_key not in self._shared or len(self._shared[shared_key]) < shared:
+            self._shared[shared_key] = self._new(shared_tokens // BLOCK_TOKENS)
+        return self._shared[shared_key][:shared] + self._new(total - shared)
+
+    def _new(self, count: int) -> tuple[BlockHash, ...]:
+        return tuple(BlockHash(block) for block in itertools.islice(self._new_block, count))
+
+
+Mix = Callable[[DraftSource], Draft]
+
+
+def default_mix(source: DraftSource) -> Draft:
+    """Chat-sized requests in four tiers; each account has a short common preamble."""
+    tier = source.choice(TIER_SHARES)
+    account = source.choice(ACCOUNT_SHARES)
+    prompt = source.lognormal(220, 0.8, 20, 4_000)
+    output = source.lognormal(180, 0.5, 10, 600)
+    blocks = source.blocks(prompt, f"account-{account}", 128)
+    return Draft(tier, account, prompt, output, blocks, TIER_DEADLINES_S[tier])
+
+
+def long_short_mix(source: DraftSource) -> Draft:
+    """Prompts of 20 tokens, and one in thirty of 40,000."""
+    tier = source.choice(TIER_SHARES)
+    account = source.choice(ACCOUNT_SHARES)
+    if source.rng.random() < 1 / 30:
+        blocks = source.blocks(40_000, "", 0)
+        return Draft(tier, account, 40_000, 300, blocks, 90.0)
+    output = source.lognormal(180, 0.5, 10, 600)
+    return Draft(tier, account, 20, output, (), TIER_DEADLINES_S[tier])
+
+
+def notary_mix(source: DraftSource) -> Draft:
+    """Many short questions in Arabic and French, and long deed files due at a signing."""
+    account = source.choice(ACCOUNT_SHARES)
+    kind = source.rng.random()
+    language = source.rng.choice(("ar", "fr"))
+    tokens_per_word = 2.2 if language == "ar" else 1.4
+    if kind < 0.06:
+        prompt = int(source.lognormal(4_000, 0.6, 1_500, 12_000) * tokens_per_word)
+        output = source.lognormal(350, 0.4, 100, 800)
+        # Parties of one signing ask about the same file.
+        file = f"deed-{source.rng.randrange(40)}"
+        return Draft(0, account, prompt, output, source.blocks(prompt, file, 3_000), 60.0)
+    tier = 1 if kind < 0.5 else 2 if kind < 0.8 else 3
+    prompt = int(source.lognormal(90, 0.6, 15, 800) * tokens_per_word)
+    output = source.lognormal(120, 0.5, 10, 400)
+    blocks = source.blocks(prompt, f"answers-{language}", 128)
+    return Draft(tier, account, prompt, output, blocks, TIER_DEADLINES_S[tier])
+
+
+def terminal_mix(source: DraftSource) -> Draft:
+    """Long statements that share a terminal's meter log, explanations and ticket tags."""
+    account = source.choice(ACCOUNT_SHARES)
+    kind = source.rng.random()
+    if kind < 0.35:
+        log = source.rng.randrange(60)
+        prompt = 6_144 + source.lognormal(300, 0.5, 64, 1_500)
+        output = source.lognormal(450, 0.4, 100, 900)
+        return Draft(0, account, prompt, output, source.blocks(prompt, f"log-{log}", 6_144), 90.0)
+    if kind < 0.6:
+        log = source.rng.randrange(60)
+        prompt = 2_048 + source.lognormal(150, 0.5, 20, 800)
+        output = source.lognormal(150, 0.5, 20, 500)
+        return Draft(1, account, prompt, output, source.blocks(prompt, f"log-{log}", 2_048), 30.0)
+    prompt = source.lognormal(120, 0.5, 20, 600)
+    output = source.lognormal(20, 0.5, 4, 60)
+    return Draft(2, account, prompt, output, source.blocks(prompt, "tags", 64), 30.0)
+
+
+@dataclass(frozen=True, slots=True)
+class MeanWork:
+    """Mean work of one request at the best reuse of prefixes, in tokens."""
+
+    prefill_tokens: float
+    output_tokens: float
+
+    def rate_per_s(self, specs: tuple[EngineSpec, ...]) -> float:
+        """Return the requests a second that fill the engines.
+
+        An engine that decodes gives prefill at most its chunk's part of the time.
+        """
+        rate = 0.0
+        for spec in specs:
+            prefill_s = self.prefill_tokens / spec.prefill_tokens_per_s
+            decode_s = self.output_tokens * spec.step_s / spec.max_batch
+            rate += min(1.0 / (prefill_s + decode_s), MIXED_PREFILL / prefill_s)
+        return rate
+
+
+def mean_work(mix: Mix, seed: int) -> MeanWork:
+    """Estimate a mix's mean work from a sample."""
+    source = DraftSource(random.Random(seed))
+    seen: set[BlockHash] = set()
+    prefill = 0
+    output = 0
+    for _ in range(SAMPLE_SIZE):
+        draft = mix(source)
+        prefill += uncached_tokens(draft.prompt_tokens, draft.blocks, seen)
+        output += draft.output_tokens
+    return MeanWork(prefill / SAMPLE_SIZE, output / SAMPLE_SIZE)
+
+
+def uncached_tokens(prompt_tokens: int, blocks: tuple[BlockHash, ...], seen: set[BlockHash]) -> int:
+    """Return the prompt tokens not seen before, and remember the blocks."""
+    known = 0
+    for block in blocks:
+        if block not in seen:
+            break
+        known += 1
+    seen.update(blocks)
+    return max(prompt_tokens - known * BLOCK_TOKENS, 1)
+
+
+def arrivals(mix: Mix, rate_at: Callable[[float], float], end_s: float, seed: int) -> Iterator[Job]:
+    """Yield requests of a Poisson process with a varying rate."""
+    rng = random.Random(seed)
+    source = DraftSource(random.Random(seed + 1))
+    peak = max(rate_at(second) for second in range(int(end_s)))
+    now_s = 0.0
+    number = itertools.count()
+    while True:
+        now_s += rng.expovariate(peak)
+        if now_s >= end_s:
+            return
+        if rng.random() * peak > rate_at(now_s):
+            continue
+        draft = mix(source)
+        first = next(number)
+        yield Job(
+            first,
+            draft.tier,
+            draft.account,
+            now_s,
+            now_s + draft.patience_s,
+            draft.prompt_tokens,
+            draft.output_tokens,
+            min(2 * draft.output_tokens + rng.randrange(100), 4_096),
+            draft.blocks,
+            origin=first,
+        )
--- /dev/null
+++ b/lentilchute/measure/world.py
@@ -0,0 +1,229 @@
+"""Callers, entries and fake engines of one run; a router decides what goes where."""
+
+import random
+from typing import Protocol
+
+from ..tickets import CacheEvent
+from .cases import Case, Fault, FaultKind
+from .clock import VirtualClock
+from .fake_engine import BlockCensus, EngineEvents, FakeEngine
+from .job import Job, JobState
+from .workload import Draft, DraftSource, arrivals, mean_work
+
+ENTRY_COUNT = 6
+KILLED_ENTRY = 0
+LIST_LAG_S = 3.0
+"""The platform's list shows an engine's crash or return this much later."""
+
+REPORT_INTERVAL_S = 0.5
+CACHE_EVENT_LAG_S = 0.5
+DRAIN_S = 95.0
+"""Time after the last arrival in which requests may still finish."""
+
+MAX_TRIES = 8
+EARLY_SHARE = 0.3
+EARLY_PART = 0.2
+POISON_TRIES = 6
+POISON_RETURN_S = 1.0
+
+
+class Router(Protocol):
+    """Sends requests to engines; the world tells it what entries see."""
+
+    def start(self, world: "World") -> None:
+        """Begin a run."""
+        ...
+
+    def arrive(self, job: Job) -> None:
+        """A request came to its entry."""
+        ...
+
+    def gave_up(self, job: Job) -> None:
+        """A caller left at its deadline; the world has cancelled the request at its engine."""
+        ...
+
+    def first_token(self, job: Job) -> None:
+        """An answer began."""
+        ...
+
+    def ended(self, job: Job) -> None:
+        """A dispatched request is done or was cut by a crash."""
+        ...
+
+    def node_killed(self, lost: list[Job]) -> None:
+        """The node that is entry ``KILLED_ENTRY`` died with its requests."""
+        ...
+
+    def list_changed(self, engine: int, is_listed: bool) -> None:
+        """The platform's list of engines changed."""
+        ...
+
+    def cache_event(self, engine: int, event: CacheEvent) -> None:
+        """A cache event arrived."""
+        ...
+
+
+class World:
+    """One run of one case."""
+
+    def __init__(self, case: Case, seed: int, router: Router) -> None:
+        self.case = case
+        self.seed = seed
+        self.clock = VirtualClock()
+        self.rng = random.Random(seed + 1_000)
+        self.jobs: list[Job] = []
+        self.dispatches: list[tuple[float, int, int]] = []
+        """Time, engine and tier of each dispatch."""
+        self.entry_is_up = [True] * ENTRY_COUNT
+        events = EngineEvents(self._first_token, self._done, self._cut, self._cache_event)
+        census = BlockCensus()
+        self.engines = [
+            FakeEngine(index, spec, self.clock, census, events)
+            for index, spec in enumerate(case.specs)
+        ]
+        self.router = router
+        self._next_number = 1_000_000
+
+    def run(self) -> None:
+        """Run the case to its end."""
+        rate = mean_work(self.case.mix, self.seed).rate_per_s(self.case.specs)
+        end_s = self.case.arrivals_s
+        offered = arrivals(
+            self.case.mix, lambda now_s: rate * self.case.load_at(now_s), end_s, self.seed
+        )
+        self.router.start(self)
+        for job in offered:
+            self.clock.at(job.arrival_s, self.arrive, job)
+        for fault in self.case.faults:
+            self.clock.at(fault.at_s, self._happen, fault)
+        self.clock.run(end_s + DRAIN_S)
+
+    # Callers
+
+    def arrive(self, job: Job) -> None:
+        """Bring a request to a live entry."""
+        live = [entry for entry, is_up in enumerate(self.entry_is_up) if is_up]
+        job.entry = self.rng.choice(live)
+        job.state = JobState.WAITING
+        self.jobs.append(job)
+        self.clock.at(job.deadline_s, self._deadline, job)
+        self.router.arrive(job)
+
+    def _deadline(self, job: Job) -> None:
+        if not job.is_open:
+            return
+        if job.state is JobState.RUNNING:
+            assert job.engine is not None
+            self.engines[job.engine].cancel(job)
+        self._end(job, JobState.GAVE_UP)
+        self.router.gave_up(job)
+
+    def refuse(self, job: Job, retry_after_s: float) -> None:
+        """Give a caller its refusal; some callers come back, some of them too early."""
+        self._end(job, JobState.REFUSED)
+        if not self.case.callers_return or job.tries >= MAX_TRIES:
+            return
+        wait_s = retry_after_s
+        if self.rng.random() < EARLY_SHARE:
+            wait_s *= EARLY_PART
+        if self.clock.now_s + wait_s < job.deadline_s:
+            self.clock.after(wait_s, self._come_back, job)
+
+    def _come_back(self, job: Job) -> None:
+        self._next_number += 1
+        again = Job(
+            self._next_number,
+            job.tier,
+            job.account,
+            self.clock.now_s,
+            job.deadline_s,
+            job.prompt_tokens,
+            job.output_tokens,
+            job.max_output_tokens,
+            job.blocks,
+            origin=job.origin,
+            is_poison=job.is_poison,
+            tries=job.tries + 1,
+        )
+        self.arrive(again)
+
+    def _end(self, job: Job, state: JobState) -> None:
+        job.state = state
+        job.ended_s = self.clock.now_s
+
+    # Engines
+
+    def dispatch(self, job: Job, engine: int) -> bool:
+        """Send a request to an engine; false when the connection is refused."""
+        assert job.state is JobState.WAITING
+        job.state = JobState.RUNNING
+        if not self.engines[engine].admit(job):
+            job.state = JobState.WAITING
+            return False
+        self.dispatches.append((self.clock.now_s, engine, job.tier))
+        return True
+
+    def _first_token(self, job: Job) -> None:
+        job.first_token_s = self.clock.now_s
+        self.router.first_token(job)
+
+    def _done(self, job: Job) -> None:
+        self._end(job, JobState.DONE)
+        self.router.ended(job)
+
+    def _cut(self, job: Job) -> None:
+        self._end(job, JobState.CUT)
+        self.router.ended(job)
+        if job.is_poison and job.tries < POISON_TRIES:
+            self.clock.after(POISON_RETURN_S, self._come_back, job)
+
+    def _cache_event(self, engine: int, event: CacheEvent) -> None:
+        if self.rng.random() >= self.case.cache_event_loss:
+            self.clock.after(CACHE_EVENT_LAG_S, self.router.cache_event, engine, event)
+
+    # Faults
+
+    def _happen(self, fault: Fault) -> None:
+        if fault.kind is FaultKind.SLOW:
+            self.engines[fault.engine].set_slowdown(fault.factor)
+        elif fault.kind is FaultKind.CRASH:
+            self.engines[fault.engine].crash()
+            self._notice_crash(fault.engine, fault.down_s)
+        elif fault.kind is FaultKind.NODE_KILL:
+            self._kill_node()
+        else:
+            self._send_poison()
+
+    def _notice_crash(self, engine: int, down_s: float) -> None:
+        self.clock.after(LIST_LAG_S, self.router.list_changed, engine, False)
+        self.clock.after(down_s, self.engines[engine].restart)
+        self.clock.after(down_s + LIST_LAG_S, self.router.list_changed, engine, True)
+
+    def _kill_node(self) -> None:
+        self.entry_is_up[KILLED_ENTRY] = False
+        lost = [job for job in self.jobs if job.is_open and job.entry == KILLED_ENTRY]
+        for job in lost:
+            if job.state is JobState.RUNNING:
+                assert job.engine is not None
+                self.engines[job.engine].cancel(job)
+            self._end(job, JobState.LOST)
+        self.router.node_killed(lost)
+
+    def _send_poison(self) -> None:
+        draft: Draft = self.case.mix(DraftSource(self.rng))
+        self._next_number += 1
+        now_s = self.clock.now_s
+        job = Job(
+            self._next_number,
+            0,
+            0,
+            now_s,
+            now_s + 60.0,
+            draft.prompt_tokens,
+            draft.output_tokens,
+            2 * draft.output_tokens,
+            (),
+            origin=self._next_number,
+            is_poison=True,
+        )
+        self.arrive(job)
