Bound outstanding work by first-token time, with learned rates

Change: prompt tokens ahead of a prompt are bounded by a part of the first-token target at the learned prefill rate (0.2 for lower tiers, 0.5 for the top); the stream limit rises by one while first tokens come in time and falls by 5 % when they are late. Prefill is timed from the first token before, since engines prefill in order.

Seen failing with the mechanism off: bound on prompts ahead.

--- a/lentilchute/granting.py
+++ b/lentilchute/granting.py
@@ -92,6 +92,7 @@
         self._waiting.remove(ticket.request_id)
         self._count(ticket.tier)
         placement = self.reserve(ticket, choice.load.upstream, choice.uncached_tokens, now_s)
+        placement.expected_first_token_s = choice.first_token_s
         reason = f"first token expected in {choice.first_token_s:.3f} s"
         return Grant(
             ticket.request_id,
--- a/lentilchute/placements.py
+++ b/lentilchute/placements.py
@@ -30,9 +30,13 @@
     prompt_tokens: int
     """Prompt tokens that count as outstanding; 0 after the first token."""
     uncached_tokens: int = 0
+    expected_first_token_s: float = 0.0
+    """Time from dispatch to first token expected at the grant."""
     dispatched_s: float = 0.0
     first_token_s: float | None = None
     output_tokens: int = 0
+    progress_s: float = 0.0
+    """When ``output_tokens`` was reported."""
 
 
 Key = TypeVar("Key", InstanceId, UpstreamId)
--- a/lentilchute/placing.py
+++ b/lentilchute/placing.py
@@ -43,7 +43,7 @@
         """Return an upstream's load; one not yet added gets no new work."""
         load = self._loads.get(upstream)
         if load is None:
-            load = UpstreamLoad(upstream, None)
+            load = UpstreamLoad(upstream, self._policy)
             self._loads[upstream] = load
         return load
 
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -34,6 +34,7 @@
     RefusalReason,
     Ticket,
 )
+from .upstream_load import UpstreamLoad
 from .upstreams import Upstream
 from .waiting import Waiting, WaitingList
 
@@ -83,14 +84,15 @@
         for load in self._pool.all():
             group = document.group_of(load.upstream)
             if group is not None and load.group is not None:
-                load.configure(group)
+                load.configure(group, document.limits.first_token_target_s)
         return self._decide(now_s)
 
     def add_upstream(
         self, upstream: Upstream, group: UpstreamGroup, now_s: float
     ) -> list[Decision]:
         """Add an upstream, or take its group's bounds anew; a leaving one stays leaving."""
-        self._pool.known(upstream.upstream).configure(group)
+        target_s = self._document.limits.first_token_target_s
+        self._pool.known(upstream.upstream).configure(group, target_s)
         return self._decide(now_s)
 
     def remove_upstream(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
@@ -202,10 +204,25 @@
         placement = self._placements.get(request_id)
         if placement is None or output_tokens <= placement.output_tokens:
             return
+        load = self._pool.known(placement.upstream)
         if placement.first_token_s is None:
-            placement.first_token_s = now_s
-            self._release_prompt(placement)
+            self._first_token(placement, load, now_s)
+        else:
+            tokens = output_tokens - placement.output_tokens
+            load.decoded(tokens, now_s - placement.progress_s)
         placement.output_tokens = output_tokens
+        placement.progress_s = now_s
+
+    def _first_token(self, placement: Placement, load: UpstreamLoad, now_s: float) -> None:
+        placement.first_token_s = now_s
+        self._release_prompt(placement)
+        if placement.state is PlacementState.DISPATCHED and placement.expected_first_token_s:
+            load.first_token(
+                placement.dispatched_s,
+                placement.uncached_tokens,
+                placement.expected_first_token_s,
+                now_s,
+            )
 
     def _release_prompt(self, placement: Placement) -> None:
         self._pool.known(placement.upstream).release_prompt(placement.prompt_tokens)
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/upstream_load.py
@@ -2,6 +2,9 @@
 
 from .document import UpstreamGroup
 from .ids import Tier, UpstreamId
+from .limits import AdaptiveLimits
+from .policy import Policy
+from .rates import UpstreamRates
 from .shard_status import UpstreamStatus
 
 
@@ -11,35 +14,63 @@
     A placement takes a stream until it ends, and prompt tokens until its first token.
     """
 
-    def __init__(self, upstream: UpstreamId, group: UpstreamGroup | None) -> None:
+    def __init__(self, upstream: UpstreamId, policy: Policy) -> None:
         self.upstream = upstream
-        self.group = group
+        self.group: UpstreamGroup | None = None
         self.leaving = False
         self.streams = 0
         self.streams_by_tier: dict[Tier, int] = {}
         self.prompt_tokens = 0
-        self.stream_limit = 0
-        self.prompt_token_limit = 0
-        self.prefill_tokens_per_s = 1.0
-        self.decode_tokens_per_s = 1.0
-        if group is not None:
-            self.configure(group)
-
-    def configure(self, group: UpstreamGroup) -> None:
-        """Take bounds and initial rates from a group of the document."""
-        if group == self.group and self.stream_limit:
-            return
+        self._policy = policy
+        self._rates = UpstreamRates(1.0, 1.0)
+        self._limits = AdaptiveLimits(0, 0, 1.0)
+        self._taken: tuple[UpstreamGroup, float] | None = None
+
+    def configure(self, group: UpstreamGroup, first_token_target_s: float) -> None:
+        """Take bounds and initial rates from a group; learned ones stay while it is the same."""
         self.group = group
-        self.stream_limit = group.max_streams
-        self.prompt_token_limit = group.max_prompt_tokens
-        self.prefill_tokens_per_s = group.initial_prefill_tokens_per_s
-        self.decode_tokens_per_s = group.initial_decode_tokens_per_s
+        if self._taken == (group, first_token_target_s):
+            return
+        self._taken = (group, first_token_target_s)
+        self._rates = UpstreamRates(
+            group.initial_prefill_tokens_per_s, group.initial_decode_tokens_per_s
+        )
+        self._limits = AdaptiveLimits(
+            group.max_streams, group.max_prompt_tokens, first_token_target_s
+        )
 
     @property
     def is_open(self) -> bool:
         """Whether the upstream may get new work at all."""
         return self.group is not None and not self.leaving
 
+    @property
+    def stream_limit(self) -> int:
+        """Streams that may be outstanding now."""
+        if self.group is not None and not self._policy.adaptive_limits:
+            return self.group.max_streams
+        return self._limits.streams
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Rate at which prompts are prefilled."""
+        if self.group is not None and not self._policy.learned_rates:
+            return self.group.initial_prefill_tokens_per_s
+        return self._rates.prefill_tokens_per_s
+
+    @property
+    def decode_tokens_per_s(self) -> float:
+        """Rate at which one stream goes on."""
+        if self.group is not None and not self._policy.learned_rates:
+            return self.group.initial_decode_tokens_per_s
+        return self._rates.decode_tokens_per_s
+
+    def prompt_token_limit(self, tier: Tier) -> float:
+        """Return the prompt tokens that may be outstanding ahead of a ticket of a tier."""
+        if self.group is not None and not self._policy.adaptive_limits:
+            return self.group.max_prompt_tokens
+        return self._limits.prompt_tokens(tier == 0, self.prefill_tokens_per_s)
+
     def reserve(self, tier: Tier, prompt_tokens: int) -> None:
         """Take a stream and prompt tokens."""
         self.streams += 1
@@ -55,13 +86,25 @@
         self.streams -= 1
         self.streams_by_tier[tier] -= 1
 
+    def first_token(
+        self, dispatched_s: float, uncached_tokens: int, expected_s: float, now_s: float
+    ) -> None:
+        """Learn from a first token."""
+        self._rates.first_token(dispatched_s, uncached_tokens, now_s)
+        took_s = now_s - dispatched_s
+        self._limits.first_token(took_s, expected_s, self.streams, dispatched_s, now_s)
+
+    def decoded(self, tokens: int, seconds: float) -> None:
+        """Learn from the progress of one stream."""
+        self._rates.decoded(tokens, seconds)
+
     def has_room(self, tier: Tier, reserved_shares: tuple[float, ...]) -> bool:
         """Tell whether a ticket fits beside the room kept for higher tiers.
 
         The bound on prompt tokens is on those ahead of the ticket, so that a long prompt does not
         wait for ever while short ones pass it.
         """
-        if self.prompt_tokens >= self.prompt_token_limit:
+        if self.prompt_tokens and self.prompt_tokens >= self.prompt_token_limit(tier):
             return False
         kept = self._kept_streams(tier, reserved_shares)
         return self.streams + kept < self.stream_limit
@@ -85,7 +128,7 @@
             self.streams,
             self.stream_limit,
             self.prompt_tokens,
-            self.prompt_token_limit,
+            int(self.prompt_token_limit(Tier(0))),
             self.prefill_tokens_per_s,
             self.decode_tokens_per_s,
         )
--- /dev/null
+++ b/test/test_limits.py
@@ -0,0 +1,44 @@
+from schedulers import document, grants, group, scheduler, ticket
+
+from lentilchute.limits import AdaptiveLimits
+from lentilchute.policy import Policy
+
+TARGET_S = 1.8
+
+
+def test_late_first_tokens_lower_the_limit_and_timely_ones_raise_it() -> None:
+    limits = AdaptiveLimits(64, 100_000, TARGET_S)
+    now_s = 0.0
+    for _ in range(20):
+        now_s += 5.0
+        limits.first_token(4.0, 0.1, 64, now_s - 4.0, now_s)
+    lowered = limits.streams
+    assert lowered < 40
+    for _ in range(20):
+        now_s += 1.0
+        limits.first_token(0.1, 0.1, limits.streams, now_s - 0.1, now_s)
+    assert limits.streams > lowered
+
+
+def test_a_long_prompt_is_not_taken_for_congestion() -> None:
+    limits = AdaptiveLimits(64, 100_000, TARGET_S)
+    limits.first_token(10.0, 8.0, 64, 10.0, 20.0)
+    assert limits.streams == 64
+
+
+def test_prompts_ahead_are_bounded_by_the_first_token_target() -> None:
+    made = scheduler(document(group(["e1"], initial_prefill_tokens_per_s=1_000.0)))
+    for n in range(20):
+        made.submit(ticket(f"low-{n}", 1), 0.0)
+    assert made.status(0.0).upstreams[0].outstanding_prompt_tokens < TARGET_S * 1_000
+    assert grants(made.submit(ticket("top"), 0.0))
+
+
+def test_without_adaptive_limits_all_prompts_go_at_once() -> None:
+    made = scheduler(
+        document(group(["e1"], initial_prefill_tokens_per_s=1_000.0)),
+        Policy(adaptive_limits=False),
+    )
+    for n in range(20):
+        made.submit(ticket(f"low-{n}", 1), 0.0)
+    assert made.status(0.0).upstreams[0].outstanding_prompt_tokens >= TARGET_S * 1_000
