--- /dev/null
+++ b/lentilchute/operator_client.py
@@ -0,0 +1,127 @@
+"""The operators' side of the interface: asks one node.
+
+client = OperatorClient("10.20.1.101:7102", key)
+answer = await client.status()
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from http import HTTPStatus
+from typing import TypeVar
+
+import trio
+from pydantic import BaseModel, ValidationError
+from result import Err, Ok, Result
+
+from .http_client import ClientRequest, HttpClient, HttpClientSettings, HttpFault
+from .http_messages import JSON_HEADER
+from .ids import ServiceName, UpstreamId
+from .operator_api import (
+    ChangeAnswer,
+    ChangeRequest,
+    DocumentAnswer,
+    DrainAnswer,
+    ErrorAnswer,
+    HistoryAnswer,
+    StatusAnswer,
+)
+
+HTTP_SETTINGS = HttpClientSettings(connect_timeout_s=2.0, head_timeout_s=15.0)
+"""A node answers a change within the time that it gives the table, which is shorter."""
+READ_TIMEOUT_S = 3.0
+
+Answer = TypeVar("Answer", bound=BaseModel)
+
+
+class FaultKind(Enum):
+    """Why a node gave no answer of the kind asked for."""
+
+    NOT_SENT = "not-sent"
+    """Connecting failed; the node did not get the request."""
+    LOST = "lost"
+    """The request may have been carried out; its answer did not arrive whole."""
+    REFUSED = "refused"
+    """The node refused the request as it stands; nothing was done."""
+    UNKNOWN_SERVICE = "unknown-service"
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorFault:
+    """A fault with what an operator reads about it."""
+
+    kind: FaultKind
+    message: str
+
+
+class OperatorClient:
+    """Asks one node."""
+
+    def __init__(self, address: str, key: str) -> None:
+        self.address = address
+        self._http = HttpClient(address, HTTP_SETTINGS)
+        self._headers = (("authorization", f"Bearer {key}"), ("host", address))
+
+    async def status(self) -> Result[StatusAnswer, OperatorFault]:
+        """Return the node's state."""
+        return await self._get("/status", StatusAnswer)
+
+    async def document(self, service: ServiceName) -> Result[DocumentAnswer, OperatorFault]:
+        """Return the document in force on the node."""
+        return await self._get(f"/services/{service}/document", DocumentAnswer)
+
+    async def history(self, service: ServiceName) -> Result[HistoryAnswer, OperatorFault]:
+        """Return the newest accepted versions."""
+        return await self._get(f"/services/{service}/history", HistoryAnswer)
+
+    async def change(
+        self, service: ServiceName, change: ChangeRequest
+    ) -> Result[ChangeAnswer, OperatorFault]:
+        """Ask for a change; repeated under the same id it is made once."""
+        body = change.model_dump_json().encode()
+        request = self._request("POST", f"/services/{service}/document", body)
+        return await self._call(request, ChangeAnswer)
+
+    async def drain(self, upstream: UpstreamId) -> Result[DrainAnswer, OperatorFault]:
+        """Ask the node to give an upstream no new work."""
+        return await self._call(self._request("POST", f"/upstreams/{upstream}/drain"), DrainAnswer)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._http.aclose()
+
+    async def _get(self, path: str, model: type[Answer]) -> Result[Answer, OperatorFault]:
+        with trio.move_on_after(READ_TIMEOUT_S):
+            return await self._call(self._request("GET", path), model)
+        return Err(OperatorFault(FaultKind.LOST, "timed out"))
+
+    def _request(self, method: str, path: str, body: bytes = b"") -> ClientRequest:
+        headers = (*self._headers, ("content-length", str(len(body))), JSON_HEADER)
+        return ClientRequest(method, path, headers, body)
+
+    async def _call(
+        self, request: ClientRequest, model: type[Answer]
+    ) -> Result[Answer, OperatorFault]:
+        answer = await self._http.call(request)
+        if isinstance(answer, Err):
+            is_unsent = answer.err_value is HttpFault.NOT_SENT
+            kind = FaultKind.NOT_SENT if is_unsent else FaultKind.LOST
+            return Err(OperatorFault(kind, answer.err_value.value))
+        return _read(answer.ok_value.status, answer.ok_value.body, model)
+
+
+def _read(status: int, body: bytes, model: type[Answer]) -> Result[Answer, OperatorFault]:
+    """Take a body as the model, else as an error, else as no answer at all."""
+    try:
+        return Ok(model.model_validate_json(body))
+    except ValidationError:
+        pass
+    try:
+        error = ErrorAnswer.model_validate_json(body).error
+    except ValidationError:
+        return Err(OperatorFault(FaultKind.LOST, f"an answer of another kind, status {status}"))
+    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        # A fault inside the node may have come after the effect.
+        return Err(OperatorFault(FaultKind.LOST, error.message))
+    if error.type == FaultKind.UNKNOWN_SERVICE.value:
+        return Err(OperatorFault(FaultKind.UNKNOWN_SERVICE, error.message))
+    return Err(OperatorFault(FaultKind.REFUSED, error.message))
--- /dev/null
+++ b/lentilchute/operator_cluster.py
@@ -0,0 +1,163 @@
+"""What operators ask of all nodes together: their state, and a change whose answer may be lost."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+import trio
+from pydantic import BaseModel
+from result import Err, Ok, Result
+
+from .ids import InstanceId, ServiceName
+from .operator_api import ChangeAnswer, ChangeRequest, ChangeState, StatusAnswer
+from .operator_client import FaultKind, OperatorClient, OperatorFault
+
+MAX_NODES = 1_000
+RETRY_INTERVAL_S = 0.2
+
+Answer = TypeVar("Answer", bound=BaseModel)
+
+
+@dataclass(frozen=True, slots=True)
+class SilentNode:
+    """A node that was asked and did not answer, or could not be asked."""
+
+    name: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterStatus:
+    """What all nodes say, ordered by instance, and who said nothing."""
+
+    nodes: tuple[StatusAnswer, ...]
+    silent: tuple[SilentNode, ...]
+    addresses: dict[InstanceId, str]
+    """Operators' addresses of the nodes that answered."""
+
+
+async def ask_all(addresses: list[str], key: str) -> ClusterStatus:
+    """Ask these nodes for their state, then the peers that they name, until all are asked."""
+    answers: dict[str, StatusAnswer] = {}
+    silent: dict[str, SilentNode] = {}
+    names = dict.fromkeys(addresses, "")
+    asked: set[str] = set()
+    while len(asked) < MAX_NODES and (waiting := set(names) - asked):
+        asked |= waiting
+        for address, result in (await _ask_each(sorted(waiting), key)).items():
+            if isinstance(result, Ok):
+                answers[address] = result.ok_value
+            else:
+                name = names[address] or address
+                silent[address] = SilentNode(name, result.err_value.message)
+        for answer in answers.values():
+            _add_peers(answer, names, silent)
+    return _merged(answers, silent)
+
+
+def _add_peers(answer: StatusAnswer, names: dict[str, str], silent: dict[str, SilentNode]) -> None:
+    for peer in answer.peers:
+        if peer.operators_address:
+            names.setdefault(peer.operators_address, peer.instance)
+        else:
+            silent.setdefault(peer.instance, SilentNode(peer.instance, "its address is not known"))
+
+
+def _merged(answers: dict[str, StatusAnswer], silent: dict[str, SilentNode]) -> ClusterStatus:
+    """Drop doubles: a node may be known under two addresses, one of them from an earlier run."""
+    by_instance = {answer.instance: answer for answer in answers.values()}
+    missing = {node.name: node for node in silent.values() if node.name not in by_instance}
+    return ClusterStatus(
+        nodes=tuple(answer for _, answer in sorted(by_instance.items())),
+        silent=tuple(node for _, node in sorted(missing.items())),
+        addresses={answer.instance: address for address, answer in answers.items()},
+    )
+
+
+async def _ask_each(
+    addresses: list[str], key: str
+) -> dict[str, Result[StatusAnswer, OperatorFault]]:
+    results: dict[str, Result[StatusAnswer, OperatorFault]] = {}
+
+    async def ask(address: str) -> None:
+        client = OperatorClient(address, key)
+        results[address] = await client.status()
+        await client.aclose()
+
+    async with trio.open_nursery() as nursery:
+        for address in addresses:
+            nursery.start_soon(ask, address)
+    return results
+
+
+async def submit_change(
+    clients: list[OperatorClient],
+    service: ServiceName,
+    change: ChangeRequest,
+    timeout_s: float,
+    report: Callable[[str], None],
+) -> Result[ChangeAnswer, OperatorFault]:
+    """Repeat a change under its id, at one node after another, until its fate is certain.
+
+    A lost answer says nothing about the write, and the next node looks the id up before it writes.
+    Ends with ``UNRESOLVED`` or ``NOT_APPLIED`` when no node has settled it within ``timeout_s``,
+    and with an error when a node refuses the request itself.
+    """
+    may_be_written = False
+    deadline_s = trio.current_time() + timeout_s
+    for client in itertools.cycle(clients):
+        result = await _change_until(client, service, change, deadline_s)
+        if isinstance(result, Err):
+            fault = result.err_value
+            if fault.kind is FaultKind.REFUSED and not may_be_written:
+                return result
+            may_be_written |= fault.kind is FaultKind.LOST
+            report(f"{client.address}: {fault.message}; trying again under the same id")
+        elif _is_final(result.ok_value.state, may_be_written):
+            return result
+        else:
+            state = result.ok_value.state
+            may_be_written |= state is ChangeState.UNRESOLVED
+            report(f"{client.address}: {state.value}; trying again under the same id")
+        await trio.sleep(RETRY_INTERVAL_S)
+        # A call begun after the deadline would be cancelled and count as one with a lost answer.
+        if trio.current_time() >= deadline_s:
+            break
+    return Ok(ChangeAnswer(state=_state_without_answer(may_be_written)))
+
+
+async def _change_until(
+    client: OperatorClient, service: ServiceName, change: ChangeRequest, deadline_s: float
+) -> Result[ChangeAnswer, OperatorFault]:
+    with trio.move_on_at(deadline_s):
+        return await client.change(service, change)
+    return Err(OperatorFault(FaultKind.LOST, "timed out"))
+
+
+def _state_without_answer(may_be_written: bool) -> ChangeState:
+    return ChangeState.UNRESOLVED if may_be_written else ChangeState.NOT_APPLIED
+
+
+def _is_final(state: ChangeState, may_be_written: bool) -> bool:
+    if state is ChangeState.INVALID:
+        # A node with other checks cannot tell what became of an earlier write.
+        return not may_be_written
+    return state in (ChangeState.ACCEPTED, ChangeState.CONFLICT)
+
+
+Ask = Callable[[OperatorClient], Awaitable[Result[Answer, OperatorFault]]]
+
+
+async def first_answer(
+    clients: list[OperatorClient], ask: Ask[Answer]
+) -> Result[Answer, list[OperatorFault]]:
+    """Return the first node's answer; what the others said is in the error."""
+    faults: list[OperatorFault] = []
+    for client in clients:
+        result = await ask(client)
+        if isinstance(result, Ok):
+            return result
+        fault = result.err_value
+        faults.append(OperatorFault(fault.kind, f"{client.address}: {fault.message}"))
+    return Err(faults)
--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -16,6 +16,12 @@
 
 COMMAND_MODULES = (
     "check",
+    "apply",
+    "show",
+    "history",
+    "status",
+    "drain",
+    "operator_key",
 )  # fmt: skip
 """Modules with commands, in the order of the help text."""
 
@@ -28,7 +34,7 @@
 class Root:
     """The program itself; a subcommand does the work."""
 
-    command: Annotated[Any, cappa.Subcommand(types=registered_commands(), required=True)]
+    command: Annotated[Any, cappa.Subcommand(types=registered_commands().values(), required=True)]
 
 
 def main(argv: list[str] | None = None) -> None:
--- /dev/null
+++ b/lentilchute/ui/drain.py
@@ -0,0 +1,124 @@
+"""``lentilchute drain``: an upstream gets no new work, and its work in flight is waited for."""
+
+import json
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import trio
+from result import Err
+
+from ..errors import ExitCode, UserError
+from ..ids import UpstreamId
+from ..operator_cluster import ClusterStatus, ask_all
+from .nodes import Cluster, NodeOptions, open_cluster
+from .progress import Progress
+from .registry import register_command
+
+POLL_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Drained:
+    """Which nodes took the order, and what was left in flight."""
+
+    upstream: UpstreamId
+    told: tuple[str, ...]
+    silent: tuple[str, ...]
+    in_flight: int
+
+
+@register_command("drain", help="Give an upstream no new work and wait until it is idle.")
+@dataclass
+class Drain(NodeOptions):
+    """Tells every node that answers; requests in flight are finished, none is cut."""
+
+    upstream: Annotated[str, cappa.Arg(help="Name of the upstream.")]
+    wait_s: Annotated[
+        float, cappa.Arg(long=True, help="How long to wait until nothing is in flight there.")
+    ] = 300.0
+    json: Annotated[bool, cappa.Arg(long=True, help="Print the result as JSON.")] = False
+
+    def __call__(self) -> ExitCode:
+        progress = Progress()
+        try:
+            drained = trio.run(self._run, progress)
+        finally:
+            progress.close()
+        print(as_json(drained) if self.json else as_text(drained))
+        if drained.in_flight:
+            return ExitCode.FAILED
+        return ExitCode.OK
+
+    async def _run(self, progress: Progress) -> Drained:
+        upstream = UpstreamId(self.upstream)
+        addresses, key = self.addresses_and_key()
+        async with open_cluster(self) as cluster:
+            told, failed = await _tell(upstream, cluster)
+        if not told:
+            raise UserError(f"no node knows an upstream {upstream}")
+        silent = {node.name for node in cluster.status.silent} | set(failed)
+        left = await _wait_idle(upstream, addresses, key, self.wait_s, progress)
+        return Drained(upstream, tuple(told), tuple(sorted(silent)), left)
+
+
+async def _tell(upstream: UpstreamId, cluster: Cluster) -> tuple[list[str], list[str]]:
+    """Return the nodes that know the upstream and were told, and those that failed."""
+    told: list[str] = []
+    failed: list[str] = []
+    for instance, client in sorted(cluster.clients.items()):
+        result = await client.drain(upstream)
+        if isinstance(result, Err):
+            failed.append(instance)
+        elif result.ok_value.known:
+            told.append(instance)
+    return told, failed
+
+
+async def _wait_idle(
+    upstream: UpstreamId, addresses: list[str], key: str, wait_s: float, progress: Progress
+) -> int:
+    """Return the requests in flight at the upstream once there are none or the time is over."""
+    deadline_s = trio.current_time() + wait_s
+    while True:
+        left = in_flight_at(upstream, await ask_all(addresses, key))
+        if left == 0 or trio.current_time() >= deadline_s:
+            return left
+        progress.update(f"{upstream}: {left} requests in flight")
+        await trio.sleep(POLL_INTERVAL_S)
+
+
+def in_flight_at(upstream: UpstreamId, status: ClusterStatus) -> int:
+    """Return the most streams that any scheduler counts at the upstream."""
+    counts = [
+        entry.streams
+        for node in status.nodes
+        for shard in node.shards
+        for entry in shard.upstreams
+        if entry.upstream == upstream
+    ]
+    return max(counts, default=0)
+
+
+def as_json(drained: Drained) -> str:
+    """Return the result as a script reads it."""
+    return json.dumps(
+        {
+            "upstream": drained.upstream,
+            "told": drained.told,
+            "silent": drained.silent,
+            "in_flight": drained.in_flight,
+        }
+    )
+
+
+def as_text(drained: Drained) -> str:
+    """Return the result in words."""
+    lines = [f"{drained.upstream} gets no new work from {len(drained.told)} nodes"]
+    if drained.silent:
+        lines.append(f"no answer from: {', '.join(drained.silent)}")
+    if drained.in_flight:
+        lines.append(f"{drained.in_flight} requests are still in flight there")
+    else:
+        lines.append("nothing is in flight there")
+    return "\n".join(lines)
--- /dev/null
+++ b/lentilchute/ui/nodes.py
@@ -0,0 +1,125 @@
+"""How operator commands reach nodes: their options, and the errors that they share."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, ClassVar, TypeVar
+
+import cappa
+from result import Err, Ok, Result
+
+from ..checked_yaml import load_settings
+from ..errors import ExitCode, FindingsError, UserError
+from ..ids import InstanceId, ServiceName
+from ..operator_api import operator_key
+from ..operator_client import FaultKind, OperatorClient, OperatorFault
+from ..operator_cluster import ClusterStatus, ask_all
+
+Answer = TypeVar("Answer")
+
+
+class UnreachableError(UserError):
+    """No node answered; nothing was changed."""
+
+    exit_code: ClassVar[ExitCode] = ExitCode.UNREACHABLE
+
+
+class ConflictError(UserError):
+    """Another change was accepted first."""
+
+    exit_code: ClassVar[ExitCode] = ExitCode.CONFLICT
+
+
+class UnknownOutcomeError(UserError):
+    """The change may have been made."""
+
+    exit_code: ClassVar[ExitCode] = ExitCode.UNKNOWN_OUTCOME
+
+
+@dataclass(kw_only=True)
+class NodeOptions:
+    """Options that say which nodes to ask and with which key."""
+
+    node: Annotated[
+        list[str],
+        cappa.Arg(long=True, help="Operators' address of a node; may be given several times."),
+    ] = field(default_factory=list)
+    key_file: Annotated[
+        str | None, cappa.Arg(long=True, help="File with the operator key, see operator-key.")
+    ] = None
+    settings: Annotated[
+        str | None,
+        cappa.Arg(long=True, help="Node settings, to take address and key from instead."),
+    ] = None
+
+    def addresses_and_key(self) -> tuple[list[str], str]:
+        """Return the nodes to ask and the bearer key.
+
+        Raises ``UserError`` where the options do not give them.
+        """
+        addresses = list(self.node)
+        key = _read_key(self.key_file) if self.key_file else None
+        if self.settings is not None:
+            loaded = load_settings(self.settings)
+            if isinstance(loaded, Err):
+                raise FindingsError(loaded.err_value)
+            addresses = addresses or [loaded.ok_value.listen.operators]
+            key = key or operator_key(loaded.ok_value.shared_key)
+        if not addresses or key is None:
+            raise UserError("give --node and --key-file, or --settings")
+        return addresses, key
+
+
+def _read_key(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding="ascii").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise UserError(f"the key file {path} cannot be read") from error
+
+
+@dataclass(frozen=True, slots=True)
+class Cluster:
+    """All nodes' state, and a client for each node that answered."""
+
+    status: ClusterStatus
+    clients: dict[InstanceId, OperatorClient]
+
+    def newest_first(self, service: ServiceName) -> list[OperatorClient]:
+        """Return the clients by the version that their node has in force, the highest first."""
+        nodes = sorted(
+            self.status.nodes, key=lambda node: node.documents.get(service, 0), reverse=True
+        )
+        return [self.clients[node.instance] for node in nodes]
+
+
+@asynccontextmanager
+async def open_cluster(options: NodeOptions) -> AsyncIterator[Cluster]:
+    """Ask all nodes and give a client for each that answers.
+
+    Raises ``UnreachableError`` when none does.
+    """
+    addresses, key = options.addresses_and_key()
+    status = await ask_all(addresses, key)
+    if not status.nodes:
+        reasons = "; ".join(f"{node.name}: {node.reason}" for node in status.silent)
+        raise UnreachableError(f"no node answered ({reasons})")
+    clients = {
+        instance: OperatorClient(address, key) for instance, address in status.addresses.items()
+    }
+    try:
+        yield Cluster(status, clients)
+    finally:
+        for client in clients.values():
+            await client.aclose()
+
+
+def unwrap_first(result: Result[Answer, list[OperatorFault]]) -> Answer:
+    """Return the answer; raises a ``UserError`` with what each node said."""
+    if isinstance(result, Ok):
+        return result.ok_value
+    faults = result.err_value
+    message = "; ".join(fault.message for fault in faults)
+    if all(fault.kind in (FaultKind.NOT_SENT, FaultKind.LOST) for fault in faults):
+        raise UnreachableError(message)
+    raise UserError(message)
--- /dev/null
+++ b/lentilchute/ui/operator_key.py
@@ -0,0 +1,27 @@
+"""``lentilchute operator-key``: the operators' key that belongs to a shared key."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from result import Err
+
+from ..checked_yaml import load_settings
+from ..errors import ExitCode, FindingsError
+from ..operator_api import operator_key
+from .registry import register_command
+
+
+@register_command("operator-key", help="Print the operator key that belongs to node settings.")
+@dataclass
+class OperatorKey:
+    """Derives the key from the shared key, which operators then need not hold themselves."""
+
+    settings: Annotated[str, cappa.Arg(help="Node settings, in YAML.")]
+
+    def __call__(self) -> ExitCode:
+        loaded = load_settings(self.settings)
+        if isinstance(loaded, Err):
+            raise FindingsError(loaded.err_value)
+        print(operator_key(loaded.ok_value.shared_key))
+        return ExitCode.OK
--- /dev/null
+++ b/lentilchute/ui/progress.py
@@ -0,0 +1,46 @@
+"""A progress line on standard error for what takes long."""
+
+import sys
+import time
+from collections.abc import Callable
+from typing import TextIO
+
+PLAIN_INTERVAL_S = 2.0
+"""A log file or a pipe gets a line at most this often."""
+
+
+class Progress:
+    """Rewrites one line on a terminal; elsewhere prints a line now and then."""
+
+    def __init__(
+        self, stream: TextIO | None = None, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._stream = stream or sys.stderr
+        self._clock = clock
+        self._is_terminal = self._stream.isatty()
+        self._width = 0
+        self._printed_s: float | None = None
+        self._last = ""
+
+    def update(self, text: str) -> None:
+        """Show the state of the work."""
+        if text == self._last:
+            return
+        if self._is_terminal:
+            self._last = text
+            self._stream.write("\r" + text.ljust(self._width))
+            self._width = len(text)
+            self._stream.flush()
+            return
+        now_s = self._clock()
+        if self._printed_s is None or now_s - self._printed_s >= PLAIN_INTERVAL_S:
+            self._last = text
+            self._printed_s = now_s
+            print(text, file=self._stream, flush=True)
+
+    def close(self) -> None:
+        """Clear the line, so that the result starts at the left edge."""
+        if self._is_terminal and self._width:
+            self._stream.write("\r" + " " * self._width + "\r")
+            self._stream.flush()
+        self._width = 0
--- a/lentilchute/ui/registry.py
+++ b/lentilchute/ui/registry.py
@@ -18,7 +18,7 @@
 
 Command = TypeVar("Command")
 
-_commands: list[type] = []
+_commands: dict[str, type] = {}
 
 
 def register_command(name: str, *, help: str) -> Callable[[type[Command]], type[Command]]:
@@ -26,12 +26,12 @@
 
     def add(command: type[Command]) -> type[Command]:
         wrapped = cappa.command(command, name=name, help=help)
-        _commands.append(wrapped)
+        _commands[name] = wrapped
         return wrapped
 
     return add
 
 
-def registered_commands() -> tuple[type, ...]:
-    """Return all commands in the order of their registration."""
-    return tuple(_commands)
+def registered_commands() -> dict[str, type]:
+    """Return all commands by name, in the order of their registration."""
+    return dict(_commands)
--- a/test/ui/test_check.py
+++ b/test/ui/test_check.py
@@ -68,4 +68,4 @@
     codes = {int(code) for code in re.findall(r"^\| (\d+) \|", page, re.MULTILINE)}
     assert codes == {int(code) for code in ExitCode}
     names = set(re.findall(r"^## lentilchute ([a-z-]+)", page, re.MULTILINE))
-    assert names == {command.__name__.lower() for command in registered_commands()}
+    assert names == set(registered_commands())
