Find upstreams that became slow, and probe those that seem slow

Cause: placement by first token alone ignores decoding, and rates are learned from placed work only, so an upstream that once seemed slow stayed idle. Change: an upstream is chosen by the expected finish; output length is forecast per tier; one whose streams run at less than half the rate of its peers, or of its own past while others kept theirs, gets only two probes of lower tiers; an idle one is probed after 5 s. Observations fade with wall time.

Seen failing with the mechanism off: declined upstream gets no top tier.

--- /dev/null
+++ b/lentilchute/decline.py
@@ -0,0 +1,57 @@
+"""Finds upstreams that became slow: by their streams' progress, against past and peers.
+
+A slow decline shows no error. An upstream counts as declined when its streams go on at less than
+half the rate of its peers, or when its rate fell to less than half of its own past while the rates
+of the others did not. It then gets a few streams of lower tiers as probes until it has recovered.
+"""
+
+from collections import defaultdict
+from statistics import median
+
+from .upstream_load import UpstreamLoad
+
+COMPARE_INTERVAL_S = 0.5
+DECLINED_PART = 0.5
+RECOVERED_PART = 0.7
+
+
+class DeclineDetector:
+    """Marks upstreams as declined or recovered."""
+
+    def __init__(self) -> None:
+        self._next_s = 0.0
+
+    def compare(self, loads: list[UpstreamLoad], now_s: float) -> None:
+        """Compare all upstreams, at most once in ``COMPARE_INTERVAL_S``."""
+        if now_s < self._next_s:
+            return
+        self._next_s = now_s + COMPARE_INTERVAL_S
+        is_open = [load for load in loads if load.is_open]
+        if len(is_open) < 2:
+            for load in is_open:
+                load.is_declined = False
+            return
+        peers = _median_by_hardware(is_open)
+        trend = median(load.rates.decode_trend for load in is_open)
+        for load in is_open:
+            part = load.rates.decode_tokens_per_s / peers[_hardware(load)]
+            self._mark(load, min(part, load.rates.decode_trend / trend))
+
+    @staticmethod
+    def _mark(load: UpstreamLoad, part: float) -> None:
+        if part < DECLINED_PART:
+            load.is_declined = True
+        elif part > RECOVERED_PART:
+            load.is_declined = False
+
+
+def _hardware(load: UpstreamLoad) -> str:
+    assert load.group is not None
+    return load.group.hardware
+
+
+def _median_by_hardware(loads: list[UpstreamLoad]) -> dict[str, float]:
+    rates: dict[str, list[float]] = defaultdict(list)
+    for load in loads:
+        rates[_hardware(load)].append(load.rates.decode_tokens_per_s)
+    return {hardware: median(of_hardware) for hardware, of_hardware in rates.items()}
--- a/lentilchute/granting.py
+++ b/lentilchute/granting.py
@@ -53,14 +53,14 @@
     def grant_all(self, now_s: float) -> list[Decision]:
         """Grant until no ticket can be placed."""
         grants: list[Decision] = []
-        while len(self._waiting) and (found := self._next()) is not None:
+        while len(self._waiting) and (found := self._next(now_s)) is not None:
             waiting, choice = found
             grants.append(self._grant(waiting.ticket, choice, now_s))
         return grants
 
-    def _next(self) -> tuple[Waiting, Choice] | None:
+    def _next(self, now_s: float) -> tuple[Waiting, Choice] | None:
         for tier in self._order():
-            found = self._placeable(tier)
+            found = self._placeable(tier, now_s)
             if found is not None:
                 return found
         return None
@@ -74,7 +74,7 @@
         least = self._floors.get(tier, 0.0) * self._recent_grants
         return self._recent_by_tier.get(tier, 0.0) < least
 
-    def _placeable(self, tier: Tier) -> tuple[Waiting, Choice] | None:
+    def _placeable(self, tier: Tier, now_s: float) -> tuple[Waiting, Choice] | None:
         """Return the first ticket of a tier that fits somewhere, with its place.
 
         Where no ticket of a higher tier fits, one of a lower tier may, as when the higher one is
@@ -83,7 +83,7 @@
         for tried, waiting in enumerate(self._waiting.in_order(tier)):
             if tried == LOOKAHEAD:
                 break
-            choice = self._pool.choose(waiting.ticket)
+            choice = self._pool.choose(waiting.ticket, now_s)
             if choice is not None:
                 return waiting, choice
         return None
@@ -116,5 +116,7 @@
             ticket, upstream, PlacementState.GRANTED, now_s, expires_s, tokens, tokens
         )
         self._placements.add(placement)
-        self._pool.known(upstream).reserve(ticket.tier, tokens)
+        load = self._pool.known(upstream)
+        load.granted_s = now_s
+        load.reserve(ticket.tier, tokens)
         return placement
--- a/lentilchute/placing.py
+++ b/lentilchute/placing.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass
 
+from .forecast import OutputForecast
 from .ids import UpstreamId
 from .policy import Policy
 from .tickets import Ticket
@@ -22,12 +23,14 @@
     load: UpstreamLoad
     uncached_tokens: int
     first_token_s: float
+    finish_s: float
 
 
 class UpstreamPool:
     """All upstreams of one shard."""
 
-    def __init__(self, policy: Policy) -> None:
+    def __init__(self, policy: Policy, forecast: OutputForecast) -> None:
+        self._forecast = forecast
         self.reserved_shares: tuple[float, ...] = ()
         self._policy = policy
         self._loads: dict[UpstreamId, UpstreamLoad] = {}
@@ -61,25 +64,30 @@
             load.is_open and load.upstream not in ticket.excluded for load in self._loads.values()
         )
 
-    def choose(self, ticket: Ticket) -> Choice | None:
-        """Return the upstream with room that answers first, or ``None`` when none has room."""
+    def choose(self, ticket: Ticket, now_s: float) -> Choice | None:
+        """Return the upstream with room that finishes first, or ``None`` when none has room."""
         best: Choice | None = None
+        output_tokens = self._forecast.tokens(ticket)
         for load in self._loads.values():
             if not load.is_open or load.upstream in ticket.excluded:
                 continue
+            if load.needs_probe(ticket.tier, now_s):
+                return self._choice(load, ticket, output_tokens)
             if not load.has_room(ticket.tier, self.reserved_shares):
                 continue
-            choice = self._choice(load, ticket)
+            choice = self._choice(load, ticket, output_tokens)
             if best is None or _rank(choice) < _rank(best):
                 best = choice
         if best is None or self._must_stay_free(best, ticket):
             return None
         return best
 
-    def _choice(self, load: UpstreamLoad, ticket: Ticket) -> Choice:
+    @staticmethod
+    def _choice(load: UpstreamLoad, ticket: Ticket, output_tokens: float) -> Choice:
         uncached_tokens = ticket.prompt_tokens
         first_token_s = load.wait_s() + uncached_tokens / load.prefill_tokens_per_s
-        return Choice(load, uncached_tokens, first_token_s)
+        finish_s = first_token_s + output_tokens / load.decode_tokens_per_s
+        return Choice(load, uncached_tokens, first_token_s, finish_s)
 
     def _must_stay_free(self, choice: Choice, ticket: Ticket) -> bool:
         """Tell whether a lower tier's long prompt would take an upstream kept for short ones."""
@@ -95,4 +103,4 @@
 
 def _rank(choice: Choice) -> tuple[float, float]:
     load = choice.load
-    return choice.first_token_s, load.streams / max(load.stream_limit, 1)
+    return choice.finish_s, load.streams / max(load.stream_limit, 1)
--- a/lentilchute/policy.py
+++ b/lentilchute/policy.py
@@ -15,6 +15,8 @@
     """Adapt the bounds on outstanding work to the first-token time."""
     learned_rates: bool = True
     """Learn each upstream's rates; else use the document's initial rates."""
+    decline_detection: bool = True
+    """Send only probes to upstreams whose streams became slow."""
     prefix_affinity: bool = True
     """Prefer upstreams that hold a prompt's prefix."""
     fairness: bool = True
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -14,7 +14,9 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+from .decline import DeclineDetector
 from .document import ServiceDocument, UpstreamGroup
+from .forecast import OutputForecast
 from .granting import Granter
 from .ids import Attempt, InstanceId, RequestId, ShardId, Tier, UpstreamId
 from .placements import Placement, PlacementBook, PlacementState
@@ -62,7 +64,9 @@
         self._shard = shard
         self._settings = settings
         self._policy = policy
-        self._pool = UpstreamPool(policy)
+        self._forecast = OutputForecast()
+        self._pool = UpstreamPool(policy, self._forecast)
+        self._decline = DeclineDetector()
         self._waiting = WaitingList(policy.tiers)
         self._placements = PlacementBook()
         self._ended: OrderedDict[RequestId, Attempt] = OrderedDict()
@@ -209,7 +213,7 @@
             self._first_token(placement, load, now_s)
         else:
             tokens = output_tokens - placement.output_tokens
-            load.decoded(tokens, now_s - placement.progress_s)
+            load.decoded(tokens, now_s - placement.progress_s, now_s)
         placement.output_tokens = output_tokens
         placement.progress_s = now_s
 
@@ -233,7 +237,9 @@
     ) -> list[Decision]:
         """Note that a dispatched request is over, and give its room back."""
         self._waiting.remove(request_id)
-        self._release(request_id)
+        placement = self._release(request_id)
+        if placement is not None and end is EndState.COMPLETE:
+            self._forecast.learn(placement.ticket, placement.output_tokens)
         self._remember_end(request_id, _FINAL)
         self._drain.record(now_s)
         return self._decide(now_s)
@@ -344,6 +350,8 @@
 
     def _decide(self, now_s: float) -> list[Decision]:
         self._placements.expire(now_s)
+        if self._policy.decline_detection:
+            self._decline.compare(self._pool.all(), now_s)
         decisions: list[Decision] = []
         for waiting in self._waiting.take_late(now_s):
             decisions.append(self._refuse(waiting.ticket, RefusalReason.EXPIRED))
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/upstream_load.py
@@ -7,6 +7,16 @@
 from .rates import UpstreamRates
 from .shard_status import UpstreamStatus
 
+PROBE_STREAMS = 2
+"""Streams of lower tiers that a declined upstream gets, to see whether it has recovered."""
+
+
+PROBE_INTERVAL_S = 5.0
+"""An idle upstream gets a lower tier's ticket this long after the last one, whatever its rates."""
+
+TOP_TIER_PROBE_INTERVAL_S = 30.0
+"""The same for a ticket of the highest tier, in case no other comes."""
+
 
 class UpstreamLoad:
     """Work that this scheduler has placed on one upstream, and the bounds on it.
@@ -18,11 +28,13 @@
         self.upstream = upstream
         self.group: UpstreamGroup | None = None
         self.leaving = False
+        self.is_declined = False
+        self.granted_s = 0.0
         self.streams = 0
         self.streams_by_tier: dict[Tier, int] = {}
         self.prompt_tokens = 0
         self._policy = policy
-        self._rates = UpstreamRates(1.0, 1.0)
+        self.rates = UpstreamRates(1.0, 1.0)
         self._limits = AdaptiveLimits(0, 0, 1.0)
         self._taken: tuple[UpstreamGroup, float] | None = None
 
@@ -32,7 +44,7 @@
         if self._taken == (group, first_token_target_s):
             return
         self._taken = (group, first_token_target_s)
-        self._rates = UpstreamRates(
+        self.rates = UpstreamRates(
             group.initial_prefill_tokens_per_s, group.initial_decode_tokens_per_s
         )
         self._limits = AdaptiveLimits(
@@ -56,14 +68,14 @@
         """Rate at which prompts are prefilled."""
         if self.group is not None and not self._policy.learned_rates:
             return self.group.initial_prefill_tokens_per_s
-        return self._rates.prefill_tokens_per_s
+        return self.rates.prefill_tokens_per_s
 
     @property
     def decode_tokens_per_s(self) -> float:
         """Rate at which one stream goes on."""
         if self.group is not None and not self._policy.learned_rates:
             return self.group.initial_decode_tokens_per_s
-        return self._rates.decode_tokens_per_s
+        return self.rates.decode_tokens_per_s
 
     def prompt_token_limit(self, tier: Tier) -> float:
         """Return the prompt tokens that may be outstanding ahead of a ticket of a tier."""
@@ -90,13 +102,21 @@
         self, dispatched_s: float, uncached_tokens: int, expected_s: float, now_s: float
     ) -> None:
         """Learn from a first token."""
-        self._rates.first_token(dispatched_s, uncached_tokens, now_s)
+        self.rates.first_token(dispatched_s, uncached_tokens, now_s)
         took_s = now_s - dispatched_s
         self._limits.first_token(took_s, expected_s, self.streams, dispatched_s, now_s)
 
-    def decoded(self, tokens: int, seconds: float) -> None:
+    def decoded(self, tokens: int, seconds: float, now_s: float) -> None:
         """Learn from the progress of one stream."""
-        self._rates.decoded(tokens, seconds)
+        self.rates.decoded(tokens, seconds, now_s)
+
+    def needs_probe(self, tier: Tier, now_s: float) -> bool:
+        """Tell whether a ticket shall find out how fast the upstream is by now.
+
+        Rates are learned from placed work only, so one that seems slow would stay without work.
+        """
+        interval_s = TOP_TIER_PROBE_INTERVAL_S if tier == 0 else PROBE_INTERVAL_S
+        return self.streams == 0 and now_s - self.granted_s >= interval_s
 
     def has_room(self, tier: Tier, reserved_shares: tuple[float, ...]) -> bool:
         """Tell whether a ticket fits beside the room kept for higher tiers.
@@ -106,6 +126,8 @@
         """
         if self.prompt_tokens and self.prompt_tokens >= self.prompt_token_limit(tier):
             return False
+        if self.is_declined and (tier == 0 or self.streams >= PROBE_STREAMS):
+            return False
         kept = self._kept_streams(tier, reserved_shares)
         return self.streams + kept < self.stream_limit
 
