Make the decline test need the mechanism

The test passed with decline detection off, since the other upstreams had room for all its tickets. It now submits more than they hold, and was seen failing with the mechanism off.

--- a/test/test_decline.py
+++ b/test/test_decline.py
@@ -27,11 +27,11 @@
 
 def upstreams_of_top_tier(made: ShardScheduler, now_s: float) -> set[str]:
     granted = []
-    for n in range(30):
-        one = ticket(f"top-{now_s}-{n}", deadline_s=now_s + 60.0)
+    tickets = [ticket(f"top-{now_s}-{n}", deadline_s=now_s + 60.0) for n in range(200)]
+    for one in tickets:
         granted += grants(made.submit(one, now_s))
-    for grant in granted:
-        made.withdraw(grant.request_id, now_s)
+    for one in reversed(tickets):
+        made.withdraw(one.request_id, now_s)
     return {grant.upstream for grant in granted}
 
 
