--- a/lentilchute/http_client.py
+++ b/lentilchute/http_client.py
@@ -322,13 +322,18 @@
 
 
 def _at_eof(http: h11.Connection) -> Result[h11.Event, HttpFault]:
-    """Tell what the connection's end means: only an answer framed by it is whole then."""
+    """Tell what the connection's end means.
+
+    An answer without a length or chunks ends with its connection; nobody can tell a cut one from a
+    whole one, so such answers are refused.
+    """
     http.receive_data(b"")
     try:
         event = http.next_event()
     except h11.RemoteProtocolError:
         return Err(HttpFault.RESET)
-    return Ok(event) if isinstance(event, h11.EndOfMessage) else Err(HttpFault.RESET)
+    is_unframed = isinstance(event, h11.EndOfMessage)
+    return Err(HttpFault.WRONG_ANSWER if is_unframed else HttpFault.RESET)
 
 
 def _idle_timeout_s(headers: Headers, own_timeout_s: float) -> float:
--- /dev/null
+++ b/lentilchute/sse.py
@@ -0,0 +1,63 @@
+"""Server-sent events cut out of a byte stream, each with its exact bytes."""
+
+import re
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+MAX_EVENT_BYTES = 1024 * 1024
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+
+@dataclass(frozen=True, slots=True)
+class SseEvent:
+    """One event. ``raw`` holds its bytes with the blank line that ends it."""
+
+    raw: bytes
+    event_id: int | None
+    data: bytes
+
+
+class SseReader:
+    """Collects bytes and gives the events that are whole."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether bytes of an event that is not whole remain."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> Result[list[SseEvent], str]:
+        """Add bytes and return the events that they complete; the error says what is wrong."""
+        # The end of an event may straddle two pieces; it is at most four bytes long.
+        search_from = max(len(self._buffer) - 3, 0)
+        self._buffer += data
+        events: list[SseEvent] = []
+        start = 0
+        while match := _EVENT_END.search(self._buffer, max(start, search_from)):
+            event = _parse(bytes(self._buffer[start : match.end()]))
+            if isinstance(event, Err):
+                return event
+            events.append(event.ok_value)
+            start = match.end()
+        del self._buffer[:start]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            return Err("an event is too large")
+        return Ok(events)
+
+
+def _parse(raw: bytes) -> Result[SseEvent, str]:
+    event_id: int | None = None
+    data: list[bytes] = []
+    for line in raw.splitlines():
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"data":
+            data.append(value)
+        elif name == b"id":
+            if not value.isdigit() or len(value) > 18:
+                return Err("an event id is not a number")
+            event_id = int(value)
+    return Ok(SseEvent(raw, event_id, b"\n".join(data)))
--- /dev/null
+++ b/lentilchute/standins/engine.py
@@ -0,0 +1,264 @@
+"""The engine's stand-in: an OpenAI-shaped model engine with a deterministic answer.
+
+``docs/reference/upstream-protocol.md`` describes the interface. ``POST /control`` sets the
+switches, and ``GET /record`` tells which requests the engine received and ran.
+"""
+
+import json
+from dataclasses import asdict
+from typing import Any
+from urllib.parse import unquote
+
+import trio
+
+from ..http_messages import REQUEST_ID_HEADER, header_value
+from ..http_responder import Responder
+from ..http_server import HttpRequest
+from ..ids import BlockHash, ModelName
+from ..prompts import estimate_tokens, prefix_hashes, prompt_text
+from .engine_orders import HeldState, OrderBody
+from .engine_runs import EngineRuns, Run, RunRecord, RunRequest
+from .engine_settings import EngineControl, EngineStandinSettings
+from .engine_stream import AnswerShape, StreamWriter, write_whole
+from .host import StandinHost
+from .routes import BadBodyError, Route, Router, read_body, reply_error, reply_json
+
+DEFAULT_OUTPUT_TOKENS = 16
+KV_BYTES_PER_BLOCK = 1_024
+
+
+class EngineStandin:
+    """Handlers of the stand-in's interface."""
+
+    def __init__(self, settings: EngineStandinSettings) -> None:
+        self.settings = settings
+        self.record = RunRecord()
+        self.router = Router()
+        self.host = StandinHost(settings.listen, self.router)
+        self.runs = EngineRuns(settings, self._crash, self.record)
+        self.held = HeldState(settings)
+        self._writers: set[StreamWriter] = set()
+        self._last_run: Run | None = None
+        for method, prefix, handler in (
+            ("POST", "/v1/chat/completions", self._complete),
+            ("POST", "/v1/completions", self._complete),
+            ("GET", "/v1/streams/", self._resume),
+            ("DELETE", "/v1/streams/", self._cancel),
+            ("GET", "/load", self._load),
+            ("GET", "/cache/events", self._cache_events),
+            ("GET", "/kv/", self._export_kv),
+            ("PUT", "/kv/", self._import_kv),
+            ("POST", "/orders", self._order),
+            ("GET", "/state", self._state),
+        ):
+            self.router.route(method, prefix)(self._when_thawed(handler))
+        self.router.route("POST", "/control")(self._control)
+        self.router.route("GET", "/record")(self._get_record)
+
+    def _when_thawed(self, handler: Route) -> Route:
+        async def run(request: HttpRequest, responder: Responder) -> None:
+            await self.runs.thawed.wait()
+            await handler(request, responder)
+
+        return run
+
+    def _crash(self) -> None:
+        self.record.crashes += 1
+        self._writers.clear()
+        self.host.crash(self.runs.control.down_s)
+        self.runs.reset()
+        self.held = HeldState(self.settings)
+
+    async def _complete(self, request: HttpRequest, responder: Responder) -> None:
+        call = _json_object(request.body)
+        run_request = self._run_request(request, call)
+        shape = AnswerShape(run_request.request_id, str(call["model"]), run_request.is_chat)
+        if not self.held.is_ready:
+            await reply_error(responder, 503, "not-ready", "the engine is loading", shape.headers)
+            return
+        if not self.held.serves(shape.model):
+            message = f"no model {shape.model}"
+            await reply_error(responder, 404, "model_not_found", message, shape.headers)
+            return
+        run = self.runs.accept(run_request, self.host.tasks)
+        shape, answered = self._crossed(shape, run)
+        await self._write(shape, answered, responder, after_event=0)
+
+    def _run_request(self, request: HttpRequest, call: dict[str, Any]) -> RunRequest:
+        request_id = header_value(request.headers, REQUEST_ID_HEADER)
+        prompt = prompt_text(call)
+        if not request_id or prompt is None or not isinstance(call.get("model"), str):
+            raise BadBodyError("x-request-id, model and messages or prompt are needed")
+        tokens = call.get("max_completion_tokens") or call.get("max_tokens")
+        return RunRequest(
+            request_id=request_id,
+            prompt=prompt,
+            prompt_tokens=estimate_tokens(prompt),
+            hashes=prefix_hashes(prompt, ModelName(call["model"]), self.settings.block_tokens),
+            output_tokens=tokens if isinstance(tokens, int) else DEFAULT_OUTPUT_TOKENS,
+            is_streamed=call.get("stream") is True,
+            is_chat=request.path.startswith("/v1/chat"),
+        )
+
+    def _crossed(self, shape: AnswerShape, run: Run) -> tuple[AnswerShape, Run]:
+        """Return whose answer goes out: the request's own, or the one's before it."""
+        before = self._last_run
+        self._last_run = run
+        if not self.runs.control.crossed_answers or before is None:
+            return shape, run
+        return AnswerShape(before.request.request_id, shape.model, shape.is_chat), before
+
+    async def _write(
+        self, shape: AnswerShape, run: Run, responder: Responder, after_event: int
+    ) -> None:
+        if not run.request.is_streamed:
+            await write_whole(shape, run, responder)
+            return
+        writer = StreamWriter(shape, run, responder, self.runs.control.cut_after_events)
+        self._writers.add(writer)
+        try:
+            await writer.write(after_event)
+        finally:
+            self._writers.discard(writer)
+
+    async def _resume(self, request: HttpRequest, responder: Responder) -> None:
+        run = self.runs.runs.get(_last(request))
+        after = header_value(request.headers, "last-event-id") or "0"
+        if run is None or not after.isdecimal():
+            await reply_error(responder, 404, "not-found", "no such stream")
+            return
+        request_id = run.request.request_id
+        self.record.resumed.append(request_id)
+        shape = AnswerShape(request_id, self.held.holding.model, run.request.is_chat)
+        await self._write(shape, run, responder, int(after))
+
+    async def _cancel(self, request: HttpRequest, responder: Responder) -> None:
+        run = self.runs.runs.get(_last(request))
+        if run is None:
+            await reply_error(responder, 404, "not-found", "no such stream")
+            return
+        self.record.cancelled.append(run.request.request_id)
+        self.runs.drop(run)
+        await reply_json(responder, 200, {})
+
+    async def _load(self, _request: HttpRequest, responder: Responder) -> None:
+        figures = asdict(self.runs.load())
+        await reply_json(responder, 200, {**figures, "age_s": self.settings.load_lag_s})
+
+    async def _cache_events(self, request: HttpRequest, responder: Responder) -> None:
+        after = request.path.partition("after=")[2]
+        until_s = trio.current_time() - self.settings.cache_event_lag_s
+        events = self.runs.cache.events(
+            int(after) if after.isdecimal() else 0,
+            until_s,
+            self.runs.control.cache_event_gap_share,
+        )
+        lines = [
+            {"sequence": event.sequence, "stored": event.stored, "evicted": event.evicted}
+            for event in events
+        ]
+        await reply_json(responder, 200, {"events": lines})
+
+    async def _export_kv(self, request: HttpRequest, responder: Responder) -> None:
+        block = _block(request)
+        if not self.runs.cache.has(block):
+            await reply_error(responder, 404, "not-found", "the block is not cached")
+            return
+        body = block.to_bytes(8, "big") * (KV_BYTES_PER_BLOCK // 8)
+        await responder.answer(200, (("content-type", "application/octet-stream"),), body)
+
+    async def _import_kv(self, request: HttpRequest, responder: Responder) -> None:
+        block = _block(request)
+        if request.body[:8] != block.to_bytes(8, "big"):
+            await reply_error(responder, 400, "bad-request", "not the KV cache of this block")
+            return
+        self.runs.cache.store((block,), trio.current_time())
+        await reply_json(responder, 200, {})
+
+    async def _order(self, request: HttpRequest, responder: Responder) -> None:
+        order = read_body(OrderBody, request)
+        self.record.orders.append(order.fencing)
+        if not self.held.admits(order):
+            await reply_error(responder, 409, "old-fencing", "a higher number was seen")
+            return
+        if self.held.change_to(order):
+            self.held.is_ready = False
+            # Loading takes the memory of what runs; the one who orders drains the engine first.
+            for run in list(self.runs.runs.values()):
+                self.runs.drop(run)
+            self.runs.cache.clear(trio.current_time())
+            self.host.tasks.start_soon(self._load_model)
+        await reply_json(responder, 200, {})
+
+    async def _load_model(self) -> None:
+        holding = self.held.holding
+        await self.runs.pace(self.settings.load_model_s)
+        if self.held.holding is holding:
+            self.held.is_ready = True
+
+    async def _state(self, _request: HttpRequest, responder: Responder) -> None:
+        state = {
+            **asdict(self.held.holding),
+            "ready": self.held.is_ready,
+            "leaving": self.runs.control.leaving,
+            "highest_fencing": self.held.highest_fencing,
+        }
+        await reply_json(responder, 200, state)
+
+    async def _control(self, request: HttpRequest, responder: Responder) -> None:
+        changes = read_body(EngineControl, request)
+        one_shot = {"crash": False, "cut_streams": False}
+        named = {name: getattr(changes, name) for name in changes.model_fields_set}
+        self.runs.control = self.runs.control.model_copy(update={**named, **one_shot})
+        self._apply_freeze()
+        if changes.cut_streams:
+            self._cut_streams()
+        await reply_json(responder, 200, self.runs.control.model_dump(mode="json"))
+        if changes.crash:
+            self._crash()
+
+    def _apply_freeze(self) -> None:
+        if self.runs.control.frozen:
+            if self.runs.thawed.is_set():
+                self.runs.thawed = trio.Event()
+        else:
+            self.runs.thawed.set()
+
+    def _cut_streams(self) -> None:
+        for writer in self._writers:
+            writer.is_cut = True
+        for run in self.runs.runs.values():
+            run.notify()
+
+    async def _get_record(self, _request: HttpRequest, responder: Responder) -> None:
+        await reply_json(responder, 200, asdict(self.record))
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        call = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise BadBodyError("not JSON") from error
+    if not isinstance(call, dict):
+        raise BadBodyError("not a JSON object")
+    return call
+
+
+def _last(request: HttpRequest) -> str:
+    """Return the decoded last segment of the path."""
+    return unquote(request.path.rsplit("/", 1)[1])
+
+
+def _block(request: HttpRequest) -> BlockHash:
+    text = _last(request)
+    if not text.isdecimal() or int(text) >= 2**64:
+        raise BadBodyError("a block is a 64-bit number")
+    return BlockHash(int(text))
+
+
+async def serve(
+    settings: EngineStandinSettings,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the stand-in until cancelled; the task status gets the bound address."""
+    await EngineStandin(settings).host.run(task_status)
--- /dev/null
+++ b/lentilchute/standins/engine_orders.py
@@ -0,0 +1,53 @@
+"""What the engine's stand-in holds, and the orders that change it."""
+
+from dataclasses import dataclass
+
+from .engine_settings import EngineStandinSettings
+from .routes import WireModel
+
+
+class OrderBody(WireModel):
+    """An order: the state that the engine shall reach."""
+
+    fencing: int
+    model: str
+    version: str
+    adapters: tuple[str, ...] = ()
+    role: str = "serve"
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """Model, version, adapters and role."""
+
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    role: str
+
+
+class HeldState:
+    """The engine's holding, with the highest fencing number seen."""
+
+    def __init__(self, settings: EngineStandinSettings) -> None:
+        self._checks_fencing = settings.checks_fencing
+        self.holding = Holding(settings.model, settings.version, settings.adapters, "serve")
+        self.is_ready = True
+        self.highest_fencing = 0
+
+    def admits(self, order: OrderBody) -> bool:
+        """Tell whether an order is obeyed, and note its number."""
+        is_old = order.fencing < self.highest_fencing
+        self.highest_fencing = max(self.highest_fencing, order.fencing)
+        return not (is_old and self._checks_fencing)
+
+    def change_to(self, order: OrderBody) -> bool:
+        """Take the order's state as the holding; return whether anything changed."""
+        wanted = Holding(order.model, order.version, order.adapters, order.role)
+        is_changed = wanted != self.holding
+        self.holding = wanted
+        return is_changed
+
+    def serves(self, model: str) -> bool:
+        """Tell whether requests for this model or adapter are run."""
+        return model == self.holding.model or model in self.holding.adapters
--- /dev/null
+++ b/lentilchute/standins/engine_runs.py
@@ -0,0 +1,210 @@
+"""Requests that run in the engine's stand-in: batching, prefill, decoding, and kept streams."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+import xxhash
+
+from ..ids import BlockHash
+from .engine_cache import PrefixCache
+from .engine_settings import EngineControl, EngineStandinSettings
+
+PACE_SLICE_S = 0.25
+"""Longest sleep between two looks at the switches."""
+
+
+class RunState(Enum):
+    """Where a request stands."""
+
+    WAITING = "waiting"
+    PREFILL = "prefill"
+    DECODING = "decoding"
+    DONE = "done"
+    DROPPED = "dropped"
+
+
+@dataclass(frozen=True, slots=True)
+class RunRequest:
+    """A request as the engine reads it."""
+
+    request_id: str
+    prompt: bytes
+    prompt_tokens: int
+    hashes: tuple[BlockHash, ...]
+    output_tokens: int
+    is_streamed: bool
+    is_chat: bool
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """A request with the tokens that it has produced so far."""
+
+    request: RunRequest
+    state: RunState = RunState.WAITING
+    tokens: list[str] = field(default_factory=list)
+    cached_tokens: int = 0
+    changed: trio.Event = field(default_factory=trio.Event)
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether no more tokens come."""
+        return self.state in (RunState.DONE, RunState.DROPPED)
+
+    def notify(self) -> None:
+        """Wake those that wait for a change."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """What the engine received and ran since its process started; a crash keeps it."""
+
+    received: list[str] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    completed: list[str] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    resumed: list[str] = field(default_factory=list)
+    received_while_leaving: list[str] = field(default_factory=list)
+    orders: list[int] = field(default_factory=list)
+    prefilled_tokens: int = 0
+    cached_tokens: int = 0
+    crashes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadFigures:
+    """What the engine reports of its load."""
+
+    running: int
+    waiting: int
+    outstanding_prompt_tokens: int
+
+
+def token_text(prompt: bytes, number: int) -> str:
+    """Return the ``number``-th token of the answer to a prompt, counted from 0."""
+    return f"{xxhash.xxh32_hexdigest(prompt, seed=number)} "
+
+
+def answer_text(prompt: bytes, output_tokens: int) -> str:
+    """Return the whole answer to a prompt, so that a test knows what to expect."""
+    return "".join(token_text(prompt, number) for number in range(output_tokens))
+
+
+class EngineRuns:
+    """Runs requests as an engine with continuous batching would, in the time of trio's clock."""
+
+    def __init__(
+        self, settings: EngineStandinSettings, crash: Callable[[], None], record: RunRecord
+    ) -> None:
+        self._settings = settings
+        self._crash = crash
+        self.record = record
+        self.control = EngineControl()
+        self._rng = random.Random(settings.seed)
+        self.thawed = trio.Event()
+        self.thawed.set()
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget all requests and the cache, as a crash does."""
+        max_blocks = self._settings.cache_tokens // self._settings.block_tokens
+        self.cache = PrefixCache(max_blocks, self._rng)
+        self.runs: dict[str, Run] = {}
+        self._slots = trio.Semaphore(self._settings.max_batch)
+        self._prefill = trio.StrictFIFOLock()
+        self._load_history: list[tuple[float, LoadFigures]] = []
+
+    def accept(self, request: RunRequest, tasks: trio.Nursery) -> Run:
+        """Begin a request; a second one with the same id runs too, and shows in the record."""
+        run = Run(request)
+        self.record.received.append(request.request_id)
+        if self.control.leaving:
+            self.record.received_while_leaving.append(request.request_id)
+        self.runs[request.request_id] = run
+        tasks.start_soon(self._run, run)
+        return run
+
+    def drop(self, run: Run) -> None:
+        """Stop a request; its stream breaks off."""
+        if not run.is_ended:
+            run.state = RunState.DROPPED
+            run.scope.cancel()
+            run.notify()
+            self._note_load()
+
+    def load(self) -> LoadFigures:
+        """Return the load as it was ``load_lag_s`` ago."""
+        until_s = trio.current_time() - self._settings.load_lag_s
+        seen = [figures for time_s, figures in self._load_history if time_s <= until_s]
+        return seen[-1] if seen else LoadFigures(0, 0, 0)
+
+    async def pace(self, duration_s: float) -> None:
+        """Take as long as work of ``duration_s`` takes under the switches."""
+        remaining_s = duration_s
+        while remaining_s > 0:
+            slice_s = min(remaining_s, PACE_SLICE_S)
+            await trio.sleep(slice_s * self.control.slow_factor)
+            await self.thawed.wait()
+            remaining_s -= slice_s
+
+    async def _run(self, run: Run) -> None:
+        self._note_load()
+        with run.scope:
+            async with self._slots:
+                await self._run_in_batch(run)
+        self._note_load()
+        run.notify()
+        await trio.sleep(self._settings.kept_stream_s)
+        if self.runs.get(run.request.request_id) is run:
+            del self.runs[run.request.request_id]
+
+    async def _run_in_batch(self, run: Run) -> None:
+        request = run.request
+        self.record.ran.append(request.request_id)
+        run.state = RunState.PREFILL
+        self._note_load()
+        marker = self.control.poison_marker.encode()
+        if marker and marker in request.prompt:
+            self._crash()
+            await trio.sleep_forever()
+        await self._prefill_prompt(run)
+        run.state = RunState.DECODING
+        self._note_load()
+        for number in range(request.output_tokens):
+            await self.pace(1.0 / self._settings.decode_tokens_per_s)
+            run.tokens.append(token_text(request.prompt, number))
+            run.notify()
+        run.state = RunState.DONE
+        self.record.completed.append(request.request_id)
+
+    async def _prefill_prompt(self, run: Run) -> None:
+        request = run.request
+        async with self._prefill:
+            cached_blocks = self.cache.cached_blocks(request.hashes)
+            run.cached_tokens = cached_blocks * self._settings.block_tokens
+            tokens = request.prompt_tokens - run.cached_tokens
+            self.record.prefilled_tokens += tokens
+            self.record.cached_tokens += run.cached_tokens
+            await self.pace(tokens / self._settings.prefill_tokens_per_s)
+            self.cache.store(request.hashes, trio.current_time())
+
+    def _note_load(self) -> None:
+        states = [run.state for run in self.runs.values()]
+        before_decoding = (RunState.WAITING, RunState.PREFILL)
+        figures = LoadFigures(
+            running=states.count(RunState.PREFILL) + states.count(RunState.DECODING),
+            waiting=states.count(RunState.WAITING),
+            outstanding_prompt_tokens=sum(
+                run.request.prompt_tokens
+                for run in self.runs.values()
+                if run.state in before_decoding
+            ),
+        )
+        self._load_history.append((trio.current_time(), figures))
+        del self._load_history[:-1_000]
--- a/lentilchute/standins/routes.py
+++ b/lentilchute/standins/routes.py
@@ -6,7 +6,7 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from ..http_messages import JSON_HEADER, Headers, error_body
+from ..http_messages import JSON_HEADER, REQUEST_ID_HEADER, Headers, error_body, header_value
 from ..http_responder import Responder
 from ..http_server import HttpRequest
 
@@ -53,7 +53,9 @@
     try:
         await handler(request, responder)
     except BadBodyError as error:
-        await reply_error(responder, 400, "bad-request", str(error))
+        echoed = header_value(request.headers, REQUEST_ID_HEADER)
+        headers: Headers = ((REQUEST_ID_HEADER, echoed),) if echoed else ()
+        await reply_error(responder, 400, "bad-request", str(error), headers)
 
 
 def read_body(model: type[Model], request: HttpRequest) -> Model:
@@ -71,6 +73,8 @@
     await responder.answer(status, (JSON_HEADER, *headers), json.dumps(value).encode())
 
 
-async def reply_error(responder: Responder, status: int, reason: str, message: str) -> None:
+async def reply_error(
+    responder: Responder, status: int, reason: str, message: str, headers: Headers = ()
+) -> None:
     """Answer with a JSON error."""
-    await responder.answer(status, (JSON_HEADER,), error_body(reason, message))
+    await responder.answer(status, (JSON_HEADER, *headers), error_body(reason, message))
--- /dev/null
+++ b/lentilchute/upstream_calls.py
@@ -0,0 +1,116 @@
+"""What the upstream adapters share: their HTTP client, side calls, and reading a head."""
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .http_client import ClientRequest, HttpAnswer, HttpClient, HttpFault, HttpHead
+from .http_messages import (
+    HOP_BY_HOP_HEADERS,
+    JSON_HEADER,
+    REQUEST_ID_HEADER,
+    Headers,
+    header_value,
+    without_headers,
+)
+from .ids import RequestId, UpstreamId
+from .tickets import LoadReport
+from .upstreams import AnswerHead, UpstreamFault, UpstreamRequest
+
+SIDE_CALL_TIMEOUT_S = 2.0
+"""Longest wait for the answer to a call other than a request: load, state, orders."""
+
+_REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {"host", "content-length", "expect", REQUEST_ID_HEADER}
+_FRAMING_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
+STATUS_NOT_SUPPORTED = (404, 405, 501)
+
+
+def to_upstream_fault(fault: HttpFault) -> UpstreamFault:
+    """Return the upstream fault for a fault of the connection."""
+    return UpstreamFault(fault.value)
+
+
+def request_message(request: UpstreamRequest) -> ClientRequest:
+    """Return the HTTP request for a caller's request, with its request id."""
+    headers = without_headers(request.headers, _REPLACED_HEADERS)
+    return ClientRequest(
+        method=request.method,
+        path=request.path,
+        headers=((REQUEST_ID_HEADER, request.request_id), *headers),
+        body=request.body,
+        head_timeout_s=request.head_timeout_s,
+        read_timeout_s=request.idle_timeout_s,
+    )
+
+
+def answer_head(head: HttpHead) -> AnswerHead:
+    """Return an answer's head with its end-to-end headers."""
+    return AnswerHead(head.status, without_headers(head.headers, _FRAMING_HEADERS))
+
+
+def echoes(head: HttpHead, request_id: RequestId, is_required: bool) -> bool:
+    """Tell whether an answer names the request it belongs to."""
+    echoed = header_value(head.headers, REQUEST_ID_HEADER)
+    return echoed == request_id or (echoed is None and not is_required)
+
+
+class SideCalls:
+    """Short calls beside the requests: load reports, state, orders, KV cache."""
+
+    def __init__(self, upstream: UpstreamId, client: HttpClient) -> None:
+        self._upstream = upstream
+        self._client = client
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", headers: Headers = ()
+    ) -> Result[HttpAnswer, UpstreamFault]:
+        """Return the answer with status 200; ``NOT_SUPPORTED`` when the path is unknown."""
+        request = ClientRequest(
+            method,
+            path,
+            headers,
+            body,
+            head_timeout_s=SIDE_CALL_TIMEOUT_S,
+            read_timeout_s=SIDE_CALL_TIMEOUT_S,
+        )
+        answer = (await self._client.call(request)).map_err(to_upstream_fault)
+        if isinstance(answer, Err) or answer.ok_value.status == 200:
+            return answer
+        if answer.ok_value.status in STATUS_NOT_SUPPORTED:
+            return Err(UpstreamFault.NOT_SUPPORTED)
+        return Err(UpstreamFault.WRONG_ANSWER)
+
+    async def json_call(
+        self, method: str, path: str, value: dict[str, Any] | None = None
+    ) -> Result[dict[str, Any], UpstreamFault]:
+        """Return the JSON object that a call is answered with."""
+        body = b"" if value is None else json.dumps(value).encode()
+        answer = await self.call(method, path, body, (JSON_HEADER,))
+        return answer.and_then(lambda found: _json_object(found.body))
+
+    async def load(self) -> Result[LoadReport, UpstreamFault]:
+        """Return the upstream's load report."""
+        value = await self.json_call("GET", "/load")
+        return value.and_then(self._load_report)
+
+    def _load_report(self, value: dict[str, Any]) -> Result[LoadReport, UpstreamFault]:
+        try:
+            report = LoadReport(
+                upstream=self._upstream,
+                running=int(value["running"]),
+                waiting=int(value["waiting"]),
+                outstanding_prompt_tokens=int(value["outstanding_prompt_tokens"]),
+                age_s=float(value["age_s"]),
+            )
+        except (KeyError, TypeError, ValueError, OverflowError):
+            return Err(UpstreamFault.WRONG_ANSWER)
+        return Ok(report)
+
+
+def _json_object(body: bytes) -> Result[dict[str, Any], UpstreamFault]:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return Err(UpstreamFault.WRONG_ANSWER)
+    return Ok(value) if isinstance(value, dict) else Err(UpstreamFault.WRONG_ANSWER)
--- a/lentilchute/upstreams.py
+++ b/lentilchute/upstreams.py
@@ -40,6 +40,10 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     streaming: bool
+    head_timeout_s: float = 60.0
+    """Longest wait from the last byte sent to the head of the answer."""
+    idle_timeout_s: float = 10.0
+    """Longest silence within the answer; the service document's ``stream_idle_timeout_s``."""
 
 
 class UpstreamFault(Enum):
--- a/test/test_http_client.py
+++ b/test/test_http_client.py
@@ -109,6 +109,14 @@
             trio.run(main, answer[:cut])
 
 
+def test_an_answer_that_only_the_connection_ends_is_not_taken_for_whole() -> None:
+    async def main() -> None:
+        async with scripted(b"HTTP/1.1 200 OK\r\n\r\nok", close=True) as (client, _received):
+            assert await client.call(GET) == Err(HttpFault.WRONG_ANSWER)
+
+    trio.run(main)
+
+
 def test_nothing_is_sent_when_the_hook_says_no() -> None:
     async def main() -> None:
         async with scripted(OK_ANSWER, close=False) as (client, received):
