Link nodes by authenticated frames over TCP

Each direction of a link is keyed by the shared key and both sides' nonces; a code over the frame's number and payload makes a forged, dropped, repeated or moved frame an error that costs the link and nothing else. Links may drop messages; queues, frames, greetings and silence are bounded.

--- a/lentilchute/messages.py
+++ b/lentilchute/messages.py
@@ -9,17 +9,43 @@
 from .ids import (
     Attempt,
     DocumentVersion,
-    Fingerprint,
     InstanceId,
     RequestId,
     ServiceName,
     UpstreamId,
 )
 from .peer_codec import peer_message
+from .peers import Heartbeat
+from .suspects import PoisonVerdict
 from .tickets import EndState, Grant, InFlight, Refusal, Ticket
 
-peer_message("grant")(Grant)
-peer_message("refusal")(Refusal)
+peer_message("heartbeat")(Heartbeat)
+
+
+@peer_message("grant")
+@dataclass(frozen=True, slots=True)
+class GrantNotice:
+    """A scheduler's grant for the entry that it names."""
+
+    service: ServiceName
+    grant: Grant
+
+
+@peer_message("refusal")
+@dataclass(frozen=True, slots=True)
+class RefusalNotice:
+    """A scheduler's refusal for the entry that it names."""
+
+    service: ServiceName
+    refusal: Refusal
+
+
+@peer_message("scheduler_ack")
+@dataclass(frozen=True, slots=True)
+class SchedulerAck:
+    """A scheduler has taken in what the receiver sent it for a service."""
+
+    service: ServiceName
 
 
 @peer_message("submit")
@@ -131,18 +157,15 @@
     """The versions in force at the sender, sent when two nodes' digests differ."""
 
     versions: tuple[ServiceVersion, ...]
-    wants_reply: bool
 
 
 @peer_message("poison_notice")
 @dataclass(frozen=True, slots=True)
 class PoisonNotice:
-    """What a scheduler knows of a content that was in flight at a crash."""
+    """What a scheduler has found about contents that were in flight at a crash."""
 
     service: ServiceName
-    fingerprint: Fingerprint
-    state: str
-    crashes: int
+    verdicts: tuple[PoisonVerdict, ...]
 
 
 @peer_message("upstream_notice")
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -54,6 +54,20 @@
   5: double retry_after_s
 }
 
+struct GrantNotice {
+  1: string service_name
+  2: Grant grant
+}
+
+struct RefusalNotice {
+  1: string service_name
+  2: Refusal refusal
+}
+
+struct SchedulerAck {
+  1: string service_name
+}
+
 struct Dispatched {
   1: string service_name
   2: string request_id
@@ -95,20 +109,31 @@
   1: string service_name
 }
 
-struct PeerState {
+struct PeerInfo {
   1: string instance
   2: string incarnation
-  3: string zone
-  4: string peer_address
-  5: string caller_address
-  6: i64 sequence
-  7: string state
+  3: i64 generation
+  4: string address
+  5: string callers_address
+  6: string zone
+  7: string region
+  8: list<string> roles
+}
+
+struct PeerState {
+  1: PeerInfo info
+  2: i16 status
+  3: i64 sequence
 }
 
 struct Heartbeat {
   1: PeerState sender
-  2: i64 config_digest
-  3: list<PeerState> others
+  2: i64 heard
+  3: i64 digest
+  4: bool ready
+  5: bool wants_view
+  6: bool is_view
+  7: list<PeerState> states
 }
 
 struct ConfigNotice {
@@ -124,31 +149,17 @@
 
 struct ConfigVersions {
   1: list<ServiceVersion> versions
-  2: bool wants_reply
-}
-
-struct PoisonNotice {
-  1: string service_name
-  2: string fingerprint
-  3: string state
-  4: i32 crashes
 }
 
-struct ClaimQuery {
-  1: i64 query_id
-  2: string asker
-  3: string claimant
-  4: string account
-  5: string key
-  6: string body_digest
+struct PoisonVerdict {
+  1: string fingerprint
+  2: string state
+  3: i32 crashes
 }
 
-struct ClaimReply {
-  1: i64 query_id
-  2: string state
-  3: i32 status
-  4: list<list<string>> headers
-  5: binary body
+struct PoisonNotice {
+  1: string service_name
+  2: list<PoisonVerdict> verdicts
 }
 
 struct UpstreamNotice {
@@ -169,8 +180,8 @@
 struct PeerMessage {
   1: optional Submit submit
   2: optional Withdraw withdraw
-  3: optional Grant grant
-  4: optional Refusal refusal
+  3: optional GrantNotice grant
+  4: optional RefusalNotice refusal
   5: optional Dispatched dispatched
   6: optional Progress progress
   7: optional Ended ended
@@ -181,11 +192,10 @@
   12: optional ConfigNotice config_notice
   13: optional ConfigVersions config_versions
   14: optional PoisonNotice poison_notice
-  15: optional ClaimQuery claim_query
-  16: optional ClaimReply claim_reply
-  17: optional UpstreamNotice upstream_notice
-  18: optional StatusRequest status_request
-  19: optional StatusReply status_reply
+  15: optional SchedulerAck scheduler_ack
+  16: optional UpstreamNotice upstream_notice
+  17: optional StatusRequest status_request
+  18: optional StatusReply status_reply
 }
 
 struct Hello {
--- /dev/null
+++ b/lentilchute/peer_links.py
@@ -0,0 +1,253 @@
+"""Authenticated TCP links between nodes.
+
+A node dials each peer that it has something to tell; messages on a link go one way. A link that
+breaks drops what was queued: every message is made good by a later refresh or poll.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from .events import Event, log_event
+from .http_messages import split_address
+from .http_server import open_listeners
+from .ids import IncarnationId, InstanceId
+from .peer_codec import decode_message, encode_message, idl, read_struct, write_struct
+from .peer_frames import (
+    MAX_HELLO_BYTES,
+    NONCE_BYTES,
+    FrameError,
+    FrameReader,
+    FrameWriter,
+    derive_key,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+HELLO_TIMEOUT_S = 2.0
+WRITE_TIMEOUT_S = 2.0
+IDLE_CLOSE_S = 30.0
+"""A dialled link without a message for this long is closed."""
+SILENCE_LIMIT_S = 90.0
+"""An accepted link without a byte for this long is closed."""
+RETRY_INTERVAL_S = 0.2
+MAX_QUEUED_BYTES = 16 * 1024 * 1024
+MAX_ACCEPTED_LINKS = 2_048
+READ_BYTES = 65_536
+
+_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError)
+
+Receiver = Callable[[InstanceId, Any], None]
+"""Takes a message and the instance that sent it; called without a checkpoint in between."""
+
+RandomBytes = Callable[[int], bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkIdentity:
+    """Who this node is on its links, and the key that all nodes share."""
+
+    instance: InstanceId
+    incarnation: IncarnationId
+    shared_key: str
+
+
+class PeerLinks:
+    """All links of one node, dialled and accepted."""
+
+    def __init__(
+        self, identity: LinkIdentity, receiver: Receiver, random_bytes: RandomBytes
+    ) -> None:
+        self.identity = identity
+        self.receiver = receiver
+        self.random_bytes = random_bytes
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._links: dict[tuple[InstanceId, str], _DialledLink] = {}
+        self._accepted = 0
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept links at ``address`` and serve all links until cancelled."""
+        listeners = await open_listeners(address)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(trio.serve_listeners, self._serve, listeners)
+            task_status.started(address)
+
+    def send(self, instance: InstanceId, address: str, message: object) -> None:
+        """Queue a message for a peer; it is lost when the link breaks or its queue is full."""
+        if self._nursery is None:
+            return
+        link = self._links.get((instance, address))
+        if link is None:
+            link = _DialledLink(self, instance, address)
+            self._links[instance, address] = link
+            self._nursery.start_soon(self._run_link, link)
+        link.queue(encode_message(message, trio.current_time()))
+
+    async def _run_link(self, link: "_DialledLink") -> None:
+        try:
+            await link.run()
+        finally:
+            del self._links[link.instance, link.address]
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        if self._accepted >= MAX_ACCEPTED_LINKS:
+            await trio.aclose_forcefully(stream)
+            return
+        self._accepted += 1
+        try:
+            await _AcceptedLink(self, stream).run()
+        except FrameError as error:
+            log_event(Event.PEER_LINK_REFUSED, reason=str(error))
+        except _BROKEN:
+            pass
+        finally:
+            self._accepted -= 1
+            await trio.aclose_forcefully(stream)
+
+
+class _DialledLink:
+    """Sends queued messages to one peer, connecting as needed, until it has been idle."""
+
+    def __init__(self, links: PeerLinks, instance: InstanceId, address: str) -> None:
+        self.instance = instance
+        self.address = address
+        self._links = links
+        self._payloads: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._wake = trio.Event()
+
+    def queue(self, payload: bytes) -> None:
+        """Add an encoded message, or drop it when the queue is full."""
+        if self._queued_bytes + len(payload) > MAX_QUEUED_BYTES:
+            return
+        self._payloads.append(payload)
+        self._queued_bytes += len(payload)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Serve the queue; a failed connection loses what waits, and the next message retries."""
+        while await self._wait_for_work():
+            try:
+                await self._connect_and_send()
+            except _BROKEN:
+                self._drop_queue()
+                await trio.sleep(RETRY_INTERVAL_S)
+            except FrameError as error:
+                log_event(Event.PEER_LINK_REFUSED, peer=self.instance, reason=str(error))
+                self._drop_queue()
+                await trio.sleep(RETRY_INTERVAL_S)
+
+    async def _wait_for_work(self) -> bool:
+        if not self._payloads:
+            self._wake = trio.Event()
+            with trio.move_on_after(IDLE_CLOSE_S):
+                await self._wake.wait()
+        return bool(self._payloads)
+
+    async def _connect_and_send(self) -> None:
+        host, port = split_address(self.address)
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await trio.open_tcp_stream(host, port)
+        try:
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                writer = await self._greet(stream)
+            while await self._wait_for_work():
+                data = b"".join(writer.frame(payload) for payload in self._take_queue())
+                with trio.fail_after(WRITE_TIMEOUT_S):
+                    await stream.send_all(data)
+                self._links.sent_bytes += len(data)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _greet(self, stream: trio.SocketStream) -> FrameWriter:
+        """Exchange nonces; both sides prove that they hold the shared key."""
+        identity = self._links.identity
+        nonce = self._links.random_bytes(NONCE_BYTES)
+        key = derive_key(identity.shared_key, "hello")
+        await stream.send_all(FrameWriter(key).frame(_hello(identity, nonce)))
+        reader = FrameReader(derive_key(identity.shared_key, "welcome", nonce), MAX_HELLO_BYTES)
+        peer, _ = await _read_hello(stream, reader)
+        if peer.instance != self.instance:
+            raise FrameError(f"the link is answered by {peer.instance}")
+        return FrameWriter(derive_key(identity.shared_key, "messages", nonce, peer.nonce))
+
+    def _take_queue(self) -> list[bytes]:
+        payloads = list(self._payloads)
+        self._drop_queue()
+        return payloads
+
+    def _drop_queue(self) -> None:
+        self._payloads.clear()
+        self._queued_bytes = 0
+
+
+class _AcceptedLink:
+    """Receives messages of one peer."""
+
+    def __init__(self, links: PeerLinks, stream: trio.SocketStream) -> None:
+        self._links = links
+        self._stream = stream
+
+    async def run(self) -> None:
+        """Serve until the link ends. Raises ``FrameError`` for anything but valid frames."""
+        with trio.fail_after(HELLO_TIMEOUT_S):
+            sender, reader = await self._welcome()
+        while True:
+            with trio.fail_after(SILENCE_LIMIT_S):
+                data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                return
+            self._links.received_bytes += len(data)
+            for payload in reader.feed(bytes(data)):
+                self._deliver(sender, payload)
+
+    async def _welcome(self) -> tuple[InstanceId, FrameReader]:
+        identity = self._links.identity
+        hello_reader = FrameReader(derive_key(identity.shared_key, "hello"), MAX_HELLO_BYTES)
+        peer, rest = await _read_hello(self._stream, hello_reader)
+        nonce = self._links.random_bytes(NONCE_BYTES)
+        key = derive_key(identity.shared_key, "welcome", peer.nonce)
+        await self._stream.send_all(FrameWriter(key).frame(_hello(identity, nonce)))
+        if rest:
+            raise FrameError("bytes before the welcome")
+        messages_key = derive_key(identity.shared_key, "messages", peer.nonce, nonce)
+        return InstanceId(peer.instance), FrameReader(messages_key)
+
+    def _deliver(self, sender: InstanceId, payload: bytes) -> None:
+        decoded = decode_message(payload, trio.current_time())
+        if decoded.is_err():
+            raise FrameError(f"from {sender}: {decoded.err()}")
+        self._links.receiver(sender, decoded.ok())
+
+
+def _hello(identity: LinkIdentity, nonce: bytes) -> bytes:
+    return write_struct(
+        idl.Hello(instance=identity.instance, incarnation=identity.incarnation, nonce=nonce)
+    )
+
+
+async def _read_hello(stream: trio.SocketStream, reader: FrameReader) -> tuple[Any, bytes]:
+    """Return the peer's greeting and the bytes that came after it."""
+    while True:
+        data = await stream.receive_some(MAX_HELLO_BYTES)
+        if not data:
+            raise trio.BrokenResourceError("the link ended before its greeting")
+        payloads = reader.feed(bytes(data))
+        if payloads:
+            break
+    try:
+        hello = read_struct(idl.Hello(), payloads[0])
+    except ValueError as error:
+        raise FrameError(f"greeting: {error}") from error
+    nonce = hello.nonce if isinstance(hello.nonce, bytes) else (hello.nonce or "").encode()
+    if len(nonce) != NONCE_BYTES or not isinstance(hello.instance, str):
+        raise FrameError("greeting without a name or nonce")
+    hello.nonce = nonce
+    return hello, reader.rest()
--- a/test/test_peer_codec.py
+++ b/test/test_peer_codec.py
@@ -34,8 +34,14 @@
 
 SAMPLES = [
     messages.Submit(TICKET),
-    Grant(TICKET.request_id, TICKET.attempt, TICKET.entry, ids.UpstreamId("e"), 101.5, "why"),
-    Refusal(TICKET.request_id, TICKET.attempt, TICKET.entry, RefusalReason.DISPLACED, 2.5),
+    messages.GrantNotice(
+        TICKET.service,
+        Grant(TICKET.request_id, TICKET.attempt, TICKET.entry, ids.UpstreamId("e"), 101.5, "why"),
+    ),
+    messages.RefusalNotice(
+        TICKET.service,
+        Refusal(TICKET.request_id, TICKET.attempt, TICKET.entry, RefusalReason.DISPLACED, 2.5),
+    ),
     messages.Ended(TICKET.service, TICKET.request_id, EndState.COMPLETE, 64),
     messages.Progress(TICKET.service, (messages.ProgressLine(TICKET.request_id, 9),)),
     messages.Refresh(
@@ -44,9 +50,7 @@
         (TICKET,),
         (InFlight(TICKET, ids.UpstreamId("e"), 99.0, 3),),
     ),
-    messages.ConfigVersions(
-        (messages.ServiceVersion(TICKET.service, ids.DocumentVersion(3)),), True
-    ),
+    messages.ConfigVersions((messages.ServiceVersion(TICKET.service, ids.DocumentVersion(3)),)),
 ]
 
 
--- /dev/null
+++ b/test/test_peer_links.py
@@ -0,0 +1,116 @@
+"""Tests of the links between nodes: authentication, damage and loss."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilchute import ids, messages
+from lentilchute.http_messages import split_address
+from lentilchute.peer_frames import FrameError, FrameReader, FrameWriter, derive_key
+from lentilchute.peer_links import LinkIdentity, PeerLinks
+
+KEY = "a-shared-key-of-16"
+ACK = messages.SchedulerAck(ids.ServiceName("agenda-core"))
+
+
+class Node:
+    """A node's links, with the messages that they received."""
+
+    def __init__(self, name: str, key: str = KEY) -> None:
+        self.name = ids.InstanceId(name)
+        self.received: list[tuple[str, object]] = []
+        identity = LinkIdentity(self.name, ids.IncarnationId(f"{name}.1"), key)
+        self.links = PeerLinks(identity, self._receive, lambda size: bytes(size))
+        self.changed = trio.Event()
+
+    def _receive(self, sender: ids.InstanceId, message: object) -> None:
+        self.received.append((sender, message))
+        self.changed.set()
+
+
+def run_pair(
+    body: Callable[[Node, Node, str], Awaitable[None]], second_key: str = KEY
+) -> tuple[Node, Node]:
+    """Run ``body`` with two nodes, the second listening at the address given to it."""
+    nodes: list[Node] = []
+
+    async def main() -> None:
+        first, second = Node("entry-1"), Node("entry-2", second_key)
+        nodes.extend((first, second))
+        address = f"127.0.0.1:{await free_port()}"
+        async with trio.open_nursery() as nursery:
+            await nursery.start(second.links.run, address)
+            await nursery.start(first.links.run, f"127.0.0.1:{await free_port()}")
+            with trio.fail_after(10):
+                await body(first, second, address)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    return nodes[0], nodes[1]
+
+
+async def free_port() -> int:
+    with trio.socket.socket() as probe:
+        await probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def test_a_message_arrives_with_its_senders_name() -> None:
+    async def body(first: Node, second: Node, address: str) -> None:
+        first.links.send(second.name, address, ACK)
+        await second.changed.wait()
+
+    _, second = run_pair(body)
+    assert second.received == [("entry-1", ACK)]
+
+
+def test_a_node_with_another_key_is_refused() -> None:
+    async def body(first: Node, second: Node, address: str) -> None:
+        first.links.send(second.name, address, ACK)
+        stream = await trio.open_tcp_stream(*split_address(address))
+        hello_key = derive_key(KEY, "hello")
+        await stream.send_all(FrameWriter(hello_key).frame(b"\0"))
+        assert await stream.receive_some(100) == b""
+
+    _, second = run_pair(body, second_key="quite-another-key!")
+    assert second.received == []
+
+
+def test_garbage_costs_the_connection_and_not_the_node() -> None:
+    async def body(first: Node, second: Node, address: str) -> None:
+        stream = await trio.open_tcp_stream(*split_address(address))
+        await stream.send_all(b"\xff" * 64)
+        assert await stream.receive_some(100) == b""
+        first.links.send(second.name, address, ACK)
+        await second.changed.wait()
+
+    _, second = run_pair(body)
+    assert second.received == [("entry-1", ACK)]
+
+
+@given(st.lists(st.binary(max_size=40), min_size=2, max_size=5), st.data())
+def test_frames_cannot_be_changed_dropped_or_repeated(
+    payloads: list[bytes], data: st.DataObject
+) -> None:
+    key = derive_key(KEY, "messages", b"n")
+    writer = FrameWriter(key)
+    frames = [writer.frame(payload) for payload in payloads]
+    assert FrameReader(key).feed(b"".join(frames)) == payloads
+    fault = data.draw(st.sampled_from(["drop", "repeat", "flip"]))
+    at = data.draw(st.integers(0, len(frames) - 2))
+    if fault == "drop":
+        del frames[at]
+    elif fault == "repeat":
+        frames.insert(at, frames[at])
+    else:
+        flipped = bytearray(frames[at])
+        flipped[data.draw(st.integers(4, len(flipped) - 1))] ^= 1
+        frames[at] = bytes(flipped)
+    try:
+        read = FrameReader(key).feed(b"".join(frames))
+    except FrameError:
+        return
+    raise AssertionError(f"{fault} at {at} passed: {read}")
