--- /dev/null
+++ b/lentilchute/http_server.py
@@ -0,0 +1,116 @@
+"""HTTP/1.1 server side: h11 over a trio stream.
+
+``HttpServer`` reads one bounded, timed request at a time from each connection and gives it to a
+handler, together with a ``Responder`` that writes the answer. Input that HTTP does not allow is
+answered here with a JSON error and never reaches the handler.
+"""
+
+from collections.abc import Sequence
+
+import trio
+
+from .events import Event, log_event
+from .http_connection import ServerConnection
+from .http_messages import split_address
+from .http_requests import (
+    Handler,
+    HeadCheck,
+    HeadRefusal,
+    HttpRequest,
+    HttpServerSettings,
+    RequestHead,
+)
+from .http_responder import Responder
+
+__all__ = [
+    "Handler",
+    "HeadCheck",
+    "HeadRefusal",
+    "HttpRequest",
+    "HttpServer",
+    "HttpServerSettings",
+    "RequestHead",
+    "Responder",
+    "open_listeners",
+]
+
+
+class HttpServer:
+    """Serves HTTP connections with one handler.
+
+    ``check_head`` is asked before a request's body is read; it may refuse the request or bound its
+    body further.
+    """
+
+    def __init__(
+        self,
+        settings: HttpServerSettings,
+        handler: Handler,
+        check_head: HeadCheck | None = None,
+    ) -> None:
+        self.settings = settings
+        self.handler = handler
+        self.check_head = check_head
+        self.is_closing = False
+        self.reading_bytes = 0
+        self._connections: set[ServerConnection] = set()
+        self._accept_scope = trio.CancelScope()
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def serve(
+        self,
+        listeners: Sequence[trio.SocketListener],
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept and serve connections until ``stop_accepting``, then until the last one ends."""
+        async with trio.open_nursery() as nursery:
+            with self._accept_scope:
+                task_status.started()
+                await trio.serve_listeners(
+                    self.serve_stream, list(listeners), handler_nursery=nursery
+                )
+            for listener in listeners:
+                await listener.aclose()
+
+    def begin_close(self) -> None:
+        """Close connections as they fall idle; requests that still come are served.
+
+        Each answer now says ``Connection: close``. An idle connection is closed once it has been
+        idle for longer than callers were told that they may use it.
+        """
+        self.is_closing = True
+        for connection in self._connections:
+            connection.shorten_idle()
+
+    def stop_accepting(self) -> None:
+        """Close the listening sockets; open connections go on."""
+        self._accept_scope.cancel()
+
+    def reset_connections(self) -> None:
+        """Have every open connection reset, as by a crash, when its task is cancelled."""
+        for connection in self._connections:
+            connection.reset_on_close()
+
+    async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
+        """Serve one connection until it ends, then close it. No fault of a connection is raised."""
+        connection = ServerConnection(self, stream)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except Exception as error:
+            log_event(Event.BAD_INPUT, reason="connection-failed", error=type(error).__name__)
+        finally:
+            self._connections.discard(connection)
+            await trio.aclose_forcefully(stream)
+
+
+async def open_listeners(address: str) -> list[trio.SocketListener]:
+    """Bind ``address`` (``host:port``; port 0 takes a free one) and return its listeners."""
+    host, port = split_address(address)
+    return await trio.open_tcp_listeners(port, host=host)
--- /dev/null
+++ b/lentilchute/peer.thrift
@@ -0,0 +1,205 @@
+// Messages between the processes of one deployment.
+//
+// Fields named deadline_s, expires_s and dispatched_s hold durations relative to the moment of
+// sending, since processes share no clock. PeerMessage holds exactly one of its fields.
+
+struct Ticket {
+  1: string request_id
+  2: i32 attempt
+  3: string entry
+  4: string zone
+  5: string service_name
+  6: i16 tier
+  7: string client_account
+  8: double deadline_s
+  9: i32 prompt_tokens
+  10: i32 max_output_tokens
+  11: string model
+  12: string fingerprint
+  13: binary prefix_hashes
+  14: bool idempotent
+  15: list<string> excluded
+}
+
+struct InFlight {
+  1: Ticket ticket
+  2: string upstream
+  3: double dispatched_s
+  4: i32 output_tokens
+}
+
+struct Submit {
+  1: Ticket ticket
+}
+
+struct Withdraw {
+  1: string service_name
+  2: string request_id
+}
+
+struct Grant {
+  1: string request_id
+  2: i32 attempt
+  3: string entry
+  4: string upstream
+  5: double expires_s
+  6: string reason
+}
+
+struct Refusal {
+  1: string request_id
+  2: i32 attempt
+  3: string entry
+  4: string reason
+  5: double retry_after_s
+}
+
+struct GrantNotice {
+  1: string service_name
+  2: Grant grant
+}
+
+struct RefusalNotice {
+  1: string service_name
+  2: Refusal refusal
+}
+
+struct SchedulerAck {
+  1: string service_name
+}
+
+struct Dispatched {
+  1: string service_name
+  2: string request_id
+  3: i32 attempt
+  4: string upstream
+}
+
+struct ProgressLine {
+  1: string request_id
+  2: i32 output_tokens
+}
+
+struct Progress {
+  1: string service_name
+  2: list<ProgressLine> lines
+}
+
+struct Ended {
+  1: string service_name
+  2: string request_id
+  3: string end_state
+  4: i32 cached_prompt_tokens
+}
+
+struct Declined {
+  1: string service_name
+  2: string request_id
+  3: i32 attempt
+}
+
+struct Refresh {
+  1: string service_name
+  2: string entry
+  3: list<Ticket> waiting
+  4: list<InFlight> in_flight
+}
+
+struct RefreshRequest {
+  1: string service_name
+}
+
+struct PeerInfo {
+  1: string instance
+  2: string incarnation
+  3: i64 generation
+  4: string address
+  5: string callers_address
+  6: string zone
+  7: string region
+  8: list<string> roles
+}
+
+struct PeerState {
+  1: PeerInfo info
+  2: i16 status
+  3: i64 sequence
+}
+
+struct Heartbeat {
+  1: PeerState sender
+  2: i64 heard
+  3: i64 digest
+  4: bool ready
+  5: bool wants_view
+  6: bool is_view
+  7: list<PeerState> states
+}
+
+struct ConfigNotice {
+  1: string service_name
+  2: i64 version
+  3: string text
+}
+
+struct ServiceVersion {
+  1: string service_name
+  2: i64 version
+}
+
+struct ConfigVersions {
+  1: list<ServiceVersion> versions
+}
+
+struct PoisonVerdict {
+  1: string fingerprint
+  2: string state
+  3: i32 crashes
+}
+
+struct PoisonNotice {
+  1: string service_name
+  2: list<PoisonVerdict> verdicts
+}
+
+struct UpstreamNotice {
+  1: string upstream
+  2: string state
+}
+
+struct StatusRequest {
+  1: i64 query_id
+  2: string asker
+}
+
+struct StatusReply {
+  1: i64 query_id
+  2: string body
+}
+
+struct PeerMessage {
+  1: optional Submit submit
+  2: optional Withdraw withdraw
+  3: optional GrantNotice grant
+  4: optional RefusalNotice refusal
+  5: optional Dispatched dispatched
+  6: optional Progress progress
+  7: optional Ended ended
+  8: optional Declined declined
+  9: optional Refresh refresh
+  10: optional RefreshRequest refresh_request
+  11: optional Heartbeat heartbeat
+  12: optional ConfigNotice config_notice
+  13: optional ConfigVersions config_versions
+  14: optional PoisonNotice poison_notice
+  15: optional SchedulerAck scheduler_ack
+  16: optional UpstreamNotice upstream_notice
+  17: optional StatusRequest status_request
+  18: optional StatusReply status_reply
+}
+
+struct Hello {
+  1: string instance
+  2: string incarnation
+  3: binary nonce
+}
--- a/lentilchute/upstreams.py
+++ b/lentilchute/upstreams.py
@@ -40,6 +40,10 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     streaming: bool
+    head_timeout_s: float = 60.0
+    """Longest wait from the last byte sent to the head of the answer."""
+    idle_timeout_s: float = 10.0
+    """Longest silence within the answer; the service document's ``stream_idle_timeout_s``."""
 
 
 class UpstreamFault(Enum):
@@ -65,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerPart:
-    """A piece of the body. ``event_id`` is the SSE event's id; ``data`` is its exact bytes."""
+    """A piece of the body. ``event_id`` is the SSE event's id, from 1 on; ``data`` its bytes."""
 
     data: bytes
     event_id: int | None = None
