--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -22,6 +22,7 @@
     "status",
     "drain",
     "operator_key",
+    "standin",
 )  # fmt: skip
 """Modules with commands, in the order of the help text."""
 
