--- /dev/null
+++ b/lentilchute/caller_interface.py
@@ -0,0 +1,141 @@
+"""The callers' HTTP interface of one node: which entries to use, and requests to services."""
+
+import json
+from typing import Protocol
+
+import trio
+from result import Err
+
+from .entry_actions import AcceptedRequest
+from .filters import FilterContext, FilterRefusal, RequestDraft, RequestHead
+from .filters import check_body as run_body_filters
+from .filters import check_head as run_head_filters
+from .http_messages import JSON_HEADER
+from .http_requests import HeadRefusal, HttpRequest, HttpServerSettings
+from .http_requests import RequestHead as HttpRequestHead
+from .http_responder import Responder
+from .http_server import HttpServer, open_listeners
+from .node_context import NodeContext
+from .peers import PeerInfo
+from .refusal_answers import RefusalAnswer, refusal_answer
+from .settings import Role
+from .tickets import Outcome
+
+ENTRIES_PATH = "/entries"
+MAX_NAMED_ENTRIES = 16
+REFUSED_RETRY_AFTER_S = 1.0
+
+
+class RequestServer(Protocol):
+    """Serves accepted requests."""
+
+    async def serve_request(
+        self, request: AcceptedRequest, caller_gone: trio.Event, responder: Responder
+    ) -> None:
+        """Serve one request until its answer is written or its caller has gone."""
+        ...
+
+
+class CallerInterface:
+    """Listens for callers, runs the filters and hands accepted requests on."""
+
+    def __init__(self, context: NodeContext, server: RequestServer) -> None:
+        self._context = context
+        self._server = server
+        self._http = HttpServer(_http_settings(context), self._handle, self._check_head)
+        self._is_closed = trio.Event()
+
+    async def run(self) -> None:
+        """Serve until closed."""
+        listeners = await open_listeners(self._context.settings.listen.callers)
+        await self._http.serve(listeners)
+        self._is_closed.set()
+
+    def begin_close(self) -> None:
+        """Tell callers to connect anew, elsewhere; requests that still come are served."""
+        self._http.begin_close()
+
+    async def finish_close(self) -> None:
+        """Accept no more connections and wait for the open ones to end."""
+        self._http.stop_accepting()
+        await self._is_closed.wait()
+
+    def _filter_context(self) -> FilterContext:
+        context = self._context
+        now_s = context.now_s()
+        configuration = context.configuration
+        return FilterContext(
+            now_s=now_s,
+            is_ready=configuration.is_ready(now_s),
+            documents=configuration.documents(),
+            prefix_block_tokens=context.settings.scheduler.prefix_block_tokens,
+        )
+
+    def _check_head(self, head: HttpRequestHead) -> int | HeadRefusal:
+        """Refuse before the body is read what its head already rules out."""
+        if head.path == ENTRIES_PATH:
+            return 0
+        own_head = RequestHead(head.method, head.path, head.headers)
+        checked = run_head_filters(own_head, self._filter_context())
+        if isinstance(checked, Err):
+            refusal = self._refusal(checked.err_value)
+            return HeadRefusal(refusal.status, refusal.headers, refusal.body)
+        draft: RequestDraft = checked.ok_value
+        return draft.max_body_bytes
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        if request.path == ENTRIES_PATH:
+            await responder.answer(200, (JSON_HEADER,), self._entries())
+            return
+        # The documents may have changed while the body was read, so the head is checked again.
+        context = self._filter_context()
+        head = RequestHead(request.method, request.path, request.headers)
+        accepted = run_head_filters(head, context).and_then(
+            lambda draft: run_body_filters(draft, request.body, context)
+        )
+        if isinstance(accepted, Err):
+            refusal = self._refusal(accepted.err_value)
+            await responder.answer(refusal.status, refusal.headers, refusal.body)
+            return
+        await self._server.serve_request(accepted.ok_value, request.caller_gone, responder)
+
+    def _refusal(self, refusal: FilterRefusal) -> RefusalAnswer:
+        return refusal_answer(
+            refusal.reason,
+            Outcome.NOT_RUN,
+            REFUSED_RETRY_AFTER_S,
+            findings=refusal.findings,
+        )
+
+    def _entries(self) -> bytes:
+        """Return which entries a caller may use, those of this node's zone first."""
+        context = self._context
+        alive = context.membership.alive(context.now_s())
+        entries = [info for info in alive if Role.ENTRY in info.roles]
+        context.rng.shuffle(entries)
+        entries.sort(key=lambda info: info.zone != context.zone)
+        body = {
+            "entries": [_entry(info) for info in entries[:MAX_NAMED_ENTRIES]],
+            "keep_s": context.settings.entry.answer_lifetime_s,
+        }
+        return json.dumps(body).encode()
+
+
+def _entry(info: PeerInfo) -> dict[str, str]:
+    return {
+        "instance": info.instance,
+        "address": info.callers_address,
+        "availability_zone": info.zone,
+    }
+
+
+def _http_settings(context: NodeContext) -> HttpServerSettings:
+    entry = context.settings.entry
+    return HttpServerSettings(
+        max_connections=entry.max_connections,
+        max_header_bytes=entry.max_header_bytes,
+        max_reading_bytes=entry.max_held_body_bytes,
+        header_timeout_s=entry.header_timeout_s,
+        body_timeout_s=entry.body_timeout_s,
+        keep_alive_timeout_s=entry.keep_alive_timeout_s,
+    )
--- /dev/null
+++ b/lentilchute/claims_controller.py
@@ -0,0 +1,152 @@
+"""Claims idempotency keys in the platform's table for the entry controller."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import trio
+
+from .claim_actions import (
+    AskClaimant,
+    ClaimAction,
+    ClaimQuery,
+    ClaimReplyState,
+    ClaimResolved,
+    CommitTable,
+    GetObject,
+    PutObject,
+    ReadTable,
+)
+from .claim_answers import ClaimAnswer, ClaimRequest, ClaimState, KeptAnswer
+from .claims import ClaimBook
+from .events import Event, log_event
+from .ids import InstanceId, RequestId, instance_of
+from .messages import ClaimQuestion, ClaimReply
+from .node_context import MessageHandler, NodeContext, wait_until
+from .peers import PeerChange, PeerChangeKind
+
+QUERY_TIMEOUT_S = 1.0
+MIN_PAUSE_S = 0.005
+MAX_PAUSE_S = 1.0
+IDLE_CHECK_S = 0.05
+
+Resolved = Callable[[RequestId, ClaimAnswer], None]
+
+
+class ClaimsController:
+    """Drives ``ClaimBook``; ``resolved`` is called once for each claim."""
+
+    def __init__(self, context: NodeContext, resolved: Resolved) -> None:
+        self._context = context
+        self._resolved = resolved
+        now_s = context.now_s()
+        self._book = ClaimBook(
+            context.incarnation,
+            context.settings.claims,
+            context.rng,
+            now_s,
+            context.wall_offset_s,
+        )
+        self._nursery: trio.Nursery | None = None
+        self._wake = trio.Event()
+        context.peer_listeners.append(self._on_peer_change)
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        """Return the messages that this controller takes."""
+        return {ClaimQuestion: self._on_question, ClaimReply: self._on_reply}
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                now_s = self._context.now_s()
+                if self._book.next_tick_s(now_s) <= now_s:
+                    self._execute(self._book.tick(now_s))
+                pause_s = self._book.next_tick_s(now_s) - now_s
+                self._wake = trio.Event()
+                with trio.move_on_after(min(max(pause_s, MIN_PAUSE_S), MAX_PAUSE_S)):
+                    await self._wake.wait()
+
+    async def stop(self) -> None:
+        """Write what is still open for requests that ended."""
+        self._execute(self._book.stop(self._context.now_s()))
+        await wait_until(lambda: self._book.is_idle, IDLE_CHECK_S)
+
+    def claim(self, request: ClaimRequest) -> None:
+        """Claim a key for a request that has its grant."""
+        self._execute(self._book.claim(request, self._context.now_s()))
+
+    def release(self, request_id: RequestId) -> None:
+        """Give up the key of a request that certainly did not run."""
+        log_event(Event.CLAIM_RELEASED, request_id=request_id)
+        self._execute(self._book.release(request_id, self._context.now_s()))
+
+    def finished(self, request_id: RequestId, kept: KeptAnswer | None) -> None:
+        """Keep a finished request's answer for a resend."""
+        self._execute(self._book.finished(request_id, kept, self._context.now_s()))
+
+    def left(self, request_id: RequestId) -> None:
+        """Leave the key of a request whose end is unknown claimed."""
+        self._book.left(request_id)
+
+    def _on_question(self, sender: InstanceId, message: ClaimQuestion) -> None:
+        state = self._book.peer_query(message.query)
+        self._context.post(sender, ClaimReply(message.query_id, state))
+
+    def _on_reply(self, sender: InstanceId, reply: ClaimReply) -> None:
+        now_s = self._context.now_s()
+        self._execute(self._book.claimant_answered(reply.query_id, reply.state, now_s))
+
+    def _on_peer_change(self, change: PeerChange) -> None:
+        now_s = self._context.now_s()
+        if change.kind is PeerChangeKind.GONE:
+            self._execute(self._book.incarnation_gone(change.info.incarnation, now_s))
+        self._book.set_nodes(len(self._context.membership.present()) + 1, now_s)
+
+    def _execute(self, actions: list[ClaimAction]) -> None:
+        for action in actions:
+            if isinstance(action, ClaimResolved):
+                self._report(action)
+            elif self._nursery is not None:
+                self._nursery.start_soon(self._carry_out, action)
+        self._wake.set()
+
+    def _report(self, action: ClaimResolved) -> None:
+        if action.answer.state is ClaimState.GRANTED:
+            log_event(Event.CLAIM_GRANTED, request_id=action.request_id)
+        else:
+            log_event(Event.CLAIM_REFUSED, request_id=action.request_id, state=action.answer.state)
+        self._resolved(action.request_id, action.answer)
+
+    async def _carry_out(self, action: ClaimAction) -> None:
+        platform, book, now_s = self._context.platform, self._book, self._context.now_s
+        if isinstance(action, CommitTable):
+            committed = await platform.table.commit(action.transaction)
+            self._execute(book.table_committed(action.call_id, committed, now_s()))
+        elif isinstance(action, ReadTable):
+            rows = await platform.table.get_many(list(action.keys))
+            self._execute(book.table_read(action.call_id, rows, now_s()))
+        elif isinstance(action, PutObject):
+            stored = await platform.objects.put(action.key, action.body)
+            self._execute(book.object_stored(action.call_id, stored, now_s()))
+        elif isinstance(action, GetObject):
+            found = await platform.objects.get(action.key)
+            self._execute(book.object_fetched(action.call_id, found, now_s()))
+        elif isinstance(action, AskClaimant):
+            await self._ask(action.query_id, action.query)
+
+    async def _ask(self, query_id: int, query: ClaimQuery) -> None:
+        """Ask the claimant's process; an earlier reply makes the timeout's answer a no-op."""
+        context = self._context
+        if query.claimant == context.incarnation:
+            state = self._book.peer_query(query)
+            self._execute(self._book.claimant_answered(query_id, state, context.now_s()))
+            return
+        if not context.membership.is_present(query.claimant):
+            gone = ClaimReplyState.GONE
+            self._execute(self._book.claimant_answered(query_id, gone, context.now_s()))
+            return
+        context.post(instance_of(query.claimant), ClaimQuestion(query_id, query))
+        await trio.sleep(QUERY_TIMEOUT_S)
+        unreachable = ClaimReplyState.UNREACHABLE
+        self._execute(self._book.claimant_answered(query_id, unreachable, context.now_s()))
--- a/lentilchute/configuration.py
+++ b/lentilchute/configuration.py
@@ -6,7 +6,7 @@
 lately confirmed that nothing newer is known.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -127,6 +127,14 @@
         """Return the document in force, or ``None`` where the service is unknown."""
         return self._documents.get(service)
 
+    def documents(self) -> Mapping[ServiceName, ServiceDocument]:
+        """Return all documents in force."""
+        return self._documents
+
+    def text(self, service: ServiceName) -> DocumentText | None:
+        """Return the text and version in force, or ``None`` where the service is unknown."""
+        return self._texts.get(service)
+
     def is_ready(self, now_s: float) -> bool:
         """Tell whether this node may admit requests under its versions in force."""
         self._notice_pause(now_s)
--- /dev/null
+++ b/lentilchute/configuration_controller.py
@@ -0,0 +1,123 @@
+"""Controller that keeps the service documents in force on this node up to date."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+
+from .configuration import (
+    ConfigAction,
+    DocumentInForce,
+    DocumentRejected,
+    PushDocument,
+    ReadDocuments,
+    ReadIndex,
+    SendVersions,
+)
+from .configuration_records import INDEX_KEY
+from .events import Event, log_event
+from .ids import DocumentVersion, InstanceId, ServiceName
+from .messages import ConfigNotice, ConfigVersions, ServiceVersion
+from .node_context import MessageHandler, NodeContext, node_controller
+from .peers import Heartbeat, PeerChange, PeerChangeKind
+
+MAX_SLEEP_S = 0.5
+
+
+@node_controller(None)
+class ConfigurationController:
+    """Drives ``ConfigBook``: polls the table, compares with peers, puts documents in force."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._book = context.configuration
+        self._nursery: trio.Nursery | None = None
+        context.peer_listeners.append(self._on_peer_change)
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {
+            ConfigNotice: self._on_notice,
+            ConfigVersions: self._on_versions,
+            Heartbeat: self._on_heartbeat,
+        }
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                now_s = self._context.now_s()
+                self._execute(self._book.tick(now_s))
+                pause_s = self._book.next_tick_s() - now_s
+                await trio.sleep(min(max(pause_s, 0.01), MAX_SLEEP_S))
+
+    def learn(self, service: ServiceName, version: int, text: str) -> None:
+        """Put an accepted change in force here at once."""
+        number = DocumentVersion(version)
+        self._execute(self._book.learn(service, number, text, self._context.now_s()))
+
+    def _on_notice(self, sender: InstanceId, notice: ConfigNotice) -> None:
+        now_s = self._context.now_s()
+        self._execute(self._book.learn(notice.service, notice.version, notice.text, now_s))
+
+    def _on_versions(self, sender: InstanceId, message: ConfigVersions) -> None:
+        versions = {line.service: line.version for line in message.versions}
+        self._execute(self._book.peer_versions(sender, versions, self._context.now_s()))
+
+    def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
+        actions = self._book.peer_heartbeat(
+            sender,
+            heartbeat.digest,
+            ready=heartbeat.ready,
+            fresh=self._context.membership.is_fresh(heartbeat),
+            now_s=self._context.now_s(),
+        )
+        self._execute(actions)
+
+    def _on_peer_change(self, change: PeerChange) -> None:
+        if change.kind is PeerChangeKind.GONE:
+            self._book.forget_peer(change.info.instance)
+
+    def _execute(self, actions: list[ConfigAction]) -> None:
+        for action in actions:
+            self._execute_one(action)
+
+    def _execute_one(self, action: ConfigAction) -> None:
+        if isinstance(action, (ReadIndex, ReadDocuments)):
+            if self._nursery is not None:
+                self._nursery.start_soon(self._read, action)
+        elif isinstance(action, SendVersions):
+            lines = [ServiceVersion(name, number) for name, number in action.versions.items()]
+            self._context.post(action.peer, ConfigVersions(tuple(lines)))
+        elif isinstance(action, PushDocument):
+            document = action.document
+            notice = ConfigNotice(document.service, document.version, document.text)
+            self._context.post(action.peer, notice)
+        elif isinstance(action, DocumentInForce):
+            self._put_in_force(action)
+        elif isinstance(action, DocumentRejected):
+            log_event(
+                Event.CONFIG_REJECTED,
+                service=action.service,
+                version=action.version,
+                reason=action.reason,
+            )
+
+    async def _read(self, action: ReadIndex | ReadDocuments) -> None:
+        table = self._context.platform.table
+        if isinstance(action, ReadIndex):
+            row = await table.get(INDEX_KEY)
+            actions = self._book.index_answered(action.call_id, row, self._context.now_s())
+        else:
+            rows = await table.get_many(list(action.keys))
+            actions = self._book.documents_answered(action.call_id, rows, self._context.now_s())
+        self._execute(actions)
+
+    def _put_in_force(self, action: DocumentInForce) -> None:
+        log_event(Event.CONFIG_IN_FORCE, service=action.service, version=action.version)
+        context = self._context
+        changed = context.directory.set_document(action.service, action.document)
+        for document_listener in context.document_listeners:
+            document_listener(action.service, action.document)
+        for upstream in changed:
+            for upstream_listener in context.upstream_listeners:
+                upstream_listener(upstream)
--- /dev/null
+++ b/lentilchute/document_changes.py
@@ -0,0 +1,28 @@
+"""Carries an operator's change into the platform's table."""
+
+import trio
+
+from .configuration_apply import (
+    ApplyOperation,
+    CommitChange,
+    DocumentChange,
+    ReadRows,
+)
+from .platform import Table
+
+
+async def apply_change(table: Table, change: DocumentChange, timeout_s: float) -> ApplyOperation:
+    """Run one change to its end, within ``timeout_s``; the operation's state says what became."""
+    operation = ApplyOperation(change, trio.current_time() + timeout_s)
+    action = operation.start(trio.current_time())
+    while action is not None:
+        if isinstance(action, ReadRows):
+            rows = await table.get_many(list(action.keys))
+            action = operation.rows_answered(rows, trio.current_time())
+        elif isinstance(action, CommitChange):
+            committed = await table.commit(action.transaction)
+            action = operation.commit_answered(committed, trio.current_time())
+        else:
+            await trio.sleep(action.delay_s)
+            action = operation.resume(trio.current_time())
+    return operation
--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -51,6 +51,7 @@
     PEER_SUSPECT = EventInfo(501, "A peer has been silent and gets no new shard.")
     PEER_LINK_REFUSED = EventInfo(502, "A peer link failed its authentication or its framing.")
     PEER_LEAVING = EventInfo(503, "A peer announced its planned stop.")
+    PEER_GONE = EventInfo(504, "A run of a peer ended, or a later run of this node was seen.")
     CONFIG_IN_FORCE = EventInfo(600, "A version of a service document came into force here.")
     CONFIG_REJECTED = EventInfo(601, "A document was not taken into force.")
     CONFIG_APPLIED = EventInfo(602, "An operator's change was accepted.")
--- a/lentilchute/membership.py
+++ b/lentilchute/membership.py
@@ -112,6 +112,11 @@
         """Return the peers that may still answer: alive, suspected or leaving."""
         return tuple(peer.info for peer in self._view.peers.values())
 
+    def address_of(self, instance: InstanceId) -> str | None:
+        """Return the peer address of an instance that may still answer, or ``None``."""
+        peer = self._view.peers.get(instance)
+        return None if peer is None else peer.info.address
+
     def is_present(self, incarnation: IncarnationId) -> bool:
         """Tell whether this very run is among the peers that may still answer."""
         return any(info.incarnation == incarnation for info in self.present())
--- /dev/null
+++ b/lentilchute/membership_controller.py
@@ -0,0 +1,54 @@
+"""Controller that sends and takes heartbeats and tells the node about its peers."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from .events import Event, log_event
+from .ids import InstanceId
+from .node_context import MessageHandler, NodeContext, node_controller, repeat
+from .peers import Heartbeat, PeerChange, PeerChangeKind
+
+_EVENTS = {
+    PeerChangeKind.ALIVE: Event.PEER_ALIVE,
+    PeerChangeKind.SUSPECT: Event.PEER_SUSPECT,
+    PeerChangeKind.LEAVING: Event.PEER_LEAVING,
+    PeerChangeKind.GONE: Event.PEER_GONE,
+    PeerChangeKind.SELF_REPLACED: Event.PEER_GONE,
+}
+
+
+@node_controller(None)
+class MembershipController:
+    """Drives ``Membership`` at the heartbeat interval."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {Heartbeat: self._on_heartbeat}
+
+    async def run(self) -> None:
+        await repeat(self._context.settings.membership.heartbeat_interval_s, self._beat)
+
+    def _beat(self) -> None:
+        context = self._context
+        now_s = context.now_s()
+        self._tell(context.membership.tick(now_s))
+        ready = context.configuration.is_ready(now_s)
+        context.membership.set_configuration(context.configuration.digest(), ready=ready)
+        for outgoing in context.membership.heartbeat(now_s):
+            context.links.send(outgoing.instance, outgoing.address, outgoing.heartbeat)
+
+    def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
+        self._tell(self._context.membership.received(heartbeat, self._context.now_s()))
+
+    def _tell(self, changes: list[PeerChange]) -> None:
+        for change in changes:
+            log_event(
+                _EVENTS[change.kind],
+                peer=change.info.instance,
+                incarnation=change.info.incarnation,
+                change=change.kind.value,
+            )
+            for listener in self._context.peer_listeners:
+                listener(change)
--- a/lentilchute/messages.py
+++ b/lentilchute/messages.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from .claim_actions import ClaimQuery, ClaimReplyState
 from .ids import (
     Attempt,
     DocumentVersion,
@@ -177,19 +178,19 @@
     state: str
 
 
-@peer_message("status_request")
+@peer_message("claim_question")
 @dataclass(frozen=True, slots=True)
-class StatusRequest:
-    """Asks a node for its part of the status that operators see."""
+class ClaimQuestion:
+    """A node that met another's claim asks the claimant about it."""
 
     query_id: int
-    asker: InstanceId
+    query: ClaimQuery
 
 
-@peer_message("status_reply")
+@peer_message("claim_reply")
 @dataclass(frozen=True, slots=True)
-class StatusReply:
-    """A node's status as JSON text, the same as its operators' port gives."""
+class ClaimReply:
+    """The claimant's answer."""
 
     query_id: int
-    body: str
+    state: ClaimReplyState
--- /dev/null
+++ b/lentilchute/node.py
@@ -0,0 +1,184 @@
+"""One node: all parts put together for the roles that its settings name.
+
+node = Node(settings)
+await node.run()      # until ``node.stop()`` and a planned stop that harms no caller
+"""
+
+import random
+import time
+from typing import Any
+
+import trio
+
+from . import (
+    configuration_controller,
+    entry_controller,
+    membership_controller,
+    platform_http,
+    scheduler_controller,
+    upstream_controller,
+    upstream_engine,
+    upstream_plain,
+)
+from .configuration import ConfigBook
+from .entry_controller import EntryController
+from .events import Event, log_event
+from .ids import IncarnationId, InstanceId
+from .membership import Membership
+from .metrics import Gauges, Metrics
+from .node_context import (
+    Controller,
+    MessageHandler,
+    NodeContext,
+    check_document_text,
+    controllers_for,
+)
+from .peer_links import LinkIdentity, PeerLinks
+from .peers import PeerAddress, PeerInfo
+from .platform import platform_for
+from .settings import NodeSettings, PeerSeed
+from .upstream_directory import UpstreamDirectory
+
+REGISTERED = (
+    configuration_controller,
+    entry_controller,
+    membership_controller,
+    platform_http,
+    scheduler_controller,
+    upstream_controller,
+    upstream_engine,
+    upstream_plain,
+)
+"""Modules that register controllers and adapters when they are imported."""
+
+LAST_HEARTBEAT_PAUSE_S = 0.3
+"""Time for the last heartbeat to leave before the links close."""
+
+
+class Node:
+    """Runs the roles of one process."""
+
+    def __init__(self, settings: NodeSettings, rng: random.Random | None = None) -> None:
+        self.settings = settings
+        self._rng = rng or random.Random()
+        self._stop = trio.Event()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop.set()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run until a planned stop has ended.
+
+        Raises ``OSError`` when an address of the settings cannot be bound.
+        """
+        context = self._context()
+        controllers = controllers_for(context)
+        handlers = _handlers(controllers)
+        context.links.receiver = lambda sender, message: _dispatch(handlers, sender, message)
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(context.links.run, self.settings.listen.peers)
+                nursery.start_soon(_deliver_local, context, handlers)
+                for controller in controllers:
+                    nursery.start_soon(controller.run)
+                log_event(
+                    Event.NODE_STARTED,
+                    instance=context.instance,
+                    incarnation=context.incarnation,
+                    callers=self.settings.listen.callers,
+                )
+                task_status.started()
+                await self._stop.wait()
+                await self._finish(context, controllers)
+                nursery.cancel_scope.cancel()
+        finally:
+            context.metrics.close()
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
+                await context.platform.aclose()
+
+    async def _finish(self, context: NodeContext, controllers: list[Controller]) -> None:
+        """Leave without harm: first the answers to callers, then the work that is left."""
+        log_event(Event.NODE_STOPPING, instance=context.instance)
+        context.stopping.set()
+        context.membership.leave(context.now_s())
+        with trio.move_on_after(self.settings.stop_timeout_s) as scope:
+            for controller in controllers:
+                if isinstance(controller, EntryController):
+                    await controller.stop()
+        await trio.sleep(LAST_HEARTBEAT_PAUSE_S)
+        log_event(
+            Event.NODE_STOPPED, instance=context.instance, work_was_cut=scope.cancelled_caught
+        )
+
+    def _context(self) -> NodeContext:
+        settings = self.settings
+        incarnation = _new_incarnation(settings.instance_id, self._rng)
+        now_s = trio.current_time()
+        identity = LinkIdentity(settings.instance_id, incarnation, settings.shared_key)
+        return NodeContext(
+            settings=settings,
+            incarnation=incarnation,
+            rng=self._rng,
+            platform=platform_for(settings.platform),
+            links=PeerLinks(identity, _drop, self._rng.randbytes),
+            membership=Membership(
+                _peer_info(settings, incarnation),
+                settings.membership,
+                self._rng,
+                now_s,
+                [_seed_address(seed) for seed in settings.peers],
+            ),
+            configuration=ConfigBook(check_document_text, settings.membership, now_s),
+            directory=UpstreamDirectory(),
+            metrics=Metrics(settings.instance_id, settings.zone, Gauges),
+            wall_offset_s=time.time() - now_s,
+        )
+
+
+def _new_incarnation(instance: InstanceId, rng: random.Random) -> IncarnationId:
+    return IncarnationId(f"{instance}.{rng.getrandbits(48):012x}")
+
+
+def _seed_address(seed: PeerSeed) -> PeerAddress:
+    return PeerAddress(InstanceId(seed.instance), seed.address)
+
+
+def _peer_info(settings: NodeSettings, incarnation: IncarnationId) -> PeerInfo:
+    return PeerInfo(
+        instance=settings.instance_id,
+        incarnation=incarnation,
+        generation=int(time.time()),
+        address=settings.listen.peers,
+        callers_address=settings.listen.callers,
+        zone=settings.zone,
+        region=settings.region,
+        roles=settings.roles,
+    )
+
+
+Handlers = dict[type[Any], list[MessageHandler]]
+
+
+def _handlers(controllers: list[Controller]) -> Handlers:
+    """Return all message handlers by message type; a message may have several."""
+    found: Handlers = {}
+    for controller in controllers:
+        for message_type, handler in controller.handlers().items():
+            found.setdefault(message_type, []).append(handler)
+    return found
+
+
+def _dispatch(handlers: Handlers, sender: InstanceId, message: Any) -> None:
+    for handler in handlers.get(type(message), []):
+        handler(sender, message)
+
+
+async def _deliver_local(context: NodeContext, handlers: Handlers) -> None:
+    while True:
+        for message in await context.take_local():
+            _dispatch(handlers, context.instance, message)
+
+
+def _drop(sender: InstanceId, message: Any) -> None:
+    """Take a message that came before the node's controllers were there."""
--- /dev/null
+++ b/lentilchute/node_context.py
@@ -0,0 +1,145 @@
+"""What the controllers of one node share: its settings, names, clock, platform and messages.
+
+Controllers are registered by decorator for a role. Each says which messages it takes, and a message
+for this node's own instance goes the same way as one from a peer.
+"""
+
+import random
+from collections import deque
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol, TypeVar
+
+import trio
+
+from .checked_yaml import load_document
+from .configuration import ConfigBook
+from .document import ServiceDocument
+from .ids import AvailabilityZone, IncarnationId, InstanceId, ServiceName, UpstreamId
+from .membership import Membership
+from .metrics import Metrics
+from .peer_links import PeerLinks
+from .peers import PeerChange
+from .platform import Platform
+from .settings import NodeSettings, Role
+from .upstream_directory import UpstreamDirectory
+
+MessageHandler = Callable[[InstanceId, Any], None]
+
+
+class Controller(Protocol):
+    """One of a node's controllers."""
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        """Return the messages that this controller takes, with what takes them."""
+        ...
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        ...
+
+
+@dataclass(slots=True)
+class NodeContext:
+    """The parts of a node that its controllers share."""
+
+    settings: NodeSettings
+    incarnation: IncarnationId
+    rng: random.Random
+    platform: Platform
+    links: PeerLinks
+    membership: Membership
+    configuration: ConfigBook
+    directory: UpstreamDirectory
+    metrics: Metrics
+    wall_offset_s: float = 0.0
+    """What the wall clock shows beyond ``now_s``; it only dates records."""
+    stopping: trio.Event = field(default_factory=trio.Event)
+    document_listeners: list[Callable[[ServiceName, ServiceDocument], None]] = field(
+        default_factory=list
+    )
+    peer_listeners: list[Callable[[PeerChange], None]] = field(default_factory=list)
+    upstream_listeners: list[Callable[[UpstreamId], None]] = field(default_factory=list)
+    _local: deque[Any] = field(default_factory=deque)
+    _local_wake: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def instance(self) -> InstanceId:
+        """This node's instance."""
+        return self.settings.instance_id
+
+    @property
+    def zone(self) -> AvailabilityZone:
+        """This node's availability zone."""
+        return self.settings.zone
+
+    def now_s(self) -> float:
+        """Return the time on this process's clock."""
+        return trio.current_time()
+
+    def post(self, instance: InstanceId, message: object) -> None:
+        """Send a message to an instance, which may be this one; it may be lost."""
+        if instance == self.instance:
+            self._local.append(message)
+            self._local_wake.set()
+            return
+        address = self.membership.address_of(instance)
+        if address is not None:
+            self.links.send(instance, address, message)
+
+    def broadcast(self, message: object) -> None:
+        """Send a message to all peers that may still answer."""
+        for info in self.membership.present():
+            self.links.send(info.instance, info.address, message)
+
+    async def take_local(self) -> list[Any]:
+        """Wait for messages that this node posted to itself, and return them."""
+        if not self._local:
+            self._local_wake = trio.Event()
+            await self._local_wake.wait()
+        messages = list(self._local)
+        self._local.clear()
+        return messages
+
+
+Factory = Callable[[NodeContext], Controller]
+Added = TypeVar("Added", bound=Callable[..., Any])
+
+_factories: list[tuple[Role | None, Factory]] = []
+
+
+def node_controller(role: Role | None) -> Callable[[Added], Added]:
+    """Register a controller class for the nodes that have ``role``; for all with ``None``."""
+
+    def add(factory: Added) -> Added:
+        _factories.append((role, factory))
+        return factory
+
+    return add
+
+
+def controllers_for(context: NodeContext) -> list[Controller]:
+    """Return new controllers for the roles that the settings name."""
+    roles = set(context.settings.roles)
+    return [factory(context) for role, factory in _factories if role is None or role in roles]
+
+
+def check_document_text(service: ServiceName, text: str) -> Any:
+    """Parse and check a service document; the error is one line for the log."""
+    loaded = load_document(text, f"{service}.yaml")
+    return loaded.map_err(lambda findings: "; ".join(str(finding) for finding in findings))
+
+
+async def repeat(interval_s: float, action: Callable[[], Awaitable[None] | None]) -> None:
+    """Call ``action`` at once and then at the interval, for ever."""
+    while True:
+        result = action()
+        if result is not None:
+            await result
+        await trio.sleep(interval_s)
+
+
+async def wait_until(is_done: Callable[[], bool], interval_s: float) -> None:
+    """Wait until ``is_done`` says so; for states that nothing announces."""
+    while not is_done():  # noqa: ASYNC110
+        await trio.sleep(interval_s)
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -162,19 +162,25 @@
   2: list<PoisonVerdict> verdicts
 }
 
-struct UpstreamNotice {
-  1: string upstream
-  2: string state
+struct ClaimQuery {
+  1: string claimant
+  2: string key
+  3: string token
 }
 
-struct StatusRequest {
+struct ClaimQuestion {
   1: i64 query_id
-  2: string asker
+  2: ClaimQuery query
 }
 
-struct StatusReply {
+struct ClaimReply {
   1: i64 query_id
-  2: string body
+  2: string state
+}
+
+struct UpstreamNotice {
+  1: string upstream
+  2: string state
 }
 
 struct PeerMessage {
@@ -194,8 +200,8 @@
   14: optional PoisonNotice poison_notice
   15: optional SchedulerAck scheduler_ack
   16: optional UpstreamNotice upstream_notice
-  17: optional StatusRequest status_request
-  18: optional StatusReply status_reply
+  17: optional ClaimQuestion claim_question
+  18: optional ClaimReply claim_reply
 }
 
 struct Hello {
--- /dev/null
+++ b/lentilchute/scheduler_controller.py
@@ -0,0 +1,307 @@
+"""Controller that schedules the shards whose entries send their tickets to this node."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from .document import ServiceDocument
+from .events import Event, log_event
+from .ids import InstanceId, ServiceName, UpstreamId, shard_id
+from .messages import (
+    Declined,
+    Dispatched,
+    Ended,
+    GrantNotice,
+    PoisonNotice,
+    Progress,
+    Refresh,
+    RefreshRequest,
+    RefusalNotice,
+    SchedulerAck,
+    Submit,
+    Withdraw,
+)
+from .node_context import MessageHandler, NodeContext, node_controller
+from .peers import PeerChange, PeerChangeKind
+from .scheduler import ShardScheduler
+from .settings import Role
+from .shard_status import ShardStatus
+from .tickets import Decision, Grant, Refusal
+
+ACK_INTERVAL_S = 0.1
+REPORT_INTERVAL_S = 1.0
+UNUSED_LIMIT_S = 60.0
+"""A shard that no entry has spoken of for this long is dropped."""
+
+
+@dataclass(slots=True)
+class HostedShard:
+    """A shard scheduled here."""
+
+    service: ServiceName
+    scheduler: ShardScheduler
+    used_s: float
+    cache_sequence: dict[UpstreamId, int] = field(default_factory=dict)
+
+
+@node_controller(Role.SCHEDULER)
+class SchedulerController:
+    """Drives one ``ShardScheduler`` for each service that entries turn to this node for."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._shards: dict[ServiceName, HostedShard] = {}
+        self._owed_acks: set[tuple[InstanceId, ServiceName]] = set()
+        self._wake = trio.Event()
+        context.document_listeners.append(self._on_document)
+        context.upstream_listeners.append(self._on_upstream)
+        context.peer_listeners.append(self._on_peer_change)
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {
+            Submit: self._on_submit,
+            Withdraw: self._on_withdraw,
+            Dispatched: self._on_dispatched,
+            Progress: self._on_progress,
+            Ended: self._on_ended,
+            Declined: self._on_declined,
+            Refresh: self._on_refresh,
+            PoisonNotice: self._on_poison,
+        }
+
+    def statuses(self) -> list[ShardStatus]:
+        """Return the state of the shards scheduled here."""
+        now_s = self._context.now_s()
+        return [hosted.scheduler.status(now_s) for hosted in self._shards.values()]
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll_upstreams)
+            nursery.start_soon(self._send_acks)
+            while True:
+                self._tick()
+                await self._sleep()
+
+    # Time.
+
+    def _tick(self) -> None:
+        now_s = self._context.now_s()
+        for service, hosted in list(self._shards.items()):
+            if now_s - hosted.used_s > UNUSED_LIMIT_S:
+                del self._shards[service]
+            elif hosted.scheduler.next_tick_s() <= now_s:
+                self._deliver(hosted, hosted.scheduler.tick(now_s))
+
+    async def _sleep(self) -> None:
+        times = [hosted.scheduler.next_tick_s() for hosted in self._shards.values()]
+        due_s = min(times, default=trio.current_time() + UNUSED_LIMIT_S)
+        pause_s = min(max(due_s - trio.current_time(), 0.001), UNUSED_LIMIT_S)
+        self._wake = trio.Event()
+        with trio.move_on_after(pause_s):
+            await self._wake.wait()
+
+    async def _send_acks(self) -> None:
+        while True:
+            await trio.sleep(ACK_INTERVAL_S)
+            owed, self._owed_acks = self._owed_acks, set()
+            for entry, service in owed:
+                self._context.post(entry, SchedulerAck(service))
+
+    # Entries.
+
+    def _on_submit(self, sender: InstanceId, message: Submit) -> None:
+        hosted = self._shard(message.ticket.service, sender)
+        if hosted is not None:
+            self._deliver(hosted, hosted.scheduler.submit(message.ticket, self._context.now_s()))
+
+    def _on_withdraw(self, sender: InstanceId, message: Withdraw) -> None:
+        hosted = self._shards.get(message.service)
+        if hosted is not None:
+            now_s = self._context.now_s()
+            self._deliver(hosted, hosted.scheduler.withdraw(message.request_id, now_s))
+
+    def _on_dispatched(self, sender: InstanceId, message: Dispatched) -> None:
+        hosted = self._shards.get(message.service)
+        if hosted is not None:
+            decisions = hosted.scheduler.dispatched(
+                message.request_id, message.attempt, message.upstream, self._context.now_s()
+            )
+            self._deliver(hosted, decisions)
+
+    def _on_progress(self, sender: InstanceId, message: Progress) -> None:
+        hosted = self._shards.get(message.service)
+        if hosted is not None:
+            now_s = self._context.now_s()
+            for line in message.lines:
+                hosted.scheduler.progress(line.request_id, line.output_tokens, now_s)
+            # Progress frees prompt room, which a waiting ticket may use.
+            self._deliver(hosted, hosted.scheduler.tick(now_s))
+
+    def _on_ended(self, sender: InstanceId, message: Ended) -> None:
+        hosted = self._shards.get(message.service)
+        if hosted is not None:
+            decisions = hosted.scheduler.ended(
+                message.request_id, message.end, message.cached_prompt_tokens, self._context.now_s()
+            )
+            self._deliver(hosted, decisions)
+
+    def _on_declined(self, sender: InstanceId, message: Declined) -> None:
+        hosted = self._shards.get(message.service)
+        if hosted is not None:
+            decisions = hosted.scheduler.declined(
+                message.request_id, message.attempt, self._context.now_s()
+            )
+            self._deliver(hosted, decisions)
+
+    def _on_refresh(self, sender: InstanceId, message: Refresh) -> None:
+        is_empty = not message.waiting and not message.in_flight
+        if is_empty and message.service not in self._shards:
+            return
+        hosted = self._shard(message.service, sender)
+        if hosted is not None:
+            decisions = hosted.scheduler.refresh(
+                message.entry,
+                list(message.waiting),
+                list(message.in_flight),
+                self._context.now_s(),
+            )
+            self._deliver(hosted, decisions)
+
+    def _on_poison(self, sender: InstanceId, message: PoisonNotice) -> None:
+        hosted = self._shards.get(message.service)
+        if hosted is not None:
+            for verdict in message.verdicts:
+                decisions = hosted.scheduler.learn_verdict(verdict, self._context.now_s())
+                self._deliver(hosted, decisions, share=False)
+
+    # Shards.
+
+    def _shard(self, service: ServiceName, sender: InstanceId) -> HostedShard | None:
+        """Return the shard that an entry speaks of, made when it is new, and owe it an answer."""
+        hosted = self._shards.get(service) or self._open(service)
+        if hosted is not None:
+            hosted.used_s = self._context.now_s()
+            self._owed_acks.add((sender, service))
+        return hosted
+
+    def _open(self, service: ServiceName) -> HostedShard | None:
+        context = self._context
+        document = context.configuration.document(service)
+        if document is None:
+            return None
+        now_s = context.now_s()
+        scheduler = ShardScheduler(
+            shard_id(service), document, context.settings.scheduler, context.rng, now_s
+        )
+        hosted = HostedShard(service, scheduler, now_s)
+        self._shards[service] = hosted
+        for known in context.directory.of_service(service):
+            self._update_upstream(hosted, known.upstream.upstream)
+        for info in context.membership.present():
+            context.post(info.instance, RefreshRequest(service))
+        context.post(context.instance, RefreshRequest(service))
+        return hosted
+
+    def _on_document(self, service: ServiceName, document: ServiceDocument) -> None:
+        hosted = self._shards.get(service)
+        if hosted is not None:
+            self._deliver(hosted, hosted.scheduler.configure(document, self._context.now_s()))
+
+    def _on_upstream(self, upstream: UpstreamId) -> None:
+        for hosted in self._shards.values():
+            self._update_upstream(hosted, upstream)
+
+    def _update_upstream(self, hosted: HostedShard, upstream: UpstreamId) -> None:
+        """Bring one upstream of a shard in line with the directory."""
+        now_s = self._context.now_s()
+        known = self._context.directory.get(upstream)
+        if known is None or known.service != hosted.service:
+            self._deliver(hosted, hosted.scheduler.remove_upstream(upstream, now_s))
+            return
+        if self._context.directory.is_leaving(upstream):
+            self._deliver(hosted, hosted.scheduler.mark_leaving(upstream, now_s))
+            log_event(Event.UPSTREAM_LEAVING, service=hosted.service, upstream=upstream)
+            return
+        decisions = hosted.scheduler.add_upstream(known.upstream, known.group, now_s)
+        self._deliver(hosted, decisions)
+        log_event(Event.UPSTREAM_ADDED, service=hosted.service, upstream=upstream)
+
+    def _on_peer_change(self, change: PeerChange) -> None:
+        if change.kind is not PeerChangeKind.GONE:
+            return
+        for hosted in self._shards.values():
+            now_s = self._context.now_s()
+            self._deliver(hosted, hosted.scheduler.forget_entry(change.info.instance, now_s))
+
+    # Upstreams' own words.
+
+    async def _poll_upstreams(self) -> None:
+        while True:
+            await trio.sleep(REPORT_INTERVAL_S)
+            async with trio.open_nursery() as nursery:
+                for hosted in list(self._shards.values()):
+                    for known in self._context.directory.of_service(hosted.service):
+                        if known.group.reports_load:
+                            nursery.start_soon(self._poll_one, hosted, known.upstream.upstream)
+
+    async def _poll_one(self, hosted: HostedShard, upstream: UpstreamId) -> None:
+        adapter = self._context.directory.adapter(upstream)
+        if adapter is None:
+            return
+        report = await adapter.load()
+        if report.is_ok():
+            decisions = hosted.scheduler.load_report(report.unwrap(), self._context.now_s())
+            self._deliver(hosted, decisions)
+        else:
+            log_event(Event.UPSTREAM_REPORT_FAILED, upstream=upstream, reason=report.unwrap_err())
+        after = hosted.cache_sequence.get(upstream, 0)
+        events = (await adapter.cache_events(after)).unwrap_or([])
+        if events:
+            hosted.cache_sequence[upstream] = events[-1].sequence
+            hosted.scheduler.cache_events(events, self._context.now_s())
+
+    # Decisions.
+
+    def _deliver(
+        self, hosted: HostedShard, decisions: list[Decision], *, share: bool = True
+    ) -> None:
+        for decision in decisions:
+            if isinstance(decision, Grant):
+                self._send_grant(hosted, decision)
+            else:
+                self._send_refusal(hosted, decision)
+        verdicts = hosted.scheduler.take_verdicts()
+        if verdicts and share:
+            self._context.broadcast(PoisonNotice(hosted.service, tuple(verdicts)))
+        for verdict in verdicts:
+            log_event(
+                Event.POISON_VERDICT,
+                service=hosted.service,
+                fingerprint=verdict.fingerprint,
+                state=verdict.state,
+                crashes=verdict.crashes,
+            )
+        self._wake.set()
+
+    def _send_grant(self, hosted: HostedShard, grant: Grant) -> None:
+        log_event(
+            Event.ROUTE_GRANTED,
+            service=hosted.service,
+            request_id=grant.request_id,
+            attempt=grant.attempt,
+            upstream=grant.upstream,
+            reason=grant.reason,
+        )
+        self._context.post(grant.entry, GrantNotice(hosted.service, grant))
+
+    def _send_refusal(self, hosted: HostedShard, refusal: Refusal) -> None:
+        log_event(
+            Event.ROUTE_REFUSED,
+            service=hosted.service,
+            request_id=refusal.request_id,
+            reason=refusal.reason,
+            retry_after_s=round(refusal.retry_after_s, 2),
+        )
+        self._context.post(refusal.entry, RefusalNotice(hosted.service, refusal))
--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -15,6 +15,7 @@
 from .registry import registered_commands
 
 COMMAND_MODULES = (
+    "serve",
     "check",
     "standin",
 )  # fmt: skip
--- /dev/null
+++ b/lentilchute/upstream_directory.py
@@ -0,0 +1,116 @@
+"""The upstreams of each service that this node knows, with their states and adapters.
+
+Members come from the service documents and, by selector, from the platform's list. Free of I/O but
+for the adapters it keeps.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from .document import ServiceDocument, UpstreamGroup
+from .ids import ServiceName, UpstreamId
+from .platform import ListedInstance
+from .upstreams import Upstream, UpstreamAdapter, adapter_for
+
+
+class UpstreamState(Enum):
+    """Whether an upstream takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class KnownUpstream:
+    """An upstream with the group that it belongs to."""
+
+    service: ServiceName
+    upstream: Upstream
+    group: UpstreamGroup
+
+
+class UpstreamDirectory:
+    """Upstreams by service; changes are returned so that listeners can be told."""
+
+    def __init__(self) -> None:
+        self._documents: dict[ServiceName, ServiceDocument] = {}
+        self._listed: list[ListedInstance] = []
+        self._known: dict[UpstreamId, KnownUpstream] = {}
+        self._states: dict[UpstreamId, UpstreamState] = {}
+        self._adapters: dict[UpstreamId, UpstreamAdapter] = {}
+
+    def set_document(self, service: ServiceName, document: ServiceDocument) -> list[UpstreamId]:
+        """Take a document in force; return the upstreams added, changed or removed."""
+        self._documents[service] = document
+        return self._rebuild()
+
+    def set_listed(self, listed: list[ListedInstance]) -> list[UpstreamId]:
+        """Take the platform's list; return the upstreams added, changed or removed."""
+        self._listed = listed
+        return self._rebuild()
+
+    def of_service(self, service: ServiceName) -> list[KnownUpstream]:
+        """Return a service's upstreams."""
+        return [known for known in self._known.values() if known.service == service]
+
+    def get(self, upstream: UpstreamId) -> KnownUpstream | None:
+        """Return an upstream, or ``None`` when it is unknown or gone."""
+        return self._known.get(upstream)
+
+    def services(self) -> list[ServiceName]:
+        """Return the services that have a document in force."""
+        return sorted(self._documents)
+
+    def is_leaving(self, upstream: UpstreamId) -> bool:
+        """Tell whether an upstream gets no new work."""
+        return self._states.get(upstream) is UpstreamState.LEAVING
+
+    def set_state(self, upstream: UpstreamId, state: UpstreamState) -> bool:
+        """Set an upstream's state; return whether it changed."""
+        before = self._states.get(upstream, UpstreamState.LIVE)
+        self._states[upstream] = state
+        return before is not state
+
+    def adapter(self, upstream: UpstreamId) -> UpstreamAdapter | None:
+        """Return the adapter of a known upstream, made at its first use."""
+        known = self._known.get(upstream)
+        if known is None:
+            return None
+        if upstream not in self._adapters:
+            self._adapters[upstream] = adapter_for(known.upstream)
+        return self._adapters[upstream]
+
+    def _rebuild(self) -> list[UpstreamId]:
+        wanted = {known.upstream.upstream: known for known in self._wanted()}
+        changed = [
+            upstream
+            for upstream in wanted.keys() | self._known.keys()
+            if wanted.get(upstream) != self._known.get(upstream)
+        ]
+        for upstream in changed:
+            before, after = self._known.get(upstream), wanted.get(upstream)
+            if before and (after is None or after.upstream != before.upstream):
+                self._adapters.pop(upstream, None)
+        self._known = wanted
+        return sorted(changed)
+
+    def _wanted(self) -> list[KnownUpstream]:
+        found = []
+        for service, document in sorted(self._documents.items()):
+            for group in document.upstreams:
+                found += [
+                    KnownUpstream(service, upstream, group) for upstream in self._members(group)
+                ]
+        return found
+
+    def _members(self, group: UpstreamGroup) -> list[Upstream]:
+        named = [
+            Upstream(UpstreamId(entry.name), entry.address, entry.availability_zone, group.kind)
+            for entry in group.members
+        ]
+        selected = [
+            Upstream(UpstreamId(listed.name), listed.address, listed.zone, group.kind)
+            for listed in self._listed
+            if group.selector is not None and listed.kind == group.selector
+        ]
+        return named + selected
--- /dev/null
+++ b/test/processes.py
@@ -0,0 +1,211 @@
+"""Starts nodes and stand-ins as processes on loopback, for tests that need real ones."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from lentilchute.configuration_apply import ApplyState, DocumentChange
+from lentilchute.document_changes import apply_change
+from lentilchute.http_client import ClientRequest, HttpAnswer, HttpClient
+from lentilchute.ids import DocumentVersion, ServiceName
+from lentilchute.platform_http import HttpPlatform
+from lentilchute.settings import PlatformSettings
+
+ROOT = Path(__file__).parent.parent
+SHARED_KEY = "a-shared-key-for-tests"
+ACCOUNT_KEY = "key-of-sfax"
+START_TIMEOUT_S = 20.0
+POLL_S = 0.02
+
+
+def free_address() -> str:
+    """Return a loopback address whose port was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@dataclass
+class Deployment:
+    """Processes of one test; leaving the block ends them."""
+
+    directory: Path
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    """Callers' address of each node, and the address of each stand-in."""
+    operators: dict[str, str] = field(default_factory=dict)
+    _peers: dict[str, str] = field(default_factory=dict)
+
+    def __enter__(self) -> "Deployment":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def standin(self, name: str, kind: str, *arguments: str) -> None:
+        """Start a stand-in; ``wait_for`` waits until it listens."""
+        address = self.addresses.setdefault(name, free_address())
+        self._start(name, "standin", kind, "--listen", address, *arguments)
+
+    def wait_for(self, *names: str) -> None:
+        """Wait until these processes listen."""
+        for name in names:
+            wait_for_port(self.addresses[name])
+
+    def nodes(self, zones: dict[str, str]) -> None:
+        """Start a node for each name, each in its zone."""
+        for name in zones:
+            self.addresses[name] = free_address()
+            self.operators[name] = free_address()
+            self._peers[name] = free_address()
+        for name, zone in zones.items():
+            self.start_node(name, zone)
+        self.wait_for(*zones)
+
+    def start_node(self, name: str, zone: str) -> None:
+        """Start one node, or start it anew at its addresses."""
+        platform = self.addresses["platform"]
+        settings = {
+            "instance": name,
+            "availability_zone": zone,
+            "listen": {
+                "callers": self.addresses[name],
+                "peers": self._peers[name],
+                "operators": self.operators[name],
+            },
+            "peers": [
+                {"instance": peer, "address": address}
+                for peer, address in self._peers.items()
+                if peer != name
+            ],
+            "platform": {"table": platform, "objects": platform, "instances": platform},
+            "shared_key": SHARED_KEY,
+            "entry": {"answer_lifetime_s": 1.0},
+        }
+        # JSON is YAML.
+        path = self.directory / f"{name}.yaml"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        log = self.directory / f"{name}.log"
+        self._start(name, "serve", "--settings", str(path), "--log", str(log))
+
+    def stop(self, name: str, timeout_s: float = 30.0) -> int:
+        """Ask a process for a planned stop and return its exit code."""
+        self.processes[name].send_signal(signal.SIGTERM)
+        return self.processes[name].wait(timeout_s)
+
+    def kill(self, name: str) -> None:
+        """End a process without warning."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def log_lines(self, name: str) -> list[dict[str, Any]]:
+        """Return a node's log."""
+        text = (self.directory / f"{name}.log").read_text(encoding="utf-8")
+        return [json.loads(line) for line in text.splitlines()]
+
+    def _start(self, name: str, *arguments: str) -> None:
+        output = (self.directory / f"{name}.out").open("ab")
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        command = [sys.executable, "-m", "lentilchute", *arguments]
+        self.processes[name] = subprocess.Popen(
+            command, cwd=ROOT, stdout=output, stderr=output, env=environment
+        )
+        output.close()
+
+
+def wait_for_port(address: str) -> None:
+    """Wait until something listens at an address."""
+    host, port = address.split(":")
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        with socket.socket() as probe:
+            if probe.connect_ex((host, int(port))) == 0:
+                return
+        time.sleep(POLL_S)
+    raise TimeoutError(f"nothing listens at {address}")
+
+
+def service_document(service: str, kind: str, upstreams: dict[str, str], **more: Any) -> str:
+    """Return the text of a service document with three tiers and one client account."""
+    members = [
+        {"name": name, "address": address, "availability_zone": "tunis-a"}
+        for name, address in upstreams.items()
+    ]
+    document = {
+        "service": service,
+        "upstreams": [{"kind": kind, "members": members, "initial_decode_tokens_per_s": 200}],
+        "tiers": [{"name": "signing"}, {"name": "summary"}, {"name": "sorting"}],
+        "client_accounts": [
+            {"name": "sfax", "key_sha256": sha256(ACCOUNT_KEY.encode()).hexdigest()}
+        ],
+        **more,
+    }
+    return json.dumps(document)
+
+
+async def put_document(platform: str, service: str, text: str, version: int = 0) -> None:
+    """Accept a document as the one after ``version``."""
+    adapter = HttpPlatform(PlatformSettings(table=platform, objects=platform, instances=platform))
+    change = DocumentChange(
+        service=ServiceName(service),
+        expected_version=DocumentVersion(version),
+        change_id=f"{service}-{version + 1:08}",
+        author="test",
+        text=text,
+    )
+    operation = await apply_change(adapter.table, change, 10.0)
+    assert operation.state is ApplyState.ACCEPTED
+    await adapter.aclose()
+
+
+async def call(
+    address: str,
+    path: str,
+    body: dict[str, Any] | None = None,
+    *,
+    tier: str = "signing",
+    key: str | None = None,
+    method: str = "POST",
+    bearer: str = ACCOUNT_KEY,
+    deadline_s: float = 20.0,
+    request_id: str | None = None,
+) -> HttpAnswer:
+    """Send one request to an entry and return its whole answer; fails when there is none."""
+    headers = [
+        ("authorization", f"Bearer {bearer}"),
+        ("lentilchute-tier", tier),
+        ("lentilchute-deadline-s", str(deadline_s)),
+        ("content-type", "application/json"),
+    ]
+    if request_id is not None:
+        headers.append(("x-request-id", request_id))
+    if key is not None:
+        headers.append(("idempotency-key", key))
+    client = HttpClient(address)
+    data = b"" if body is None else json.dumps(body).encode()
+    answer = await client.call(ClientRequest(method, path, tuple(headers), data))
+    await client.aclose()
+    return answer.unwrap()
+
+
+async def wait_ready(address: str, path: str, bearer: str = ACCOUNT_KEY) -> None:
+    """Wait until an entry knows a service: its answer is neither 404 nor not-ready."""
+    with trio.fail_after(START_TIMEOUT_S):
+        while True:
+            answer = await call(address, path, method="GET", bearer="wrong")
+            if answer.status == 401:
+                return
+            await trio.sleep(POLL_S)
--- /dev/null
+++ b/test/test_whole_path.py
@@ -0,0 +1,139 @@
+"""Separate processes: three nodes, four engines, a plain service and the platform."""
+
+import itertools
+import json
+from pathlib import Path
+
+import pytest
+import trio
+from processes import Deployment, call, put_document, service_document, wait_ready
+
+from lentilchute.http_client import HttpAnswer
+from lentilchute.http_messages import header_value
+
+ZONES = {"entry-1": "tunis-a", "entry-2": "tunis-b", "entry-3": "bizerte"}
+ENGINES = [f"engine-{number}" for number in range(1, 5)]
+DIRECT_IDS = itertools.count()
+CHAT = "/services/drafters/v1/chat/completions"
+BOOK = "/services/agenda/bookings"
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory: pytest.TempPathFactory):  # type: ignore[no-untyped-def]
+    """Start everything once, with the two services' documents in force on all nodes."""
+    with Deployment(Path(tmp_path_factory.mktemp("nodes"))) as running:
+        running.standin("platform", "platform")
+        for number, engine in enumerate(ENGINES):
+            rate = str(400 + 400 * (number % 3))
+            running.standin(engine, "engine", "--decode-tokens-per-s", rate, "--name", engine)
+        running.standin("agenda-1", "plain")
+        trio.run(_accept_documents, running)
+        running.nodes(ZONES)
+        trio.run(_wait_all_ready, running)
+        yield running
+
+
+async def _accept_documents(running: Deployment) -> None:
+    engines = {engine: running.addresses[engine] for engine in ENGINES}
+    text = service_document("drafters", "engine", engines)
+    await put_document(running.addresses["platform"], "drafters", text)
+    agenda = {"agenda-1": running.addresses["agenda-1"]}
+    rules = [{"pattern": "/bookings", "idempotent": False}]
+    text = service_document("agenda", "plain", agenda, paths=rules)
+    await put_document(running.addresses["platform"], "agenda", text)
+
+
+async def _wait_all_ready(running: Deployment) -> None:
+    for entry in ZONES:
+        await wait_ready(running.addresses[entry], CHAT)
+        await wait_ready(running.addresses[entry], BOOK)
+
+
+def prompt(text: str, *, stream: bool) -> dict[str, object]:
+    return {
+        "model": "model",
+        "stream": stream,
+        "max_tokens": 24,
+        "messages": [{"role": "user", "content": text}],
+    }
+
+
+async def direct(running: Deployment, body: dict[str, object]) -> bytes:
+    """Return an engine's own answer to the same content."""
+    own_id = f"direct/{next(DIRECT_IDS)}"
+    path = "/v1/chat/completions"
+    answer = await call(running.addresses["engine-1"], path, body, request_id=own_id)
+    return content_of(answer.body)
+
+
+def content_of(body: bytes) -> bytes:
+    """Return the text of a streamed or plain completion."""
+    if not body.startswith(b"{"):
+        events = [line[6:] for line in body.split(b"\n") if line.startswith(b"data: ")]
+        assert events[-1] == b"[DONE]"
+        deltas = [json.loads(event)["choices"][0] for event in events[:-1]]
+        return "".join(delta["delta"].get("content", "") for delta in deltas).encode()
+    return str(json.loads(body)["choices"][0]["message"]["content"]).encode()
+
+
+def test_answers_of_all_tiers_through_all_entries_are_whole(deployment: Deployment) -> None:
+    answers: dict[tuple[str, str, bool], tuple[HttpAnswer, bytes]] = {}
+
+    async def one(entry: str, tier: str, stream: bool) -> None:
+        body = prompt(f"deed of {entry} for {tier}", stream=stream)
+        answer = await call(deployment.addresses[entry], CHAT, body, tier=tier)
+        answers[entry, tier, stream] = answer, await direct(deployment, body)
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            for entry in ZONES:
+                for tier in ("signing", "summary", "sorting"):
+                    for stream in (True, False):
+                        nursery.start_soon(one, entry, tier, stream)
+
+    trio.run(main)
+    assert len(answers) == 18
+    for answer, expected in answers.values():
+        assert answer.status == 200
+        assert header_value(answer.headers, "lentilchute-outcome") == "ran"
+        assert content_of(answer.body) == expected
+
+
+def test_a_booking_sent_again_to_another_entry_runs_once(deployment: Deployment) -> None:
+    async def main() -> tuple[HttpAnswer, HttpAnswer, HttpAnswer]:
+        booking = {"notary": "Sfax", "hour": 9}
+        first = await call(deployment.addresses["entry-1"], BOOK, booking, key="heirs-1")
+        again = await call(deployment.addresses["entry-2"], BOOK, booking, key="heirs-1")
+        record = await call(deployment.addresses["agenda-1"], "/record", method="GET")
+        return first, again, record
+
+    first, again, record = trio.run(main)
+    assert first.status == 200, first.body
+    assert (again.status, again.body) == (first.status, first.body)
+    assert len(json.loads(record.body)["received"]) == 1
+
+
+def test_callers_learn_which_entries_to_use(deployment: Deployment) -> None:
+    answer = trio.run(lambda: call(deployment.addresses["entry-2"], "/entries", method="GET"))
+    named = json.loads(answer.body)
+    assert {entry["instance"] for entry in named["entries"]} == set(ZONES)
+    assert named["entries"][0]["availability_zone"] == "tunis-b"
+    assert named["keep_s"] == 1.0
+
+
+@pytest.mark.parametrize(
+    ("path", "bearer", "body", "status"),
+    [
+        ("/services/unknown/v1/chat/completions", "key-of-sfax", {}, 404),
+        (CHAT, "wrong", {}, 401),
+        (CHAT, "key-of-sfax", {"messages": 3}, 400),
+        (BOOK, "key-of-sfax", {}, 400),
+    ],
+)
+def test_bad_input_gets_its_error_and_says_not_run(
+    deployment: Deployment, path: str, bearer: str, body: dict[str, object], status: int
+) -> None:
+    answer = trio.run(lambda: call(deployment.addresses["entry-1"], path, body, bearer=bearer))
+    assert answer.status == status
+    assert header_value(answer.headers, "lentilchute-outcome") == "not-run"
+    assert int(header_value(answer.headers, "retry-after") or 0) >= 1
