--- a/lentilchute/http_connection.py
+++ b/lentilchute/http_connection.py
@@ -19,7 +19,7 @@
     RequestHead,
     input_error,
 )
-from .http_responder import Responder
+from .http_responder import Responder, headers_without_framing
 
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
@@ -237,7 +237,9 @@
             return
         # The handler may have dispatched the request before it failed.
         headers = (JSON_HEADER, (OUTCOME_HEADER, "may-have-run"))
-        await responder.answer(500, headers, error_body("internal", "the request failed"))
+        await responder.answer(
+            500, headers, error_body("internal", "the request failed", "may-have-run")
+        )
 
     async def _answer_error(self, error: InputError) -> None:
         refusal = error.refusal
@@ -245,7 +247,7 @@
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         length = ("content-length", str(len(refusal.body)))
-        headers = (*refusal.headers, length, ("connection", "close"))
+        headers = (*headers_without_framing(refusal.headers), length, ("connection", "close"))
         head = h11.Response(status_code=refusal.status, headers=to_wire(headers))
         parts: list[h11.Event] = [head, h11.EndOfMessage()]
         if not self._is_head_method:
--- a/lentilchute/http_messages.py
+++ b/lentilchute/http_messages.py
@@ -1,6 +1,7 @@
 """Types and helpers that both sides of HTTP/1.1 share."""
 
 import json
+from typing import Any
 
 from .errors import UserError
 
@@ -56,9 +57,13 @@
     return tuple((name.decode("ascii"), value.decode("latin-1")) for name, value in headers)
 
 
-def error_body(reason: str, message: str) -> bytes:
-    """Return the JSON body of an error answer: ``{"error": {"type", "message"}}``."""
-    return json.dumps({"error": {"type": reason, "message": message}}).encode()
+def error_body(reason: str, message: str, outcome: str | None = None) -> bytes:
+    """Return the JSON body of an error answer, in the shape that callers get refusals in."""
+    error: dict[str, Any] = {"type": reason}
+    if outcome is not None:
+        error["outcome"] = outcome
+    error["findings"] = [{"field": "request", "message": message}]
+    return json.dumps({"error": error}).encode()
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/lentilchute/http_requests.py
+++ b/lentilchute/http_requests.py
@@ -86,7 +86,6 @@
 
 def input_error(status: int, reason: str, message: str) -> InputError:
     """Return the error for input that the server itself refuses; the request did not run."""
-    headers: Headers = (JSON_HEADER, (OUTCOME_HEADER, "not-run"))
-    if status == 503:
-        headers += ((RETRY_AFTER_HEADER, "1"),)
-    return InputError(HeadRefusal(status, headers, error_body(reason, message)), message)
+    headers = (JSON_HEADER, (OUTCOME_HEADER, "not-run"), (RETRY_AFTER_HEADER, "1"))
+    body = error_body(reason, message, "not-run")
+    return InputError(HeadRefusal(status, headers, body), message)
