Claim idempotency keys in the table

Each claim is a conditional write with a token of its own. A lost answer is read back; a read that shows nothing proves nothing, so the write is repeated under the same condition, or a release is written over what was seen, which moves the row's version on and bars the late copy. Claims are never taken over: the claimant is asked, and an unknown or gone claimant means may-have-run. Several claims share a transaction; after a conflict the rows are read and the others written again.

--- /dev/null
+++ b/lentilchute/claim_index.py
@@ -0,0 +1,84 @@
+"""The claims of one node, found by token, request, key and by what they need next."""
+
+from collections.abc import Iterator
+
+from .ids import RequestId
+from .key_claim import Intent, KeyClaim, Need
+
+
+class ClaimIndex:
+    """Keeps the look-ups together; a claim's intent and need change only through it."""
+
+    def __init__(self) -> None:
+        self._by_token: dict[str, KeyClaim] = {}
+        self._by_request: dict[RequestId, KeyClaim] = {}
+        self._by_key: dict[str, KeyClaim] = {}
+        self._by_need: dict[Need, dict[str, KeyClaim]] = {need: {} for need in Need}
+
+    def __iter__(self) -> Iterator[KeyClaim]:
+        return iter(list(self._by_token.values()))
+
+    def __contains__(self, claim: KeyClaim) -> bool:
+        return claim.token in self._by_token
+
+    def add(self, claim: KeyClaim) -> None:
+        """Add a claim that wants its key."""
+        self._by_token[claim.token] = claim
+        self._by_request[claim.request.request_id] = claim
+        self._by_key[claim.key] = claim
+        self._by_need[claim.need][claim.token] = claim
+
+    def remove(self, claim: KeyClaim) -> None:
+        """Forget a claim about which nothing remains to be done."""
+        self._drop_active(claim)
+        self._by_need[claim.need].pop(claim.token, None)
+        self._by_token.pop(claim.token, None)
+
+    def set_need(self, claim: KeyClaim, need: Need) -> None:
+        """Note what the claim needs next; it goes to the end of that queue."""
+        self._by_need[claim.need].pop(claim.token, None)
+        claim.need = need
+        self._by_need[need][claim.token] = claim
+
+    def set_intent(self, claim: KeyClaim, intent: Intent) -> None:
+        """Change what the claim is for; a released one no longer stands for its request."""
+        claim.intent = intent
+        if intent is Intent.RELEASE:
+            self._drop_active(claim)
+
+    def by_token(self, token: str) -> KeyClaim | None:
+        """Return the claim with this token."""
+        return self._by_token.get(token)
+
+    def by_request(self, request_id: RequestId) -> KeyClaim | None:
+        """Return the active claim of a request."""
+        return self._by_request.get(request_id)
+
+    def by_key(self, key: str) -> KeyClaim | None:
+        """Return the active claim of a key."""
+        return self._by_key.get(key)
+
+    def waiting(self, need: Need, now_s: float) -> list[KeyClaim]:
+        """Return the claims whose next operation is due and not in flight, the oldest first."""
+        claims = self._by_need[need].values()
+        return [
+            claim
+            for claim in claims
+            if claim.in_flight is Need.NOTHING and claim.not_before_s <= now_s
+        ]
+
+    def earliest_s(self, need: Need) -> float | None:
+        """Return when the first operation of a kind is due; ``None`` when there is none."""
+        claims = self._by_need[need].values()
+        times = [claim.not_before_s for claim in claims if claim.in_flight is Need.NOTHING]
+        return min(times, default=None)
+
+    def unresolved(self) -> int:
+        """Return the number of claims that wait for the table or for an answer."""
+        return len(self._by_token) - len(self._by_need[Need.NOTHING])
+
+    def _drop_active(self, claim: KeyClaim) -> None:
+        if self._by_request.get(claim.request.request_id) is claim:
+            del self._by_request[claim.request.request_id]
+        if self._by_key.get(claim.key) is claim:
+            del self._by_key[claim.key]
--- a/lentilchute/settings.py
+++ b/lentilchute/settings.py
@@ -101,6 +101,26 @@
     """Unchanged peers, taken in turn, that travel with one heartbeat at most."""
 
 
+class ClaimSettings(Part):
+    """Use of the table for idempotency keys."""
+
+    total_writes_per_s: Annotated[float, Field(gt=0)] = 150.0
+    """Transactions that all nodes together may commit for claims; each takes its share."""
+    total_reads_per_s: Annotated[float, Field(gt=0)] = 600.0
+    burst_operations: Annotated[int, Field(ge=1)] = 4
+    """Operations that an idle node may send at once."""
+    batch_claims: Annotated[int, Field(ge=1)] = 32
+    batch_bytes: Bytes = 131_072
+    max_outstanding: Annotated[int, Field(ge=1)] = 4
+    """Transactions, and as many reads, that wait for an answer at one time."""
+    max_unresolved: Annotated[int, Field(ge=1)] = 20_000
+    """Claims not yet settled at one node; further ones are refused at once."""
+    inline_answer_bytes: Annotated[int, Field(ge=0)] = 8_192
+    """Larger kept answers go to the object store."""
+    retention_s: Annotated[float, Field(ge=3_600)] = 604_800.0
+    """How long finished and released keys are remembered; unresolved ones stay for good."""
+
+
 class NodeSettings(Part):
     """Everything that one process needs to know before it starts."""
 
@@ -116,6 +136,7 @@
     entry: EntrySettings = EntrySettings()
     scheduler: SchedulerSettings = SchedulerSettings()
     membership: MembershipSettings = MembershipSettings()
+    claims: ClaimSettings = ClaimSettings()
     stop_timeout_s: Seconds = 120.0
     """A planned stop that has not finished after this long is reported as cut."""
 
--- /dev/null
+++ b/test/coverage_counter.py
@@ -0,0 +1,24 @@
+"""Counts how often a state machine reached each fault and situation that it is meant to reach."""
+
+from collections import Counter
+
+
+class CoverageCounter:
+    """Counts over all examples of one test; ``check`` fails for what was never reached."""
+
+    def __init__(self, name: str, expected: tuple[str, ...]) -> None:
+        self._name = name
+        self._expected = expected
+        self._counts: Counter[str] = Counter()
+
+    def hit(self, situation: str) -> None:
+        """Count one occurrence; an unlisted situation is a mistake in the test."""
+        assert situation in self._expected, situation
+        self._counts[situation] += 1
+
+    def check(self) -> None:
+        """Print the counts, and fail when an expected situation never occurred."""
+        counts = ", ".join(f"{name} {self._counts[name]}" for name in self._expected)
+        print(f"\ncoverage {self._name}: {counts}")
+        never = [name for name in self._expected if not self._counts[name]]
+        assert not never, f"{self._name}: never reached: {', '.join(never)}"
