--- a/lentilchute/settings.py
+++ b/lentilchute/settings.py
@@ -177,6 +177,8 @@
     """Bounds of the scheduler role."""
     membership: MembershipSettings = MembershipSettings()
     """Pace of heartbeats and polls."""
+    claims: ClaimSettings = ClaimSettings()
+    """Use of the table for idempotency keys."""
     stop_timeout_s: Seconds = 120.0
     """A planned stop that has not finished after this long is reported as cut."""
 
