--- a/lentilchute/operator_api.py
+++ b/lentilchute/operator_api.py
@@ -159,11 +159,23 @@
     """Whether the answering node knows an upstream of this name."""
 
 
+class ErrorFinding(WireModel):
+    """One thing that is wrong with a request."""
+
+    field: str
+    message: str
+
+
 class ErrorDetail(WireModel):
-    """Kind and text of an error."""
+    """Kind of an error and what is wrong."""
 
     type: str
-    message: str
+    findings: tuple[ErrorFinding, ...] = ()
+
+    @property
+    def message(self) -> str:
+        """The findings as one line."""
+        return "; ".join(finding.message for finding in self.findings) or self.type
 
 
 class ErrorAnswer(WireModel):
--- a/test/standins/test_engine_runs.py
+++ b/test/standins/test_engine_runs.py
@@ -34,6 +34,7 @@
 def test_prefill_is_serial_decoding_is_shared_and_a_cached_prefix_is_skipped() -> None:
     async def test(runs: EngineRuns, tasks: trio.Nursery) -> None:
         first = runs.accept(request(1, HASHES), tasks)
+        await trio.testing.wait_all_tasks_blocked()
         second = runs.accept(request(2, HASHES), tasks)
         await trio.sleep(3.01)
         assert first.is_ended and "".join(first.tokens) == answer_text(b"prompt", 10)
