Serve operators: status, documents, changes, drains and metrics

The node gives the operators' interface what it promises: changes go through the table's compare-and-set, come into force on the answering node at once and are pushed to its peers.

--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -14,6 +14,7 @@
     configuration_controller,
     entry_controller,
     membership_controller,
+    operator_controller,
     platform_http,
     scheduler_controller,
     upstream_controller,
@@ -33,6 +34,7 @@
     check_document_text,
     controllers_for,
 )
+from .operator_controller import read_gauges
 from .peer_links import LinkIdentity, PeerLinks
 from .peers import PeerAddress, PeerInfo
 from .platform import platform_for
@@ -43,6 +45,7 @@
     configuration_controller,
     entry_controller,
     membership_controller,
+    operator_controller,
     platform_http,
     scheduler_controller,
     upstream_controller,
@@ -62,6 +65,7 @@
         self.settings = settings
         self._rng = rng or random.Random()
         self._stop = trio.Event()
+        self._running: NodeContext | None = None
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -72,8 +76,9 @@
 
         Raises ``OSError`` when an address of the settings cannot be bound.
         """
-        context = self._context()
+        context = self._running = self._context()
         controllers = controllers_for(context)
+        context.controllers += controllers
         handlers = _handlers(controllers)
         context.links.receiver = lambda sender, message: _dispatch(handlers, sender, message)
         try:
@@ -111,6 +116,9 @@
             Event.NODE_STOPPED, instance=context.instance, work_was_cut=scope.cancelled_caught
         )
 
+    def _read_gauges(self) -> Gauges:
+        return Gauges() if self._running is None else read_gauges(self._running)
+
     def _context(self) -> NodeContext:
         settings = self.settings
         incarnation = _new_incarnation(settings.instance_id, self._rng)
@@ -131,7 +139,7 @@
             ),
             configuration=ConfigBook(check_document_text, settings.membership, now_s),
             directory=UpstreamDirectory(),
-            metrics=Metrics(settings.instance_id, settings.zone, Gauges),
+            metrics=Metrics(settings.instance_id, settings.zone, self._read_gauges),
             wall_offset_s=time.time() - now_s,
         )
 
@@ -151,6 +159,7 @@
         generation=int(time.time()),
         address=settings.listen.peers,
         callers_address=settings.listen.callers,
+        operators_address=settings.listen.operators,
         zone=settings.zone,
         region=settings.region,
         roles=settings.roles,
--- a/lentilchute/node_context.py
+++ b/lentilchute/node_context.py
@@ -24,6 +24,7 @@
 from .settings import NodeSettings, Role
 from .upstream_directory import UpstreamDirectory
 
+Wanted = TypeVar("Wanted")
 MessageHandler = Callable[[InstanceId, Any], None]
 
 
@@ -54,6 +55,7 @@
     metrics: Metrics
     wall_offset_s: float = 0.0
     """What the wall clock shows beyond ``now_s``; it only dates records."""
+    controllers: list[Controller] = field(default_factory=list)
     stopping: trio.Event = field(default_factory=trio.Event)
     document_listeners: list[Callable[[ServiceName, ServiceDocument], None]] = field(
         default_factory=list
@@ -73,6 +75,18 @@
         """This node's availability zone."""
         return self.settings.zone
 
+    def find_controller(self, wanted: type[Wanted]) -> Wanted | None:
+        """Return this node's controller of a class, or ``None`` where its roles have none."""
+        found = (one for one in self.controllers if isinstance(one, wanted))
+        return next(found, None)
+
+    def controller(self, wanted: type[Wanted]) -> Wanted:
+        """Return a controller that every node has."""
+        found = self.find_controller(wanted)
+        if found is None:
+            raise LookupError(f"no controller {wanted.__name__}")
+        return found
+
     def now_s(self) -> float:
         """Return the time on this process's clock."""
         return trio.current_time()
--- /dev/null
+++ b/lentilchute/operator_controller.py
@@ -0,0 +1,225 @@
+"""Controller that serves operators: status, documents, changes, drains and the metrics page."""
+
+import hashlib
+from collections.abc import Mapping
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .configuration_apply import ApplyOperation, ApplyState, DocumentChange
+from .configuration_controller import ConfigurationController
+from .configuration_records import history_key, read_document
+from .document import ServiceDocument
+from .document_changes import apply_change
+from .events import Event, log_event
+from .http_server import HttpServer, HttpServerSettings, open_listeners
+from .ids import DocumentVersion, ServiceName, Tier, UpstreamId
+from .messages import ConfigNotice
+from .metrics import DocumentInForce, Gauges, LearnedRates, Metrics
+from .node_context import MessageHandler, NodeContext, node_controller
+from .operator_api import (
+    ChangeAnswer,
+    ChangeRequest,
+    ChangeState,
+    DocumentAnswer,
+    DrainAnswer,
+    HistoryEntry,
+    PeerAnswer,
+    ShardAnswer,
+    StatusAnswer,
+    UpstreamAnswer,
+    operator_key,
+)
+from .operator_routes import OperatorApi
+from .platform import TableFault
+from .scheduler_controller import SchedulerController
+from .shard_status import ShardStatus
+from .upstream_controller import UpstreamController
+
+CHANGE_TIMEOUT_S = 8.0
+MAX_CONNECTIONS = 64
+
+_STATES = {
+    ApplyState.ACCEPTED: ChangeState.ACCEPTED,
+    ApplyState.CONFLICT: ChangeState.CONFLICT,
+    ApplyState.NOT_APPLIED: ChangeState.NOT_APPLIED,
+    ApplyState.UNRESOLVED: ChangeState.UNRESOLVED,
+}
+
+
+@node_controller(None)
+class OperatorController:
+    """Answers the operators' port for one node."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._api = OperatorApi(self, operator_key(context.settings.shared_key))
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {}
+
+    async def run(self) -> None:
+        listeners = await open_listeners(self._context.settings.listen.operators)
+        settings = HttpServerSettings(max_connections=MAX_CONNECTIONS)
+        await HttpServer(settings, self._api.handle, self._api.check_head).serve(listeners)
+
+    @property
+    def metrics(self) -> Metrics:
+        """The node's metrics."""
+        return self._context.metrics
+
+    def status(self) -> StatusAnswer:
+        """Return the node's state now, from memory."""
+        context = self._context
+        now_s = context.now_s()
+        return StatusAnswer(
+            instance=context.instance,
+            incarnation=context.incarnation,
+            availability_zone=context.zone,
+            region=context.settings.region,
+            ready=context.configuration.is_ready(now_s),
+            stopping=context.stopping.is_set(),
+            documents=context.configuration.versions(),
+            shards=tuple(self._shard(status) for status in _shard_statuses(context)),
+            peers=self._peers(now_s),
+            platform_faults=context.platform.faults(),
+        )
+
+    def document(self, service: ServiceName) -> DocumentAnswer | None:
+        """Return the document in force on this node, or ``None`` for an unknown service."""
+        held = self._context.configuration.text(service)
+        if held is None:
+            return None
+        return DocumentAnswer(service=service, version=held.version, text=held.text)
+
+    async def history(
+        self, service: ServiceName, limit: int
+    ) -> Result[tuple[HistoryEntry, ...], TableFault]:
+        """Read the newest accepted versions from the table, newest first."""
+        newest = self._context.configuration.versions().get(service, DocumentVersion(0))
+        oldest = max(newest - limit, 0)
+        keys = [history_key(service, version) for version in range(newest, oldest, -1)]
+        rows = await self._context.platform.table.get_many(keys)
+        if isinstance(rows, Err):
+            return rows
+        found = [_history_entry(rows.ok_value[key].value) for key in keys if key in rows.ok_value]
+        return Ok(tuple(entry for entry in found if entry is not None))
+
+    async def change(self, service: ServiceName, change: ChangeRequest) -> ChangeAnswer:
+        """Carry a checked change into the table and put it in force here and at the peers."""
+        asked = DocumentChange(
+            service=service,
+            text=change.text,
+            expected_version=DocumentVersion(change.expected_version),
+            change_id=change.change_id,
+            author=change.author,
+        )
+        operation = await apply_change(self._context.platform.table, asked, CHANGE_TIMEOUT_S)
+        if operation.state is ApplyState.ACCEPTED:
+            return self._accepted(asked, operation)
+        if operation.state is ApplyState.CONFLICT:
+            log_event(Event.CONFIG_CONFLICT, service=service, author=change.author)
+        return ChangeAnswer(
+            state=_STATES[operation.state],
+            version=operation.current_version,
+            author=operation.current_author,
+        )
+
+    async def drain(self, upstream: UpstreamId) -> DrainAnswer:
+        """Give an upstream no new work from this node, and tell the other nodes."""
+        known = self._context.controller(UpstreamController).drain(upstream)
+        return DrainAnswer(upstream=upstream, known=known)
+
+    def _accepted(self, change: DocumentChange, operation: ApplyOperation) -> ChangeAnswer:
+        version = operation.accepted_version
+        log_event(
+            Event.CONFIG_APPLIED, service=change.service, version=version, author=change.author
+        )
+        controller = self._context.controller(ConfigurationController)
+        controller.learn(change.service, version, change.text)
+        self._context.broadcast(ConfigNotice(change.service, version, change.text))
+        return ChangeAnswer(state=ChangeState.ACCEPTED, version=version, author=change.author)
+
+    def _shard(self, status: ShardStatus) -> ShardAnswer:
+        service = ServiceName(status.shard.rsplit("/", 1)[0])
+        document = self._context.configuration.document(service)
+        return ShardAnswer(
+            shard=status.shard,
+            service=service,
+            waiting=_by_name(status.waiting, document),
+            in_flight=_by_name(status.in_flight, document),
+            upstreams=tuple(
+                UpstreamAnswer(
+                    upstream=one.upstream,
+                    leaving=one.leaving,
+                    streams=one.streams,
+                    stream_limit=one.stream_limit,
+                    outstanding_prompt_tokens=one.outstanding_prompt_tokens,
+                    prompt_token_limit=one.prompt_token_limit,
+                    prefill_tokens_per_s=one.prefill_tokens_per_s,
+                    decode_tokens_per_s=one.decode_tokens_per_s,
+                )
+                for one in status.upstreams
+            ),
+        )
+
+    def _peers(self, now_s: float) -> tuple[PeerAnswer, ...]:
+        membership = self._context.membership
+        alive = {info.instance for info in membership.alive(now_s)}
+        return tuple(
+            PeerAnswer(
+                instance=info.instance,
+                availability_zone=info.zone,
+                state="alive" if info.instance in alive else "not-alive",
+                operators_address=info.operators_address,
+            )
+            for info in membership.present()
+        )
+
+
+def read_gauges(context: NodeContext) -> Gauges:
+    """Return what the node's gauges show now."""
+    statuses = _shard_statuses(context)
+    waiting: dict[tuple[ServiceName, Tier], int] = {}
+    in_flight: dict[tuple[ServiceName, Tier], int] = {}
+    rates: list[LearnedRates] = []
+    for status in statuses:
+        service = ServiceName(status.shard.rsplit("/", 1)[0])
+        waiting.update({(service, tier): count for tier, count in status.waiting.items()})
+        in_flight.update({(service, tier): count for tier, count in status.in_flight.items()})
+        rates += [
+            LearnedRates(service, one.upstream, one.prefill_tokens_per_s, one.decode_tokens_per_s)
+            for one in status.upstreams
+        ]
+    versions = context.configuration.versions()
+    documents = {
+        service: DocumentInForce(versions[service], document)
+        for service, document in context.configuration.documents().items()
+    }
+    return Gauges(waiting, in_flight, tuple(rates), documents)
+
+
+def _shard_statuses(context: NodeContext) -> list[ShardStatus]:
+    found = context.find_controller(SchedulerController)
+    return [] if found is None else found.statuses()
+
+
+def _by_name(counts: dict[Tier, int], document: ServiceDocument | None) -> dict[str, int]:
+    """Return counts by the tiers' names; a rank that the document lacks keeps its number."""
+    names = [] if document is None else [tier.name for tier in document.tiers]
+    return {
+        names[tier] if tier < len(names) else str(tier): count for tier, count in counts.items()
+    }
+
+
+def _history_entry(value: str) -> HistoryEntry | None:
+    record = read_document(value)
+    if isinstance(record, Err):
+        return None
+    kept = record.ok_value
+    return HistoryEntry(
+        version=DocumentVersion(kept.version),
+        change_id=kept.change_id,
+        author=kept.author,
+        text_sha256=hashlib.sha256(kept.text.encode()).hexdigest(),
+    )
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -118,6 +118,7 @@
   6: string zone
   7: string region
   8: list<string> roles
+  9: string operators_address
 }
 
 struct PeerState {
--- a/lentilchute/peers.py
+++ b/lentilchute/peers.py
@@ -31,6 +31,7 @@
     zone: AvailabilityZone
     region: str
     roles: tuple[Role, ...]
+    operators_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/platform.py
+++ b/lentilchute/platform.py
@@ -129,6 +129,10 @@
     objects: ObjectStore
     instances: InstanceList
 
+    def faults(self) -> tuple[str, ...]:
+        """Return the names of the services that did not answer lately."""
+        ...
+
     async def aclose(self) -> None:
         """Close idle connections."""
         ...
--- a/lentilchute/platform_http.py
+++ b/lentilchute/platform_http.py
@@ -38,7 +38,7 @@
     """Calls to one service of the platform, each within the platform's timeout."""
 
     def __init__(self, name: str, address: str, timeout_s: float) -> None:
-        self._name = name
+        self.name = name
         self._timeout_s = timeout_s
         bounds = HttpClientSettings(
             connect_timeout_s=timeout_s,
@@ -47,7 +47,7 @@
             read_timeout_s=timeout_s,
         )
         self._client = HttpClient(address, bounds)
-        self._is_down = False
+        self.is_down = False
 
     async def read(self, request: ClientRequest) -> Result[HttpAnswer, TableFault]:
         """Return the answer to a read; every failure is ``UNAVAILABLE``."""
@@ -94,15 +94,15 @@
         return self._fail(failure if is_sent else TableFault.UNAVAILABLE, reason)
 
     def _fail(self, fault: TableFault, reason: str) -> Err[TableFault]:
-        if not self._is_down:
-            self._is_down = True
-            log_event(Event.PLATFORM_DOWN, service=self._name, fault=fault.value, reason=reason)
+        if not self.is_down:
+            self.is_down = True
+            log_event(Event.PLATFORM_DOWN, service=self.name, fault=fault.value, reason=reason)
         return Err(fault)
 
     def _note_up(self, status: int) -> None:
-        if self._is_down and status < 500:
-            self._is_down = False
-            log_event(Event.PLATFORM_BACK, service=self._name)
+        if self.is_down and status < 500:
+            self.is_down = False
+            log_event(Event.PLATFORM_BACK, service=self.name)
 
 
 class HttpTable:
@@ -187,6 +187,10 @@
         self.objects: ObjectStore = HttpObjectStore(self._services[1])
         self.instances: InstanceList = HttpInstanceList(self._services[2])
 
+    def faults(self) -> tuple[str, ...]:
+        """Return the names of the services that did not answer lately."""
+        return tuple(service.name for service in self._services if service.is_down)
+
     async def aclose(self) -> None:
         """Close idle connections."""
         for service in self._services:
