Add the caller's side and `lentilchute call`

A request is sent again only when it did not run, or with its idempotency key. A broken answer goes on where it broke off when the resend brings the same bytes; another answer stays broken. Once an attempt may have run, no later refusal takes that back. The answer to which entries to use counts its lifetime from before the question.

--- /dev/null
+++ b/lentilchute/caller_attempt.py
@@ -0,0 +1,125 @@
+"""One attempt of a caller's request at one entry, and the delivery of its answer."""
+
+import hashlib
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err
+
+from .http_client import ClientRequest, HttpClient, HttpExchange, HttpFault, HttpHead
+from .http_messages import OUTCOME_HEADER, RETRY_AFTER_HEADER, header_value
+from .tickets import Outcome
+
+MAX_REFUSAL_BYTES = 65_536
+
+Deliver = Callable[[bytes], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What one attempt came to. ``fault`` is set when no whole answer came."""
+
+    fault: HttpFault | None = None
+    status: int | None = None
+    outcome: Outcome = Outcome.MAY_HAVE_RUN
+    reason: str = ""
+    retry_after_s: float | None = None
+
+
+class BodySink:
+    """Delivers an answer; a repeated answer only from where the earlier one broke off."""
+
+    def __init__(self, deliver: Deliver) -> None:
+        self._deliver = deliver
+        self._digest = hashlib.sha256()
+        self.delivered_bytes = 0
+        self._repeated = bytearray()
+        self._is_caught_up = True
+
+    def begin(self) -> None:
+        """Begin an answer, which repeats what was delivered so far."""
+        self._repeated.clear()
+        self._is_caught_up = self.delivered_bytes == 0
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether the answer has brought all that was delivered before."""
+        return self._is_caught_up
+
+    async def take(self, part: bytes) -> bool:
+        """Deliver a part; return false when the answer is not the one delivered before."""
+        if not self._is_caught_up:
+            self._repeated += part
+            if len(self._repeated) < self.delivered_bytes:
+                return True
+            repeated = bytes(self._repeated[: self.delivered_bytes])
+            if hashlib.sha256(repeated).digest() != self._digest.digest():
+                return False
+            part = bytes(self._repeated[self.delivered_bytes :])
+            self._is_caught_up = True
+        self._digest.update(part)
+        self.delivered_bytes += len(part)
+        await self._deliver(part)
+        return True
+
+
+async def make_attempt(client: HttpClient, request: ClientRequest, body: BodySink) -> Attempt:
+    """Send a request to one entry and read what comes back."""
+    async with client.exchange(request) as exchange:
+        head = await exchange.head()
+        if isinstance(head, Err):
+            return Attempt(fault=head.err_value)
+        if _outcome(head.ok_value) is Outcome.RAN:
+            return await _read_answer(exchange, head.ok_value, body)
+        return await _read_refusal(exchange, head.ok_value)
+
+
+async def _read_answer(exchange: HttpExchange, head: HttpHead, body: BodySink) -> Attempt:
+    body.begin()
+    while True:
+        part = await exchange.part()
+        if isinstance(part, Err):
+            return Attempt(fault=part.err_value, status=head.status)
+        if part.ok_value is None:
+            if not body.is_caught_up:
+                return Attempt(fault=HttpFault.WRONG_ANSWER, status=head.status)
+            return Attempt(status=head.status, outcome=Outcome.RAN)
+        if not await body.take(part.ok_value):
+            return Attempt(fault=HttpFault.WRONG_ANSWER, status=head.status)
+
+
+async def _read_refusal(exchange: HttpExchange, head: HttpHead) -> Attempt:
+    """Read a refusal. Its outcome stands in the header, so a broken body changes nothing."""
+    body = bytearray()
+    while len(body) <= MAX_REFUSAL_BYTES:
+        part = await exchange.part()
+        if isinstance(part, Err) or part.ok_value is None:
+            break
+        body += part.ok_value
+    return Attempt(
+        status=head.status,
+        outcome=_outcome(head),
+        reason=_refusal_type(bytes(body)),
+        retry_after_s=_retry_after_s(head),
+    )
+
+
+def _outcome(head: HttpHead) -> Outcome:
+    """Return the outcome that the head tells; one that tells none settles nothing."""
+    value = header_value(head.headers, OUTCOME_HEADER)
+    if value in {outcome.value for outcome in Outcome}:
+        return Outcome(value)
+    return Outcome.MAY_HAVE_RUN
+
+
+def _retry_after_s(head: HttpHead) -> float | None:
+    value = header_value(head.headers, RETRY_AFTER_HEADER) or ""
+    return float(value) if value.isdecimal() and len(value) <= 6 else None
+
+
+def _refusal_type(body: bytes) -> str:
+    try:
+        return str(json.loads(body)["error"]["type"])
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return "unknown"
--- /dev/null
+++ b/lentilchute/caller_client.py
@@ -0,0 +1,245 @@
+"""The caller's side: choose an entry, send, stream the answer, repeat only what may be repeated.
+
+A request is sent again only when it did not run, or with its idempotency key. What the caller may
+conclude at the end is in ``CallResult``.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from .caller_attempt import Attempt, BodySink, Deliver, make_attempt
+from .caller_entries import CallerEntries, KnownEntry
+from .http_client import ClientRequest, HttpClient, HttpFault, Opener, open_tcp
+from .http_messages import (
+    DEADLINE_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    TIER_HEADER,
+    Headers,
+)
+from .tickets import Outcome, RefusalReason
+
+ANSWER_GRACE_S = 5.0
+"""Waited beyond the deadline, since the entry ends a request at its deadline by itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """Who the caller is and which entries it knows from the start."""
+
+    entries: tuple[str, ...]
+    key: str = field(repr=False)
+    availability_zone: str = ""
+    max_attempts: int = 10
+    retry_delay_s: float = 0.5
+    """Pause before another attempt when no entry said how long to wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """One request to a service; ``deadline_s`` counts from the call."""
+
+    service: str
+    path: str
+    method: str = "POST"
+    headers: Headers = ()
+    body: bytes = b""
+    tier: str | None = None
+    deadline_s: float = 60.0
+    idempotency_key: str | None = None
+
+
+class CallState(Enum):
+    """How a call ended."""
+
+    COMPLETE = "complete"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    """The answer did not come, or not whole."""
+    UNREACHABLE = "unreachable"
+    """No entry could be reached."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """The end of a call, and what became of the request."""
+
+    state: CallState
+    outcome: Outcome
+    status: int | None = None
+    reason: str = ""
+    retry_after_s: float | None = None
+    entry: str = ""
+    attempts: int = 0
+    delivered_bytes: int = 0
+
+
+Report = Callable[[str], None]
+
+
+def ignore_report(_line: str) -> None:
+    """Report nothing; the default for progress lines."""
+
+
+class CallerClient:
+    """Calls services through the entries."""
+
+    def __init__(
+        self, settings: CallerSettings, rng: random.Random, opener: Opener = open_tcp
+    ) -> None:
+        self._settings = settings
+        self._opener = opener
+        self._clients: dict[str, HttpClient] = {}
+        self._entries = CallerEntries(
+            settings.entries, settings.availability_zone, rng, self.client_for
+        )
+
+    async def call(
+        self, request: CallRequest, deliver: Deliver, report: Report = ignore_report
+    ) -> CallResult:
+        """Send a request; the body of an answer that ran goes to ``deliver`` piece by piece."""
+        call = _Call(self, self._settings, self._entries, request, deliver, report)
+        return await call.run()
+
+    async def aclose(self) -> None:
+        """Close idle connections."""
+        for client in self._clients.values():
+            await client.aclose()
+
+    def client_for(self, address: str) -> HttpClient:
+        """Return the client of one entry's address."""
+        if address not in self._clients:
+            self._clients[address] = HttpClient(address, opener=self._opener)
+        return self._clients[address]
+
+
+class _Call:
+    """One call through its attempts."""
+
+    def __init__(
+        self,
+        client: CallerClient,
+        settings: CallerSettings,
+        entries: CallerEntries,
+        request: CallRequest,
+        deliver: Deliver,
+        report: Report,
+    ) -> None:
+        self._client = client
+        self._settings = settings
+        self._entries = entries
+        self._request = request
+        self._report = report
+        self._body = BodySink(deliver)
+        self._deadline_s = trio.current_time() + request.deadline_s
+        self._failed: frozenset[str] = frozenset()
+        self._may_have_run = False
+        self._attempts = 0
+        self._entry = ""
+
+    async def run(self) -> CallResult:
+        """Attempt the request until an answer is final."""
+        while True:
+            entry = await self._entries.choose(self._failed)
+            attempt = Attempt(fault=HttpFault.NOT_SENT)
+            if entry is not None:
+                self._attempts += 1
+                self._entry = entry.instance
+                attempt = await make_attempt(
+                    self._client.client_for(entry.address), self._message(), self._body
+                )
+            self._note(entry, attempt)
+            if self._is_final(attempt):
+                return self._result(attempt)
+            if entry is None or attempt.fault is not HttpFault.NOT_SENT:
+                await self._pause(attempt)
+
+    def _message(self) -> ClientRequest:
+        request = self._request
+        left_s = self._left_s()
+        headers = [
+            *request.headers,
+            ("authorization", f"Bearer {self._settings.key}"),
+            (DEADLINE_HEADER, f"{max(left_s, 0.001):.3f}"),
+        ]
+        if request.tier is not None:
+            headers.append((TIER_HEADER, request.tier))
+        if request.idempotency_key is not None:
+            headers.append((IDEMPOTENCY_KEY_HEADER, request.idempotency_key))
+        return ClientRequest(
+            method=request.method,
+            path=f"/services/{request.service}/{request.path.lstrip('/')}",
+            headers=tuple(headers),
+            body=request.body,
+            head_timeout_s=left_s + ANSWER_GRACE_S,
+            read_timeout_s=left_s + ANSWER_GRACE_S,
+        )
+
+    def _note(self, entry: KnownEntry | None, attempt: Attempt) -> None:
+        if entry is None:
+            self._failed = frozenset()
+            self._entries.forget()
+        elif attempt.fault is HttpFault.NOT_SENT:
+            self._failed |= {entry.address}
+        elif attempt.fault is not None or attempt.outcome is Outcome.MAY_HAVE_RUN:
+            self._may_have_run = True
+
+    def _is_final(self, attempt: Attempt) -> bool:
+        if attempt.fault is None and attempt.outcome is Outcome.RAN:
+            return True
+        has_time = self._left_s() > self._pause_s(attempt)
+        if not has_time or self._attempts >= self._settings.max_attempts:
+            return True
+        return not self._may_repeat(attempt)
+
+    def _may_repeat(self, attempt: Attempt) -> bool:
+        if attempt.fault is HttpFault.NOT_SENT:
+            return True
+        if attempt.fault is None and attempt.outcome is Outcome.NOT_RUN:
+            return attempt.status == 503
+        is_settled = attempt.reason == RefusalReason.KEY_UNRESOLVED.value
+        is_other_answer = attempt.fault is HttpFault.WRONG_ANSWER
+        return self._request.idempotency_key is not None and not (is_settled or is_other_answer)
+
+    async def _pause(self, attempt: Attempt) -> None:
+        pause_s = self._pause_s(attempt)
+        what = attempt.reason or (attempt.fault.value if attempt.fault else "")
+        self._report(f"{what}; trying again in {pause_s:.1f} s")
+        await trio.sleep(pause_s)
+
+    def _pause_s(self, attempt: Attempt) -> float:
+        if attempt.retry_after_s is not None:
+            return attempt.retry_after_s
+        return self._settings.retry_delay_s
+
+    def _left_s(self) -> float:
+        return self._deadline_s - trio.current_time()
+
+    def _result(self, attempt: Attempt) -> CallResult:
+        return CallResult(
+            state=self._state(attempt),
+            outcome=self._outcome(attempt),
+            status=attempt.status,
+            reason=attempt.reason or (attempt.fault.value if attempt.fault else ""),
+            retry_after_s=attempt.retry_after_s,
+            entry=self._entry,
+            attempts=self._attempts,
+            delivered_bytes=self._body.delivered_bytes,
+        )
+
+    def _state(self, attempt: Attempt) -> CallState:
+        if attempt.fault is None:
+            is_answer = attempt.outcome is Outcome.RAN
+            return CallState.COMPLETE if is_answer else CallState.REFUSED
+        if attempt.fault is HttpFault.NOT_SENT and not self._may_have_run:
+            return CallState.UNREACHABLE
+        return CallState.BROKEN
+
+    def _outcome(self, attempt: Attempt) -> Outcome:
+        if attempt.fault is None and attempt.outcome is Outcome.RAN:
+            return Outcome.RAN
+        # An attempt that did not run takes nothing back of an earlier one that may have.
+        return Outcome.MAY_HAVE_RUN if self._may_have_run else Outcome.NOT_RUN
--- /dev/null
+++ b/lentilchute/caller_entries.py
@@ -0,0 +1,99 @@
+"""Which entries a caller uses: it asks any known entry, and keeps the answer for its lifetime."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Annotated
+
+import trio
+from pydantic import BaseModel, Field, ValidationError
+from result import Err
+
+from .http_client import ClientRequest, HttpClient
+
+ASK_TIMEOUT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownEntry:
+    """An entry that the system named."""
+
+    instance: str
+    address: str
+    availability_zone: str
+
+
+class _EntryLine(BaseModel):
+    instance: str
+    address: Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
+    availability_zone: str
+
+
+class _EntriesAnswer(BaseModel):
+    entries: tuple[_EntryLine, ...]
+    keep_s: Annotated[float, Field(ge=0, le=3_600)]
+
+
+class CallerEntries:
+    """The entries in use, by a caller's own zone first."""
+
+    def __init__(
+        self,
+        seeds: tuple[str, ...],
+        availability_zone: str,
+        rng: random.Random,
+        client_for: Callable[[str], HttpClient],
+    ) -> None:
+        self._seeds = seeds
+        self._zone = availability_zone
+        self._rng = rng
+        self._client_for = client_for
+        self._entries: list[KnownEntry] = []
+        self._keep_until_s = float("-inf")
+        self._asked_s = 0.0
+
+    async def choose(self, failed: frozenset[str]) -> KnownEntry | None:
+        """Return an entry whose address is not in ``failed``, or ``None`` when there is none."""
+        if trio.current_time() >= self._keep_until_s:
+            await self._ask()
+        for entry in self._entries:
+            if entry.address not in failed:
+                return entry
+        return None
+
+    def forget(self) -> None:
+        """Ask again before the next choice."""
+        self._keep_until_s = float("-inf")
+
+    async def _ask(self) -> None:
+        known = [entry.address for entry in self._entries]
+        self._entries = []
+        others = [seed for seed in self._seeds if seed not in known]
+        for address in known + others:
+            answer = await self._ask_one(address)
+            if answer is not None and answer.entries:
+                self._learn(answer)
+                return
+
+    async def _ask_one(self, address: str) -> _EntriesAnswer | None:
+        # The lifetime counts from before the question, since the answer may have been slow.
+        self._asked_s = trio.current_time()
+        request = ClientRequest("GET", "/entries", head_timeout_s=ASK_TIMEOUT_S)
+        answer = await self._client_for(address).call(request)
+        if isinstance(answer, Err) or answer.ok_value.status != 200:
+            return None
+        try:
+            return _EntriesAnswer.model_validate_json(answer.ok_value.body)
+        except ValidationError:
+            return None
+
+    def _learn(self, answer: _EntriesAnswer) -> None:
+        entries = [
+            KnownEntry(line.instance, line.address, line.availability_zone)
+            for line in answer.entries
+        ]
+        # A random order within the zone spreads callers over the entries.
+        self._rng.shuffle(entries)
+        entries.sort(key=lambda entry: entry.availability_zone != self._zone)
+        self._entries = entries
+        self._keep_until_s = self._asked_s + answer.keep_s
--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -16,6 +16,7 @@
 
 COMMAND_MODULES = (
     "check",
+    "call",
     "standin",
 )  # fmt: skip
 """Modules with commands, in the order of the help text."""
--- /dev/null
+++ b/lentilchute/ui/call.py
@@ -0,0 +1,157 @@
+"""``lentilchute call``: sends one request to a service through the entries."""
+
+import json
+import os
+import random
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import trio
+
+from ..caller_client import CallerClient, CallerSettings, CallRequest, CallResult, CallState
+from ..errors import ExitCode, UserError
+from ..http_messages import JSON_HEADER
+from ..tickets import Outcome
+from .registry import register_command
+
+KEY_VARIABLE = "LENTILCHUTE_KEY"
+MODEL_PATH = "/v1/chat/completions"
+
+
+@register_command("call", help="Send a request to a service and print its answer.")
+@dataclass
+class Call:
+    """Asks an entry which entries to use, sends the request to one of them, streams the answer.
+
+    A request that was refused without running is sent again after the time that the refusal names,
+    within the deadline. One that may have run is sent again only with an idempotency key.
+    """
+
+    service: Annotated[str, cappa.Arg(help="Name of the service.")]
+    path: Annotated[str, cappa.Arg(help="Path within the service.")] = MODEL_PATH
+    entry: Annotated[
+        tuple[str, ...], cappa.Arg(long=True, help="HOST:PORT of an entry; may be repeated.")
+    ] = ()
+    key_file: Annotated[
+        str, cappa.Arg(long=True, help=f"File with the bearer key; else {KEY_VARIABLE} holds it.")
+    ] = ""
+    zone: Annotated[str, cappa.Arg(long=True, help="Entries of this zone are preferred.")] = ""
+    method: Annotated[str, cappa.Arg(long=True, help="HTTP method; POST with a body.")] = ""
+    data: Annotated[
+        str, cappa.Arg(long=True, help="Body; @FILE reads a file, @- standard input.")
+    ] = ""
+    prompt: Annotated[str, cappa.Arg(long=True, help="Prompt of a chat completion.")] = ""
+    model: Annotated[str, cappa.Arg(long=True, help="Model for the prompt.")] = ""
+    max_tokens: Annotated[int, cappa.Arg(long=True, help="Most tokens to generate.")] = 256
+    stream: Annotated[bool, cappa.Arg(long=True, help="Have the prompt's answer streamed.")] = False
+    tier: Annotated[str, cappa.Arg(long=True, help="Name of a tier of the service.")] = ""
+    deadline_s: Annotated[
+        float, cappa.Arg(long=True, help="Seconds until the answer has no more use.")
+    ] = 60.0
+    idempotency_key: Annotated[
+        str, cappa.Arg(long=True, help="Makes a resend safe; the same key for the same request.")
+    ] = ""
+    json: Annotated[bool, cappa.Arg(long=True, help="Print result and answer as JSON.")] = False
+
+    def __call__(self) -> ExitCode:
+        """Send the request and print its answer."""
+        if not self.entry:
+            raise UserError("name at least one entry with --entry HOST:PORT")
+        result, answer = trio.run(self._send)
+        if self.json:
+            print(json.dumps(as_json(result, answer)))
+        elif result.state is not CallState.COMPLETE:
+            print(f"lentilchute: {plain_line(result)}", file=sys.stderr)
+        return exit_code(result)
+
+    async def _send(self) -> tuple[CallResult, bytes]:
+        settings = CallerSettings(self.entry, self._key(), self.zone)
+        client = CallerClient(settings, random.Random())
+        kept = bytearray()
+
+        async def deliver(part: bytes) -> None:
+            if self.json:
+                kept.extend(part)
+                return
+            sys.stdout.buffer.write(part)
+            sys.stdout.buffer.flush()
+
+        result = await client.call(self._request(), deliver, _report)
+        await client.aclose()
+        return result, bytes(kept)
+
+    def _key(self) -> str:
+        if self.key_file:
+            return _read(self.key_file).decode("utf-8", "replace").strip()
+        return os.environ.get(KEY_VARIABLE, "")
+
+    def _request(self) -> CallRequest:
+        body = self._body()
+        return CallRequest(
+            service=self.service,
+            path=self.path,
+            method=self.method or ("POST" if body else "GET"),
+            headers=(JSON_HEADER,) if body else (),
+            body=body,
+            tier=self.tier or None,
+            deadline_s=self.deadline_s,
+            idempotency_key=self.idempotency_key or None,
+        )
+
+    def _body(self) -> bytes:
+        if self.prompt:
+            messages = [{"role": "user", "content": self.prompt}]
+            call: dict[str, Any] = {"model": self.model, "messages": messages}
+            call |= {"max_tokens": self.max_tokens, "stream": self.stream}
+            return json.dumps(call).encode()
+        if self.data == "@-":
+            return sys.stdin.buffer.read()
+        if self.data.startswith("@"):
+            return _read(self.data[1:])
+        return self.data.encode()
+
+
+def exit_code(result: CallResult) -> ExitCode:
+    """Return the exit code that tells a script what became of its request."""
+    if result.state is CallState.COMPLETE:
+        is_good = result.status is not None and result.status < 400
+        return ExitCode.OK if is_good else ExitCode.FAILED
+    if result.outcome is Outcome.MAY_HAVE_RUN:
+        return ExitCode.UNKNOWN_OUTCOME
+    return ExitCode.UNREACHABLE if result.state is CallState.UNREACHABLE else ExitCode.FAILED
+
+
+def plain_line(result: CallResult) -> str:
+    """Return one line that tells how a call ended and what became of the request."""
+    line = f"{result.state.value}: {result.reason}; the request's outcome: {result.outcome.value}"
+    if result.retry_after_s is not None:
+        line += f"; try again in {result.retry_after_s:.0f} s"
+    return line
+
+
+def as_json(result: CallResult, answer: bytes) -> dict[str, Any]:
+    """Return the result as a script reads it."""
+    return {
+        "state": result.state.value,
+        "outcome": result.outcome.value,
+        "status": result.status,
+        "reason": result.reason,
+        "retry_after_s": result.retry_after_s,
+        "entry": result.entry,
+        "attempts": result.attempts,
+        "answer": answer.decode("utf-8", "replace"),
+    }
+
+
+def _report(line: str) -> None:
+    print(line, file=sys.stderr)
+
+
+def _read(path: str) -> bytes:
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        raise UserError(f"{path}: {error.strerror}") from error
