--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -17,13 +17,14 @@
 COMMAND_MODULES = (
     "serve",
     "check",
+    "call",
+    "standin",
     "apply",
     "show",
     "history",
     "status",
     "drain",
     "operator_key",
-    "standin",
 )  # fmt: skip
 """Modules with commands, in the order of the help text."""
 
