--- /dev/null
+++ b/lentilchute/upstream_load.py
@@ -0,0 +1,156 @@
+"""What a scheduler knows of one upstream: its room, its work in flight and its rates."""
+
+from .document import UpstreamGroup
+from .ids import Tier, UpstreamId
+from .limits import AdaptiveLimits
+from .policy import Policy
+from .rates import UpstreamRates
+from .shard_status import UpstreamStatus
+
+PROBE_STREAMS = 2
+"""Streams of lower tiers that a declined upstream gets, to see whether it has recovered."""
+
+
+PROBE_INTERVAL_S = 5.0
+"""An idle upstream gets a lower tier's ticket this long after the last one, whatever its rates."""
+
+TOP_TIER_PROBE_INTERVAL_S = 30.0
+"""The same for a ticket of the highest tier, in case no other comes."""
+
+
+class UpstreamLoad:
+    """Work that this scheduler has placed on one upstream, and the bounds on it.
+
+    A placement takes a stream until it ends, and prompt tokens until its first token.
+    """
+
+    def __init__(self, upstream: UpstreamId, policy: Policy) -> None:
+        self.upstream = upstream
+        self.group: UpstreamGroup | None = None
+        self.leaving = False
+        self.is_declined = False
+        self.granted_s = 0.0
+        self.streams = 0
+        self.streams_by_tier: dict[Tier, int] = {}
+        self.prompt_tokens = 0
+        self._policy = policy
+        self.rates = UpstreamRates(1.0, 1.0)
+        self._limits = AdaptiveLimits(0, 0, 1.0)
+        self._taken: tuple[UpstreamGroup, float] | None = None
+
+    def configure(self, group: UpstreamGroup, first_token_target_s: float) -> None:
+        """Take bounds and initial rates from a group; learned ones stay while it is the same."""
+        self.group = group
+        if self._taken == (group, first_token_target_s):
+            return
+        self._taken = (group, first_token_target_s)
+        self.rates = UpstreamRates(
+            group.initial_prefill_tokens_per_s, group.initial_decode_tokens_per_s
+        )
+        self._limits = AdaptiveLimits(
+            group.max_streams, group.max_prompt_tokens, first_token_target_s
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the upstream may get new work at all."""
+        return self.group is not None and not self.leaving
+
+    @property
+    def stream_limit(self) -> int:
+        """Streams that may be outstanding now."""
+        if self.group is not None and not self._policy.adaptive_limits:
+            return self.group.max_streams
+        return self._limits.streams
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Rate at which prompts are prefilled."""
+        if self.group is not None and not self._policy.learned_rates:
+            return self.group.initial_prefill_tokens_per_s
+        return self.rates.prefill_tokens_per_s
+
+    @property
+    def decode_tokens_per_s(self) -> float:
+        """Rate at which one stream goes on."""
+        if self.group is not None and not self._policy.learned_rates:
+            return self.group.initial_decode_tokens_per_s
+        return self.rates.decode_tokens_per_s
+
+    def prompt_token_limit(self, tier: Tier) -> float:
+        """Return the prompt tokens that may be outstanding ahead of a ticket of a tier."""
+        if self.group is not None and not self._policy.adaptive_limits:
+            return self.group.max_prompt_tokens
+        return self._limits.prompt_tokens(tier == 0, self.prefill_tokens_per_s)
+
+    def reserve(self, tier: Tier, prompt_tokens: int) -> None:
+        """Take a stream and prompt tokens."""
+        self.streams += 1
+        self.streams_by_tier[tier] = self.streams_by_tier.get(tier, 0) + 1
+        self.prompt_tokens += prompt_tokens
+
+    def release_prompt(self, prompt_tokens: int) -> None:
+        """Give prompt tokens back, at the first token or at the end."""
+        self.prompt_tokens -= prompt_tokens
+
+    def release_stream(self, tier: Tier) -> None:
+        """Give a stream back."""
+        self.streams -= 1
+        self.streams_by_tier[tier] -= 1
+
+    def first_token(
+        self, dispatched_s: float, uncached_tokens: int, expected_s: float, now_s: float
+    ) -> None:
+        """Learn from a first token."""
+        self.rates.first_token(dispatched_s, uncached_tokens, now_s)
+        took_s = now_s - dispatched_s
+        self._limits.first_token(took_s, expected_s, self.streams, dispatched_s, now_s)
+
+    def decoded(self, tokens: int, seconds: float, now_s: float) -> None:
+        """Learn from the progress of one stream."""
+        self.rates.decoded(tokens, seconds, now_s)
+
+    def needs_probe(self, tier: Tier, now_s: float) -> bool:
+        """Tell whether a ticket shall find out how fast the upstream is by now.
+
+        Rates are learned from placed work only, so one that seems slow would stay without work.
+        """
+        interval_s = TOP_TIER_PROBE_INTERVAL_S if tier == 0 else PROBE_INTERVAL_S
+        return self.streams == 0 and now_s - self.granted_s >= interval_s
+
+    def has_room(self, tier: Tier, reserved_shares: tuple[float, ...]) -> bool:
+        """Tell whether a ticket fits beside the room kept for higher tiers.
+
+        The bound on prompt tokens is on those ahead of the ticket, so that a long prompt does not
+        wait for ever while short ones pass it.
+        """
+        if self.prompt_tokens and self.prompt_tokens >= self.prompt_token_limit(tier):
+            return False
+        if self.is_declined and (tier == 0 or self.streams >= PROBE_STREAMS):
+            return False
+        kept = self._kept_streams(tier, reserved_shares)
+        return self.streams + kept < self.stream_limit
+
+    def _kept_streams(self, tier: Tier, reserved_shares: tuple[float, ...]) -> int:
+        kept = 0
+        for higher in range(min(tier, len(reserved_shares))):
+            share = int(reserved_shares[higher] * self.stream_limit)
+            kept += max(0, share - self.streams_by_tier.get(Tier(higher), 0))
+        return kept
+
+    def wait_s(self) -> float:
+        """Expected time until a prompt placed now starts."""
+        return self.prompt_tokens / self.prefill_tokens_per_s
+
+    def status(self) -> UpstreamStatus:
+        """Describe the upstream for operators."""
+        return UpstreamStatus(
+            self.upstream,
+            self.leaving,
+            self.streams,
+            self.stream_limit,
+            self.prompt_tokens,
+            int(self.prompt_token_limit(Tier(0))),
+            self.prefill_tokens_per_s,
+            self.decode_tokens_per_s,
+        )
