--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -17,6 +17,7 @@
 COMMAND_MODULES = (
     "serve",
     "check",
+    "call",
     "standin",
     "apply",
     "show",
