Mend what the whole-system machine found at the entry

Causes and changes, each with a focused test or kept by the machine: - A request whose grant came too late declined it and kept its attempt.

Ruled out: refusing late arrivals during a stop, since a process cannot tell how long a request lay in its socket.

--- a/lentilchute/entry_requests.py
+++ b/lentilchute/entry_requests.py
@@ -17,14 +17,16 @@
     RefreshScheduler,
     ReleaseKey,
 )
-from .entry_admission import admit, refuse_new
+from .entry_admission import admit
 from .grant_use import (
     ask_again,
     dispatch_reports,
+    is_awaited,
     is_usable,
     may_dispatch,
     send_if_still_granted,
     use_grant,
+    wait_again,
 )
 from .ids import (
     Attempt,
@@ -55,8 +57,14 @@
 KEY_WAIT_S = 60.0
 """How long a non-idempotent answer is awaited past its deadline, for the sake of its key."""
 
+CLAIM_ANSWER_S = 0.5
+"""How long after its deadline a request waits for the end of its claim."""
+
 ARRIVAL_MARGIN_S = 1.0
-"""Time for a request to arrive after its caller sent it."""
+"""Time for a request to arrive after its caller sent it, and to be read after a pause."""
+
+PAUSE_S = 0.5
+"""A gap between two ticks from which this process counts as having stood still."""
 
 QUIET_REFRESHES = 3
 """Empty refreshes after which a scheduler certainly knows that nothing is held here."""
@@ -86,14 +94,14 @@
         self._local: dict[ServiceName, tuple[LocalUpstream, ...]] = {}
         self._refreshed_s: dict[ShardId, float] = {}
         self._stopping_s: float | None = None
+        self._ticked_s: float | None = None
+        self._woke_s = -math.inf
 
     # Callers.
 
     def accept(self, request: AcceptedRequest, now_s: float) -> tuple[RequestId, list[EntryAction]]:
         """Take a request in; return its id and the first actions, which may refuse it."""
         held = self._book.new_request(request, now_s)
-        if self._stop_window_is_over(now_s):
-            return held.request_id, refuse_new(self._book, held, RefusalReason.STOPPING)
         actions = admit(self._book, held, now_s)
         if held.request_id in self._book.held:
             actions += self._book.submit(held, now_s)
@@ -120,8 +128,9 @@
     ) -> list[EntryAction]:
         """Take the order of scheduler candidates from membership."""
         choice = self._book.choice(shard)
-        before = choice.current
-        return self._after_choice(shard, before, choice.set_order(order, now_s), now_s)
+        if not choice.set_order(order, now_s):
+            return []
+        return self._refresh_all(shard, now_s)
 
     def scheduler_heard(self, shard: ShardId, scheduler: InstanceId) -> None:
         """A scheduler acknowledged a message about this shard."""
@@ -135,8 +144,11 @@
         if held is not None and held.grant == grant and held.granted_by == scheduler:
             # The same message again; declining it would free the room that is in use.
             return []
-        if held is None or not is_usable(self._book, held, grant, now_s):
-            return [DeclineGrant(scheduler, shard, grant)]
+        declined: list[EntryAction] = [DeclineGrant(scheduler, shard, grant)]
+        if held is None or not is_awaited(held, grant):
+            return declined
+        if not is_usable(self._book, held, grant, now_s):
+            return declined + wait_again(self._book, held, held.ticket.excluded, now_s)
         held.grant = grant
         held.granted_by = scheduler
         return use_grant(held)
@@ -221,7 +233,11 @@
     # Time.
 
     def stop(self, now_s: float) -> list[EntryAction]:
-        """Begin a planned stop: serve on until no caller may still hold this address."""
+        """Begin a planned stop: serve on until no caller may still hold this address.
+
+        Whatever arrives before the process ends is served, since it cannot tell a request that
+        waited in a socket while it stood still from one that was sent too late.
+        """
         if self._stopping_s is None:
             self._stopping_s = now_s
         return []
@@ -232,6 +248,9 @@
 
     def tick(self, now_s: float) -> list[EntryAction]:
         """Do what has become due: deadlines, resumes, silent schedulers, refreshes."""
+        if self._ticked_s is not None and now_s - self._ticked_s > PAUSE_S:
+            self._woke_s = now_s
+        self._ticked_s = now_s
         actions: list[EntryAction] = []
         for held in self._book.take_due(now_s):
             actions += self._tick_request(held, now_s)
@@ -248,17 +267,14 @@
 
     # Schedulers.
 
-    def _after_choice(
-        self, shard: ShardId, before: InstanceId | None, changed: bool, now_s: float
-    ) -> list[EntryAction]:
-        if not changed:
-            return []
-        actions: list[EntryAction] = []
-        if before is not None:
-            # Should the former scheduler still live, it drops what this entry had there.
-            actions.append(RefreshScheduler(before, shard, (), ()))
-        actions += self._book.refresh_action(service_of(shard), now_s)
+    def _refresh_all(self, shard: ShardId, now_s: float) -> list[EntryAction]:
+        """Bring the scheduler in use up to date, and former ones to forget this entry."""
         self._refreshed_s[shard] = now_s
+        actions: list[EntryAction] = [
+            RefreshScheduler(former, shard, (), ())
+            for former in self._book.choice(shard).take_farewells()
+        ]
+        actions += self._book.refresh_action(service_of(shard), now_s)
         actions += self._grant_locally(service_of(shard), now_s)
         return actions
 
@@ -279,7 +295,8 @@
         return actions
 
     def _refresh_due_s(self, shard: ShardId) -> float:
-        if self._book.quiet_refreshes.get(shard, QUIET_REFRESHES) >= QUIET_REFRESHES:
+        is_quiet = self._book.quiet_refreshes.get(shard, QUIET_REFRESHES) >= QUIET_REFRESHES
+        if is_quiet and not self._book.choice(shard).has_farewells:
             return math.inf
         last_s = self._refreshed_s.get(shard, 0.0)
         return last_s + self._settings.scheduler.refresh_interval_s
@@ -287,21 +304,16 @@
     # Time.
 
     def _tick_shard(self, shard: ShardId, now_s: float) -> list[EntryAction]:
-        choice = self._book.choice(shard)
-        before = choice.current
-        if choice.tick(now_s):
-            return self._after_choice(shard, before, True, now_s)
-        actions = self._grant_locally(service_of(shard), now_s)
-        if now_s >= self._refresh_due_s(shard):
-            self._refreshed_s[shard] = now_s
-            actions += self._book.refresh_action(service_of(shard), now_s)
-        return actions
+        changed = self._book.choice(shard).tick(now_s)
+        if changed or now_s >= self._refresh_due_s(shard):
+            return self._refresh_all(shard, now_s)
+        return self._grant_locally(service_of(shard), now_s)
 
     def _tick_request(self, held: HeldRequest, now_s: float) -> list[EntryAction]:
         if now_s < held.request.deadline_s:
             return resume_if_due(held, now_s)
         if not held.is_dispatched:
-            return refuse(self._book, held, RefusalReason.EXPIRED)
+            return self._expire(held, now_s)
         key_wait_end_s = held.request.deadline_s + KEY_WAIT_S
         if held.claim is ClaimHold.HELD and now_s < key_wait_end_s:
             self._book.wake_at(held, key_wait_end_s)
@@ -309,10 +321,18 @@
             return actions + resume_if_due(held, now_s)
         return fail(self._book, held, RefusalReason.EXPIRED, EndState.BROKEN)
 
+    def _expire(self, held: HeldRequest, now_s: float) -> list[EntryAction]:
+        answer_by_s = held.request.deadline_s + CLAIM_ANSWER_S
+        if held.state is RequestState.CLAIMING and now_s < answer_by_s:
+            # The claim ends at the deadline too, and may know of an earlier run of the key.
+            self._book.wake_at(held, answer_by_s)
+            return []
+        return refuse(self._book, held, RefusalReason.EXPIRED)
+
     def _stop_window_is_over(self, now_s: float) -> bool:
         if self._stopping_s is None:
             return False
         # Another node may name this address until it hears of the stop or takes us for gone.
         learned_s = self._stopping_s + self._settings.membership.suspect_after_s
         last_arrival_s = learned_s + self._settings.entry.answer_lifetime_s + ARRIVAL_MARGIN_S
-        return now_s >= last_arrival_s
+        return now_s >= max(last_arrival_s, self._woke_s + ARRIVAL_MARGIN_S)
--- a/lentilchute/grant_use.py
+++ b/lentilchute/grant_use.py
@@ -18,10 +18,13 @@
 from .upstreams import UpstreamRequest
 
 
+def is_awaited(held: HeldRequest, grant: Grant) -> bool:
+    """Tell whether the request waits for a grant of this attempt."""
+    return held.state is RequestState.WAITING and grant.attempt == held.attempt
+
+
 def is_usable(book: RequestBook, held: HeldRequest, grant: Grant, now_s: float) -> bool:
-    """Tell whether a waiting request can take this grant."""
-    if held.state is not RequestState.WAITING or grant.attempt != held.attempt:
-        return False
+    """Tell whether a grant that is awaited can be used now."""
     if grant.upstream in book.leaving or grant.upstream in held.ticket.excluded:
         return False
     return now_s < min(grant.expires_s, held.request.deadline_s)
@@ -47,9 +50,11 @@
 
 def send_if_still_granted(book: RequestBook, held: HeldRequest, now_s: float) -> list[EntryAction]:
     """Send with the key held, unless the grant lapsed while the claim was under way."""
+    if now_s >= held.request.deadline_s:
+        return refuse(book, held, RefusalReason.EXPIRED)
     grant = held.grant
     if grant is None or now_s >= grant.expires_s or grant.upstream in book.leaving:
-        return _wait_again(book, held, held.ticket.excluded, now_s)
+        return wait_again(book, held, held.ticket.excluded, now_s)
     return _send(held)
 
 
@@ -88,12 +93,13 @@
     excluded = held.ticket.excluded
     if held.grant is not None and now_s < held.grant.expires_s:
         excluded = excluded | {held.grant.upstream}
-    return _wait_again(book, held, excluded, now_s)
+    return wait_again(book, held, excluded, now_s)
 
 
-def _wait_again(
+def wait_again(
     book: RequestBook, held: HeldRequest, excluded: frozenset[UpstreamId], now_s: float
 ) -> list[EntryAction]:
+    """Give the grant back and submit a new attempt; a scheduler takes the old one for over."""
     actions = decline(held)
     held.state = RequestState.WAITING
     next_attempt = Attempt(held.attempt + 1)
--- a/lentilchute/scheduler_choice.py
+++ b/lentilchute/scheduler_choice.py
@@ -9,6 +9,10 @@
 
 SILENT_FOR_S = 5.0
 
+FAREWELLS = 4
+"""Empty refreshes for a former scheduler. The first may come too early to count: a scheduler does
+not let a refresh speak about what it decided a moment ago."""
+
 
 class SchedulerChoice:
     """The candidates of one shard, and the one in use."""
@@ -18,6 +22,7 @@
         self._order: tuple[InstanceId, ...] = ()
         self._silent_until_s: dict[InstanceId, float] = {}
         self._asked_s: float | None = None
+        self._farewells: dict[InstanceId, int] = {}
         self.current: InstanceId | None = None
 
     def set_order(self, order: tuple[InstanceId, ...], now_s: float) -> bool:
@@ -42,6 +47,20 @@
             self._silent_until_s[self.current] = now_s + SILENT_FOR_S
         return self._choose(now_s)
 
+    def take_farewells(self) -> list[InstanceId]:
+        """Return the former schedulers that still have to hear that nothing is held for them."""
+        former = list(self._farewells)
+        for scheduler in former:
+            self._farewells[scheduler] -= 1
+            if self._farewells[scheduler] == 0:
+                del self._farewells[scheduler]
+        return former
+
+    @property
+    def has_farewells(self) -> bool:
+        """Whether ``take_farewells`` has something to return."""
+        return bool(self._farewells)
+
     def next_tick_s(self) -> float:
         """Return when ``tick`` may change the choice."""
         times = list(self._silent_until_s.values())
@@ -60,6 +79,10 @@
         chosen = next(candidates, None)
         if chosen == self.current:
             return False
+        if self.current is not None:
+            self._farewells[self.current] = FAREWELLS
+        if chosen is not None:
+            self._farewells.pop(chosen, None)
         self.current = chosen
         self._asked_s = None
         return True
