Prove the whole system with a state machine against an oracle

The oracle sees only what callers and upstreams see, and which tickets entries say are waiting. It checks single dispatch, single run of a key, honest not-run, tier order of sheds, whole answers, leaving upstreams, planned stops and deadlines after each step, and that nothing is left anywhere after healing.

Narrowed, each after a trace: a ticket that a scheduler already refused does not count as waiting; nor does a ticket whose process stands still or whose link to the deciding scheduler is cut, since it can be neither known nor displaced there; under lossy links a ticket counts after 4 s, in calm after 50 ms.

--- /dev/null
+++ b/test/system_oracle.py
@@ -0,0 +1,195 @@
+"""What callers sent and got, what upstreams received, and the checks over both.
+
+The oracle knows nothing of the product's inner state but which tickets an entry says are waiting.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lentilchute.entry_actions import BreakAnswer, SendEnd, SendHead, SendPart, SendRefusal
+from lentilchute.tickets import Outcome, RefusalReason
+
+DEADLINE_SLACK_S = 1.0
+LEAVING_LIMIT_S = 3.0
+CALM_SETTLE_S = 0.05
+TROUBLE_SETTLE_S = 4.0
+POISON_ENGINES = 2
+SHEDS = (RefusalReason.OVERLOADED, RefusalReason.DISPLACED)
+
+
+def expected_parts(serial: int, is_engine: bool) -> list[bytes]:
+    """Return the whole answer of an upstream to the request with this serial number."""
+    if not is_engine:
+        return [f"posted {serial}".encode()]
+    return [f"{serial}:{number} ".encode() for number in range(1, 6 + serial % 4 * 8)]
+
+
+@dataclass
+class CallerRecord:
+    """One request as its caller sees it."""
+
+    serial: int
+    service: str
+    tier: int
+    entry: str
+    sent_s: float
+    deadline_s: float
+    key: str | None
+    content: str
+    is_engine: bool
+    is_poison: bool = False
+    request_id: str | None = None
+    entry_run: int = 0
+    accepted_s: float = 0.0
+    has_head: bool = False
+    body: bytes = b""
+    end: str | None = None
+    refusal: SendRefusal | None = None
+    has_arrived: bool = False
+    """Whether the entry's machine took the connection; its process may not have read it yet."""
+    has_left: bool = False
+    shed_s: float | None = None
+    """When a scheduler decided to refuse the request."""
+    shed_by: str | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller still waits."""
+        return self.end is None and not self.has_left
+
+
+@dataclass
+class Oracle:
+    """The records, and checks that raise ``AssertionError``."""
+
+    coverage: Counter[str]
+    records: dict[int, CallerRecord] = field(default_factory=dict)
+    by_request: dict[str, CallerRecord] = field(default_factory=dict)
+    received: Counter[str] = field(default_factory=Counter)
+    first_bytes: set[str] = field(default_factory=set)
+    key_runs: dict[tuple[str, str], list[int]] = field(default_factory=lambda: defaultdict(list))
+    poison_crashes: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+
+    # What happens.
+
+    def accepted(self, record: CallerRecord, request_id: str, now_s: float) -> None:
+        """An entry gave a caller's request its id."""
+        record.request_id = request_id
+        record.accepted_s = now_s
+        self.by_request[request_id] = record
+
+    def first_byte(self, request_id: str) -> None:
+        """An entry is about to send the first byte."""
+        record = self.by_request[request_id]
+        assert request_id not in self.first_bytes, f"two dispatches of {request_id}"
+        self.first_bytes.add(request_id)
+        if record.refusal is not None:
+            raise AssertionError(f"{request_id} dispatched after its refusal")
+
+    def upstream_received(self, request_id: str, serial: int, upstream: str, now_s: float) -> None:
+        """An upstream got a request and runs it."""
+        record = self.records[serial]
+        self.received[request_id] += 1
+        assert self.received[request_id] == 1, f"{request_id} reached upstreams twice"
+        self._check_not_run(record)
+        if record.key is None:
+            return
+        runs = self.key_runs[record.service, record.key]
+        runs.append(serial)
+        assert len(runs) == 1, f"key {record.key} ran twice: {runs}"
+
+    def poison_crashed(self, serial: int, upstream: str) -> None:
+        """A request crashed the upstream that ran it."""
+        content = self.records[serial].content
+        self.poison_crashes[content] += 1
+        self.coverage["engine crashed by a poison request"] += 1
+        count = self.poison_crashes[content]
+        assert count <= POISON_ENGINES, f"{content} cost {count} engines"
+
+    def caller_got(self, action: object, request_id: str) -> None:
+        """An entry sent a piece of an answer to its caller."""
+        record = self.by_request[request_id]
+        assert record.end is None, f"{request_id} got {action} after its end {record.end}"
+        if isinstance(action, SendHead):
+            assert not record.has_head
+            record.has_head = True
+        elif isinstance(action, SendPart):
+            assert record.has_head
+            record.body += action.data
+        elif isinstance(action, SendEnd):
+            record.end = "whole"
+            self._check_whole(record)
+        elif isinstance(action, SendRefusal):
+            assert not record.has_head
+            record.end = "refused"
+            record.refusal = action
+            self._note_refusal(record, action)
+        elif isinstance(action, BreakAnswer):
+            assert record.has_head
+            record.end = "broken"
+            self.coverage["caller saw a broken answer"] += 1
+
+    def _note_refusal(self, record: CallerRecord, refusal: SendRefusal) -> None:
+        self.coverage[f"refused {refusal.reason.value} ({refusal.outcome.value})"] += 1
+        assert refusal.retry_after_s > 0
+        self._check_not_run(record)
+        assert refusal.reason is not RefusalReason.STOPPING, f"{record.request_id} met a stop"
+        assert (
+            refusal.reason is not RefusalReason.POISON or record.is_poison
+        ), f"innocent {record.request_id} refused as poison"
+
+    # Checks.
+
+    def _check_not_run(self, record: CallerRecord) -> None:
+        refusal = record.refusal
+        if refusal is None or refusal.outcome is not Outcome.NOT_RUN or not record.request_id:
+            return
+        for known in (self.first_bytes, self.received):
+            assert record.request_id not in known, f"{record.request_id} ran, refused not-run"
+
+    def _check_whole(self, record: CallerRecord) -> None:
+        serials = [record.serial]
+        if record.key is not None:
+            serials += self.key_runs[record.service, record.key]
+        answers = [b"".join(expected_parts(serial, record.is_engine)) for serial in serials]
+        assert record.body in answers, f"{record.request_id} got {record.body!r} as whole"
+        if record.key is not None and record.body != answers[0]:
+            self.coverage["resend got the kept answer"] += 1
+        self.coverage["whole answer"] += 1
+
+    def check_shed(
+        self, refused: CallerRecord, lower: list[CallerRecord], settled_s: float, now_s: float
+    ) -> None:
+        """A tier may not be shed while a lower one waited that the scheduler had time to know."""
+        self.coverage[f"shed of tier {refused.tier}"] += 1
+        for other in lower:
+            waited_s = now_s - other.accepted_s
+            assert waited_s < settled_s, (
+                f"{refused.request_id} of tier {refused.tier} was shed at {now_s:.3f} while "
+                f"{other.request_id} of tier {other.tier} waited for {waited_s:.3f} s"
+            )
+
+    def check_deadlines(self, now_s: float, excuse_until_s: Callable[[str], float]) -> None:
+        """Every request has its answer by its deadline plus one second."""
+        for record in self.records.values():
+            limit_s = max(record.deadline_s, excuse_until_s(record.entry)) + DEADLINE_SLACK_S
+            assert not record.is_open or now_s <= limit_s, (
+                f"request {record.serial} ({record.request_id}) is silent at {now_s:.3f}, "
+                f"deadline {record.deadline_s:.3f}"
+            )
+
+    def node_died(self, name: str) -> None:
+        """Callers of a killed process see their connections break."""
+        for record in self.records.values():
+            if record.entry == name and record.is_open and record.has_arrived:
+                record.end = "broken"
+                self.coverage["caller lost its entry"] += 1
+
+    def open_at(self, name: str) -> list[CallerRecord]:
+        """Return the requests that an entry still owes an answer."""
+        return [
+            record
+            for record in self.records.values()
+            if record.entry == name and record.is_open and record.has_arrived
+        ]
