Prove leases and configuration; add orders to engines

An index answer now confirms as of when it was asked, not when it arrived.

Leases: the oracle first let a number that does not grow pass, and now requires each number to be given once.

--- a/lentilchute/configuration.py
+++ b/lentilchute/configuration.py
@@ -204,7 +204,8 @@
         if versions is None or not missing:
             self._poll_call = None
             if versions is not None:
-                self._confirmed_s = now_s
+                # The answer may have been long on its way: it says how things stood when asked.
+                self._confirmed_s = max(self._confirmed_s or self._polled_s, self._polled_s)
             return []
         for service in missing:
             self._behind_since_s.setdefault(service, now_s)
--- /dev/null
+++ b/lentilchute/engine_orders.py
@@ -0,0 +1,358 @@
+"""Orders to one service's engines by the holder of its lease; free of I/O.
+
+An order states the end that the engine shall reach. It is written to the table in a transaction
+that also requires the holder's lease row to be unchanged, then the engine is drained, then the
+order is sent, and only while enough of the lease is left. A new holder asks every engine for its
+state, whatever the table says, and keeps asking: what differs is ordered anew.
+
+What remains possible:
+
+- Engines that check the number: a new holder orders each of them once under its own number, also
+  where nothing differs. From then on no earlier order takes effect. Until then a late order of the
+  old holder may, and is undone by the new holder's order.
+- Engines that ignore the number: an old holder's order that was delayed on its way, or that was
+  written to the connection just before its sender stood still, may take effect at any later time,
+  also while requests run there. It is noticed with the next ``STATE_POLL_S`` and ordered back after
+  a drain; until then the engine may load or serve another model. Requests name their model, so the
+  engine refuses those that it cannot serve. No bound on the delay can be given here.
+- A drain is told to schedulers and lapses by itself. One that a scheduler did not hear lets
+  requests reach an engine that is about to change; the engine ends or refuses them.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from result import Err, Result
+
+from .document import Fencing
+from .ids import FencingNumber, ModelName, ServiceName, UpstreamId
+from .order_records import OrderRecord, order_fencing, order_key, order_prefix
+from .platform import Condition, Row, TableFault, Transaction, Write
+from .upstreams import EngineOrder, EngineState, UpstreamFault
+
+STATE_POLL_S = 2.0
+"""Each engine is asked for its state at this interval."""
+DRAIN_LASTS_S = 15.0
+"""A drain lapses after this long unless it is repeated."""
+DRAIN_TIMEOUT_S = 600.0
+"""An engine that has not drained by then is left as it is, and tried again later."""
+LOAD_TIMEOUT_S = 300.0
+"""An engine that has not reached its ordered state by then is ordered again."""
+ORDER_NEEDS_S = 4.0
+"""Time that must be left of the lease when an order is sent; longer than sending may take."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTarget:
+    """What one engine shall hold."""
+
+    model: ModelName
+    version: str
+    adapters: tuple[str, ...] = ()
+    role: str = "serve"
+
+    def is_met_by(self, state: EngineState) -> bool:
+        """Tell whether the engine holds this, ready or still loading."""
+        same_model = (state.model, state.version, state.role) == (
+            self.model,
+            self.version,
+            self.role,
+        )
+        return same_model and sorted(state.adapters) == sorted(self.adapters)
+
+
+@dataclass(frozen=True, slots=True)
+class ScanOrders:
+    """Scan the prefix; answer with ``orders_read``."""
+
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskEngine:
+    """Ask the engine for its state; answer with ``state_answered``."""
+
+    upstream: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class WriteOrder:
+    """Commit the transaction; answer with ``order_written``."""
+
+    upstream: UpstreamId
+    transaction: Transaction
+
+
+@dataclass(frozen=True, slots=True)
+class DrainEngine:
+    """Tell all schedulers to grant nothing there for ``lasts_s``; 0 ends the drain.
+
+    The owner calls ``drained`` once nothing is in flight there any more.
+    """
+
+    upstream: UpstreamId
+    lasts_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send the order if ``LeaseBook.fencing(service, ORDER_NEEDS_S, now_s)`` still gives a number.
+
+    Answer with ``order_answered``, with ``NOT_SENT`` where it does not.
+    """
+
+    upstream: UpstreamId
+    order: EngineOrder
+
+
+OrderAction = ScanOrders | AskEngine | WriteOrder | DrainEngine | SendOrder
+
+
+class OrderPhase(Enum):
+    """Where one engine stands on its way to its target."""
+
+    WATCHED = "watched"
+    """Its state is asked; nothing is under way."""
+    WRITING = "writing"
+    DRAINING = "draining"
+    SENDING = "sending"
+    LOADING = "loading"
+
+
+@dataclass(slots=True)
+class _Engine:
+    upstream: UpstreamId
+    target: EngineTarget
+    fencing: Fencing
+    phase: OrderPhase = OrderPhase.WATCHED
+    since_s: float = 0.0
+    state: EngineState | None = None
+    ordered: FencingNumber | None = None
+    """Number of the last order of this holder."""
+    row_version: int = 0
+    is_asked: bool = False
+    next_ask_s: float = 0.0
+    next_drain_s: float = math.inf
+
+    @property
+    def is_drained_for_change(self) -> bool:
+        return self.next_drain_s != math.inf
+
+    @property
+    def serves(self) -> ModelName | None:
+        """The model that requests can be sent to now."""
+        if self.state is None or not self.state.ready or self.is_drained_for_change:
+            return None
+        return ModelName(self.state.model)
+
+    @property
+    def needs_order(self) -> bool:
+        if self.state is None or self.state.leaving:
+            return False
+        if not self.target.is_met_by(self.state):
+            return True
+        return self.fencing is Fencing.CHECKED and self.ordered is None
+
+
+class EngineOrders:
+    """One holder's orders under one lease; it is dropped when the lease is lost.
+
+    ``min_ready`` gives, for each model, how many engines stay ready while others change. A model
+    for which too few are ready already loses no further engine.
+    """
+
+    def __init__(self, service: ServiceName, lease: FencingNumber) -> None:
+        self._service = service
+        self._lease = lease
+        self._sequence = 0
+        self._engines: dict[UpstreamId, _Engine] = {}
+        self._min_ready: Mapping[ModelName, int] = {}
+        self._rows: dict[str, int] | None = None
+        self._is_scanning = False
+        self._next_scan_s = -math.inf
+
+    def set_targets(
+        self,
+        targets: Mapping[UpstreamId, tuple[EngineTarget, Fencing]],
+        min_ready: Mapping[ModelName, int],
+    ) -> None:
+        """Take the wanted assignment; an order under way ends before a new target counts."""
+        self._min_ready = min_ready
+        for upstream in [name for name in self._engines if name not in targets]:
+            del self._engines[upstream]
+        for upstream, (target, fencing) in targets.items():
+            engine = self._engines.setdefault(upstream, _Engine(upstream, target, fencing))
+            engine.target = target
+
+    def phase(self, upstream: UpstreamId) -> OrderPhase | None:
+        """Return where an engine stands; ``None`` for one without a target."""
+        engine = self._engines.get(upstream)
+        return None if engine is None else engine.phase
+
+    def tick(self, lease_row: Condition | None, now_s: float) -> list[OrderAction]:
+        """Ask, drain and order what is due; ``lease_row`` is ``LeaseBook.row_condition``."""
+        if lease_row is None:
+            return []
+        if self._rows is None:
+            return self._scan(now_s)
+        actions: list[OrderAction] = []
+        for engine in self._engines.values():
+            actions += self._repeat(engine, now_s)
+            if engine.phase is OrderPhase.WATCHED and engine.needs_order:
+                actions += self._begin(engine, lease_row, now_s)
+        return actions
+
+    def orders_read(self, answer: Result[list[Row], TableFault], now_s: float) -> None:
+        """Take the answer to ``ScanOrders``: the versions on which writes are conditioned."""
+        self._is_scanning = False
+        if isinstance(answer, Err):
+            self._next_scan_s = now_s + STATE_POLL_S
+            return
+        self._rows = {row.key: row.version for row in answer.ok_value}
+
+    def state_answered(
+        self, upstream: UpstreamId, answer: Result[EngineState, UpstreamFault], now_s: float
+    ) -> list[OrderAction]:
+        """Take the answer to ``AskEngine``."""
+        engine = self._engines.get(upstream)
+        if engine is None:
+            return []
+        engine.is_asked = False
+        engine.next_ask_s = now_s + STATE_POLL_S
+        engine.state = None if isinstance(answer, Err) else answer.ok_value
+        if engine.phase is not OrderPhase.LOADING or engine.state is None:
+            return []
+        if engine.target.is_met_by(engine.state) and engine.state.ready:
+            return self._watch(engine, now_s)
+        if now_s - engine.since_s > LOAD_TIMEOUT_S:
+            engine.phase = OrderPhase.WATCHED
+        return []
+
+    def order_written(
+        self, upstream: UpstreamId, answer: Result[None, TableFault], now_s: float
+    ) -> list[OrderAction]:
+        """Take the answer to ``WriteOrder``; without success the rows are read anew."""
+        engine = self._engines.get(upstream)
+        if engine is None or engine.phase is not OrderPhase.WRITING:
+            return []
+        if isinstance(answer, Err):
+            self._rows = None
+            self._next_scan_s = now_s
+            return self._watch(engine, now_s)
+        key = order_key(self._service, upstream)
+        if self._rows is not None:
+            self._rows[key] = self._rows.get(key, 0) + 1
+        if engine.state is not None and engine.target.is_met_by(engine.state):
+            # The order only raises the engine's number: it changes nothing that is in flight.
+            return self._send(engine, now_s)
+        engine.phase = OrderPhase.DRAINING
+        engine.since_s = now_s
+        engine.next_drain_s = now_s
+        return self._repeat_drain(engine, now_s)
+
+    def drained(self, upstream: UpstreamId, now_s: float) -> list[OrderAction]:
+        """Nothing is in flight at the engine and no scheduler grants there."""
+        engine = self._engines.get(upstream)
+        if engine is None or engine.phase is not OrderPhase.DRAINING:
+            return []
+        return self._send(engine, now_s)
+
+    def order_answered(
+        self, upstream: UpstreamId, answer: Result[None, UpstreamFault], now_s: float
+    ) -> list[OrderAction]:
+        """Take the answer to ``SendOrder``; the engine's state shows what a lost answer hides."""
+        engine = self._engines.get(upstream)
+        if engine is None or engine.phase is not OrderPhase.SENDING:
+            return []
+        refused = (UpstreamFault.NOT_SENT, UpstreamFault.WRONG_ANSWER, UpstreamFault.NOT_SUPPORTED)
+        if isinstance(answer, Err) and answer.err_value in refused:
+            return self._watch(engine, now_s)
+        engine.phase = OrderPhase.LOADING
+        engine.since_s = now_s
+        engine.next_ask_s = now_s
+        return []
+
+    def _scan(self, now_s: float) -> list[OrderAction]:
+        if self._is_scanning or now_s < self._next_scan_s:
+            return []
+        self._is_scanning = True
+        return [ScanOrders(order_prefix(self._service))]
+
+    def _repeat(self, engine: _Engine, now_s: float) -> list[OrderAction]:
+        actions = self._repeat_drain(engine, now_s)
+        if not engine.is_asked and now_s >= engine.next_ask_s:
+            engine.is_asked = True
+            actions.append(AskEngine(engine.upstream))
+        if engine.phase is OrderPhase.DRAINING and now_s - engine.since_s > DRAIN_TIMEOUT_S:
+            actions += self._watch(engine, now_s)
+        return actions
+
+    def _repeat_drain(self, engine: _Engine, now_s: float) -> list[OrderAction]:
+        if now_s < engine.next_drain_s:
+            return []
+        engine.next_drain_s = now_s + DRAIN_LASTS_S / 3
+        return [DrainEngine(engine.upstream, DRAIN_LASTS_S)]
+
+    def _begin(self, engine: _Engine, lease_row: Condition, now_s: float) -> list[OrderAction]:
+        if not self._may_change(engine):
+            return []
+        self._sequence += 1
+        engine.ordered = order_fencing(self._lease, self._sequence)
+        engine.phase = OrderPhase.WRITING
+        engine.since_s = now_s
+        record = OrderRecord(
+            fencing=engine.ordered,
+            model=engine.target.model,
+            version=engine.target.version,
+            adapters=engine.target.adapters,
+            role=engine.target.role,
+        )
+        key = order_key(self._service, engine.upstream)
+        version = 0 if self._rows is None else self._rows.get(key, 0)
+        conditions = (lease_row, Condition(key, version))
+        writes = (Write(key, record.model_dump_json()),)
+        return [WriteOrder(engine.upstream, Transaction(conditions, writes))]
+
+    def _may_change(self, engine: _Engine) -> bool:
+        if engine.state is not None and engine.target.is_met_by(engine.state):
+            return True
+        model = engine.serves
+        if model is None:
+            return True
+        others = [
+            other
+            for other in self._engines.values()
+            if other is not engine and other.serves == model and not _is_under_change(other)
+        ]
+        return len(others) >= self._min_ready.get(model, 0)
+
+    def _send(self, engine: _Engine, now_s: float) -> list[OrderAction]:
+        if engine.ordered is None:
+            return self._watch(engine, now_s)
+        engine.phase = OrderPhase.SENDING
+        engine.since_s = now_s
+        target = engine.target
+        order = EngineOrder(
+            engine.ordered, target.model, target.version, target.adapters, target.role
+        )
+        return [SendOrder(engine.upstream, order)]
+
+    def _watch(self, engine: _Engine, now_s: float) -> list[OrderAction]:
+        is_placed = engine.phase is OrderPhase.LOADING
+        engine.phase = OrderPhase.WATCHED
+        engine.since_s = now_s
+        if not is_placed:
+            engine.ordered = None
+        if not engine.is_drained_for_change:
+            return []
+        engine.next_drain_s = math.inf
+        return [DrainEngine(engine.upstream, 0.0)]
+
+
+def _is_under_change(engine: _Engine) -> bool:
+    """Whether the engine is on its way to a state that it does not hold."""
+    if engine.phase is OrderPhase.WATCHED:
+        return False
+    return engine.state is None or not engine.target.is_met_by(engine.state)
--- a/lentilchute/leases.py
+++ b/lentilchute/leases.py
@@ -84,6 +84,7 @@
     """When ``version`` was first seen, at the earliest after its write took effect."""
     held: FencingNumber | None = None
     held_until_s: float = -math.inf
+    last_lost: int = 0
     writing: LeaseRecord | None = None
     wanted: bool = True
 
@@ -241,8 +242,13 @@
             else:
                 del self._leases[lease.service]
             return []
-        until_s = lease.asked_s + LEASE_DURATION_S
         lease.step = _Step.WRITE
+        if not record.holder or record.fencing <= lease.last_lost:
+            # The write was sent before the lease was lost or given back; a number that has been
+            # given up is not used again, since orders are counted from one under each number.
+            lease.due_s = now_s
+            return []
+        until_s = lease.asked_s + LEASE_DURATION_S
         lease.due_s = lease.asked_s + RENEW_AFTER_S
         if now_s >= until_s:
             return []
@@ -255,6 +261,7 @@
         if lease.held is None:
             return []
         lost = LeaseLost(lease.service, lease.held)
+        lease.last_lost = lease.held
         lease.held = None
         lease.held_until_s = -math.inf
         return [lost]
--- /dev/null
+++ b/test/test_leases.py
@@ -0,0 +1,267 @@
+"""State machine for leases: nodes race for one lease, freeze past it, and hear answers late.
+
+The oracle sees all nodes at one time: no two may use the lease at one moment, and the numbers
+under which it is used only grow.
+"""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any, ClassVar
+
+from coverage_counter import CoverageCounter
+from fakes import CallFate, FakeTable, TableCall
+from result import Ok
+from step_machine import Draw, StepMachine, run_steps
+
+from lentilchute.ids import FencingNumber, IncarnationId, ServiceName
+from lentilchute.lease_records import lease_key
+from lentilchute.leases import (
+    DRIFT_FACTOR,
+    LEASE_DURATION_S,
+    CommitLease,
+    LeaseAction,
+    LeaseBook,
+    LeaseLost,
+    LeaseTaken,
+    ReadLease,
+)
+
+NODES = ("entry-1", "entry-2", "entry-3")
+SERVICE = ServiceName("fleet")
+TAKEN_AGAIN_S = LEASE_DURATION_S * DRIFT_FACTOR + 5.0
+COVERAGE = CoverageCounter(
+    "leases",
+    (
+        *(f"write {fate.value}" for fate in CallFate),
+        "lease taken",
+        "lease renewed",
+        "lease lost",
+        "lease taken after a lapse",
+        "lease given back",
+        "holder killed",
+        "holder frozen past its lease",
+        "late write took effect",
+        "late write barred",
+        "renewal answered after the lease had ended",
+        "used by a later holder",
+    ),
+)
+
+
+@dataclass(eq=False)
+class Node:
+    """One process with its book."""
+
+    name: str
+    book: LeaseBook
+    frozen: bool = False
+    taken: FencingNumber | None = None
+    uses: list[FencingNumber] = field(default_factory=list)
+
+
+class LeasesMachine(StepMachine):
+    WEIGHTS: ClassVar = {
+        "table_executes": 5,
+        "table_answers": 5,
+        "platform_works": 4,
+        "late_write_arrives": 2,
+        "time_passes": 8,
+        "holder_orders": 5,
+        "node_gives_back": 1,
+        "node_freezes_or_wakes": 1,
+        "node_dies": 1,
+    }
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 50.0
+        self.table = FakeTable()
+        self.calls: list[TableCall] = []
+        self.runs = 0
+        self.highest_used = 0
+        self.highest_taken = 0
+        self.nodes = {name: self.start_node(name) for name in NODES}
+        for node in self.nodes.values():
+            self.take(node, node.book.want(SERVICE, self.now_s))
+
+    def start_node(self, name: str) -> Node:
+        self.runs += 1
+        book = LeaseBook(IncarnationId(f"{name}.{self.runs}"), random.Random(self.runs))
+        return Node(name, book)
+
+    def take(self, node: Node, actions: list[LeaseAction]) -> None:
+        for action in actions:
+            if isinstance(action, LeaseTaken):
+                COVERAGE.hit("lease taken")
+                if action.fencing > 1:
+                    COVERAGE.hit("lease taken after a lapse")
+                assert node.taken is None
+                assert action.fencing > self.highest_taken, "a number was given twice"
+                self.highest_taken = action.fencing
+                node.taken = action.fencing
+            elif isinstance(action, LeaseLost):
+                COVERAGE.hit("lease lost")
+                assert node.taken == action.fencing
+                node.taken = None
+            else:
+                self.take_call(node, action)
+
+    def take_call(self, node: Node, action: ReadLease | CommitLease) -> None:
+        asked_s = self.now_s
+
+        def deliver(answer: Any) -> None:
+            if isinstance(action, ReadLease):
+                row = Ok(answer.ok_value.get(action.key)) if isinstance(answer, Ok) else answer
+                self.take(node, node.book.row_read(action.call_id, row, self.now_s))
+                return
+            if node.taken is not None and isinstance(answer, Ok):
+                late = self.now_s >= asked_s + LEASE_DURATION_S
+                COVERAGE.hit(
+                    "renewal answered after the lease had ended" if late else "lease renewed"
+                )
+            self.take(node, node.book.committed(action.call_id, answer, self.now_s))
+
+        if isinstance(action, ReadLease):
+            self.calls.append(TableCall(node.name, deliver, keys=(action.key,)))
+        else:
+            self.calls.append(TableCall(node.name, deliver, transaction=action.transaction))
+
+    def do_table_executes(self, draw: Draw) -> None:
+        open_calls = [call for call in self.calls if call.answer is None]
+        if not open_calls:
+            return
+        call = draw(open_calls)
+        fate = draw([CallFate.ANSWERED, CallFate.ANSWERED, *CallFate])
+        if call.transaction is not None:
+            COVERAGE.hit(f"write {fate.value}")
+        self.table.execute(call, fate)
+
+    def do_table_answers(self, draw: Draw) -> None:
+        ready = [call for call in self.calls if call.answer is not None]
+        if ready:
+            self.deliver(draw(ready))
+
+    def do_platform_works(self, draw: Draw) -> None:
+        for call in list(self.calls):
+            if call.answer is None:
+                self.table.execute(call, CallFate.ANSWERED)
+            self.deliver(call)
+
+    def deliver(self, call: TableCall) -> None:
+        if self.nodes[call.node].frozen:
+            return
+        self.calls.remove(call)
+        call.deliver(call.answer)
+
+    def do_late_write_arrives(self, draw: Draw) -> None:
+        if not self.table.late:
+            return
+        applied = self.table.apply_late(draw(range(len(self.table.late))))
+        COVERAGE.hit("late write took effect" if applied == Ok(None) else "late write barred")
+
+    def do_time_passes(self, draw: Draw) -> None:
+        self.pass_time(draw([0.2, 1.0, 1.0, 2.0, 4.0]))
+
+    def pass_time(self, passed_s: float) -> None:
+        self.now_s += passed_s
+        for node in self.nodes.values():
+            if not node.frozen:
+                self.take(node, node.book.tick(self.now_s))
+
+    def do_holder_orders(self, draw: Draw) -> None:
+        """Whoever thinks that it holds the lease uses it; a woken node does so before its tick."""
+        for node in self.nodes.values():
+            if not node.frozen:
+                self.use(node)
+
+    def use(self, node: Node) -> None:
+        fencing = node.book.fencing(SERVICE, 0.0, self.now_s)
+        if fencing is None:
+            return
+        assert fencing >= self.highest_used, "an old holder used its lease"
+        holders = [
+            other
+            for other in self.nodes.values()
+            if other.book.fencing(SERVICE, 0.0, self.now_s) is not None
+        ]
+        assert holders == [node], "two nodes use the lease"
+        if fencing > self.highest_used:
+            COVERAGE.hit("used by a later holder")
+        self.highest_used = fencing
+
+    def do_node_gives_back(self, draw: Draw) -> None:
+        node = self.nodes[draw(NODES)]
+        if node.frozen or node.taken is None:
+            return
+        COVERAGE.hit("lease given back")
+        self.take(node, node.book.give_back(SERVICE, self.now_s))
+        assert node.book.fencing(SERVICE, 0.0, self.now_s) is None
+        self.take(node, node.book.want(SERVICE, self.now_s))
+
+    def do_node_freezes_or_wakes(self, draw: Draw) -> None:
+        node = self.nodes[draw(NODES)]
+        if node.frozen and node.taken is not None:
+            lapsed = node.book.fencing(SERVICE, 0.0, self.now_s) is None
+            if lapsed:
+                COVERAGE.hit("holder frozen past its lease")
+        node.frozen = not node.frozen
+
+    def do_node_dies(self, draw: Draw) -> None:
+        old = self.nodes[draw(NODES)]
+        if old.taken is not None:
+            COVERAGE.hit("holder killed")
+        for call in [call for call in self.calls if call.node == old.name]:
+            self.calls.remove(call)
+            if call.transaction is not None and call.answer is None:
+                self.table.late.append(call.transaction)
+        node = self.nodes[old.name] = self.start_node(old.name)
+        self.take(node, node.book.want(SERVICE, self.now_s))
+
+    def check(self) -> None:
+        holders = [
+            node
+            for node in self.nodes.values()
+            if node.book.fencing(SERVICE, 0.0, self.now_s) is not None
+        ]
+        assert len(holders) <= 1, "two nodes hold the lease"
+
+    def teardown(self) -> None:
+        """Heal the platform, and kill the holder: another node takes the lease in bounded time."""
+        while self.table.late:
+            self.table.apply_late(0)
+        for node in self.nodes.values():
+            node.frozen = False
+        self.settle(TAKEN_AGAIN_S)
+        holder = next((node for node in self.nodes.values() if node.taken is not None), None)
+        assert holder is not None, "nobody takes the lease"
+        self.calls = [call for call in self.calls if call.node != holder.name]
+        holder.frozen = True
+        self.settle(TAKEN_AGAIN_S)
+        taken = [node for node in self.nodes.values() if not node.frozen and node.taken]
+        assert len(taken) == 1, "nobody takes the lease of a dead holder"
+        assert lease_key(SERVICE) in self.table.rows
+
+    def settle(self, lasting_s: float) -> None:
+        until_s = self.now_s + lasting_s
+        while self.now_s < until_s:
+            for _ in range(3):
+                self.do_platform_works(lambda items: items[0])
+            self.pass_time(0.25)
+            self.do_holder_orders(lambda items: items[0])
+
+
+def test_leases_under_faults() -> None:
+    run_steps(LeasesMachine, max_examples=120)
+    COVERAGE.check()
+
+
+def test_an_operation_that_outlasts_the_lease_gets_no_number() -> None:
+    machine = LeasesMachine()
+    for _ in range(3):
+        machine.do_platform_works(lambda items: items[0])
+    node = next(node for node in machine.nodes.values() if node.taken is not None)
+    assert node.book.fencing(SERVICE, LEASE_DURATION_S / 2, machine.now_s) == 1
+    assert node.book.fencing(SERVICE, LEASE_DURATION_S, machine.now_s) is None
+    condition = node.book.row_condition(SERVICE)
+    assert condition is not None
+    assert condition.version == machine.table.rows[lease_key(SERVICE)].version
