Wait for an answer that is not streamed until its deadline

Cause: the adapter gave each answer 60 s to its head, and a resume 10 s. The head of an answer that is not streamed comes with its end, so a long statement (4,096 tokens at 40 a second take 102 s) was taken for broken, resumed four times for 10 s, and failed. Now only streams have these bounds; the entry ends the others at their deadline. The idle timeout of streams now comes from the service document, through AcceptedRequest.

Callers are now told an idle time that the server surely keeps (with a keep-alive timeout below 12 s they were told more), and connections probe a silent peer, so that one that vanished without closing is noticed within 25 s.

--- a/lentilchute/entry_actions.py
+++ b/lentilchute/entry_actions.py
@@ -46,6 +46,7 @@
     idempotent: bool = True
     idempotency_key: IdempotencyKey | None = None
     kept_answer_bytes: int = 65_536
+    stream_idle_timeout_s: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/filters/chain.py
+++ b/lentilchute/filters/chain.py
@@ -111,6 +111,7 @@
         idempotent=draft.idempotent,
         idempotency_key=draft.idempotency_key,
         kept_answer_bytes=document.limits.kept_answer_bytes,
+        stream_idle_timeout_s=document.limits.stream_idle_timeout_s,
     )
 
 
--- a/lentilchute/grant_use.py
+++ b/lentilchute/grant_use.py
@@ -114,5 +114,6 @@
         headers=request.headers,
         body=request.body,
         streaming=request.streaming,
+        idle_timeout_s=request.stream_idle_timeout_s,
     )
     return [SendUpstream(held.grant.upstream, held.attempt, message)]
--- a/lentilchute/http_client.py
+++ b/lentilchute/http_client.py
@@ -17,6 +17,7 @@
 from .http_messages import (
     READ_BYTES,
     Headers,
+    detect_dead_peer,
     from_wire,
     header_value,
     split_address,
@@ -97,7 +98,9 @@
 async def open_tcp(address: str) -> trio.abc.HalfCloseableStream:
     """Connect to ``address``; raises ``OSError`` when that fails."""
     host, port = split_address(address)
-    return await trio.open_tcp_stream(host, port)
+    stream = await trio.open_tcp_stream(host, port)
+    detect_dead_peer(stream)
+    return stream
 
 
 def always_send() -> bool:
--- a/lentilchute/http_connection.py
+++ b/lentilchute/http_connection.py
@@ -124,8 +124,7 @@
             return self._idle_since_s + settings.keep_alive_timeout_s
         # Callers were told not to use the connection after the advertised time; the linger time
         # covers a request that they sent just before it.
-        told_s = min(settings.advertised_keep_alive_s, settings.keep_alive_timeout_s)
-        return self._idle_since_s + told_s + settings.linger_s
+        return self._idle_since_s + settings.told_keep_alive_s + settings.linger_s
 
     async def _read_request(self) -> HttpRequest | None:
         with trio.move_on_after(self._settings.header_timeout_s) as scope:
--- a/lentilchute/http_messages.py
+++ b/lentilchute/http_messages.py
@@ -1,8 +1,11 @@
 """Types and helpers that both sides of HTTP/1.1 share."""
 
 import json
+import socket
 from typing import Any
 
+import trio
+
 from .errors import UserError
 
 Headers = tuple[tuple[str, str], ...]
@@ -11,6 +14,11 @@
 READ_BYTES = 65_536
 """Most bytes taken from a stream in one read."""
 
+PROBE_AFTER_S = 10
+PROBE_INTERVAL_S = 5
+PROBES = 3
+"""A silent peer is probed after ``PROBE_AFTER_S``; without an answer the connection is reset."""
+
 OUTCOME_HEADER = "lentilchute-outcome"
 TIER_HEADER = "lentilchute-tier"
 DEADLINE_HEADER = "lentilchute-deadline-s"
@@ -80,3 +88,12 @@
 def join_address(host: str, port: int) -> str:
     """Return ``host:port``, with brackets around an IPv6 number."""
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def detect_dead_peer(stream: trio.abc.Stream) -> None:
+    """Have the system end a connection whose peer vanished without closing it."""
+    if isinstance(stream, trio.SocketStream):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
--- a/lentilchute/http_requests.py
+++ b/lentilchute/http_requests.py
@@ -37,6 +37,12 @@
     linger_s: float = 2.0
     """How long a closing connection is still read, so that the last answer is not lost."""
 
+    @property
+    def told_keep_alive_s(self) -> int:
+        """What callers are told: whole seconds, a linger time before the server would close."""
+        kept_s = min(self.advertised_keep_alive_s, self.keep_alive_timeout_s - self.linger_s)
+        return max(0, int(kept_s))
+
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
--- a/lentilchute/http_responder.py
+++ b/lentilchute/http_responder.py
@@ -18,7 +18,7 @@
     def write_timeout_s(self) -> float: ...
 
     @property
-    def advertised_keep_alive_s(self) -> float: ...
+    def told_keep_alive_s(self) -> int: ...
 
 
 class Responder:
@@ -84,10 +84,10 @@
     def _head(self, status: int, headers: Headers) -> h11.Event:
         self.is_started = True
         self._has_body = status not in (204, 304) and self._method != "HEAD"
-        if self._closes_after():
+        timeout_s = self._bounds.told_keep_alive_s
+        if self._closes_after() or timeout_s == 0:
             headers += (("connection", "close"),)
         else:
-            timeout_s = int(self._bounds.advertised_keep_alive_s)
             headers += (("connection", "keep-alive"), ("keep-alive", f"timeout={timeout_s}"))
         return h11.Response(status_code=status, headers=to_wire(headers))
 
--- a/lentilchute/http_server.py
+++ b/lentilchute/http_server.py
@@ -11,7 +11,7 @@
 
 from .events import Event, log_event
 from .http_connection import ServerConnection
-from .http_messages import split_address
+from .http_messages import detect_dead_peer, split_address
 from .http_requests import (
     Handler,
     HeadCheck,
@@ -97,6 +97,7 @@
 
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection until it ends, then close it. No fault of a connection is raised."""
+        detect_dead_peer(stream)
         connection = ServerConnection(self, stream)
         self._connections.add(connection)
         try:
--- a/lentilchute/upstream_calls.py
+++ b/lentilchute/upstream_calls.py
@@ -18,6 +18,9 @@
 from .tickets import LoadReport
 from .upstreams import AnswerHead, UpstreamFault, UpstreamRequest
 
+LONGEST_DEADLINE_S = 604_800.0
+"""No deadline in a service document is longer; bounds waits that a deadline should end."""
+
 SIDE_CALL_TIMEOUT_S = 2.0
 """Longest wait for the answer to a call other than a request: load, state, orders."""
 
@@ -34,13 +37,14 @@
 def request_message(request: UpstreamRequest) -> ClientRequest:
     """Return the HTTP request for a caller's request, with its request id."""
     headers = without_headers(request.headers, _REPLACED_HEADERS)
+    is_timed = request.streaming
     return ClientRequest(
         method=request.method,
         path=request.path,
         headers=((REQUEST_ID_HEADER, request.request_id), *headers),
         body=request.body,
-        head_timeout_s=request.head_timeout_s,
-        read_timeout_s=request.idle_timeout_s,
+        head_timeout_s=request.head_timeout_s if is_timed else LONGEST_DEADLINE_S,
+        read_timeout_s=request.idle_timeout_s if is_timed else LONGEST_DEADLINE_S,
     )
 
 
--- a/lentilchute/upstream_engine.py
+++ b/lentilchute/upstream_engine.py
@@ -4,6 +4,7 @@
 """
 
 import json
+from collections import OrderedDict
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
 from typing import Any
@@ -18,6 +19,7 @@
 from .sse import SseEvent, SseReader
 from .tickets import CacheEvent, LoadReport
 from .upstream_calls import (
+    LONGEST_DEADLINE_S,
     STATUS_NOT_SUPPORTED,
     SideCalls,
     answer_head,
@@ -39,6 +41,7 @@
 
 MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
 RESUME_HEAD_TIMEOUT_S = 10.0
+MAX_REMEMBERED_REQUESTS = 4_096
 _DONE = b"[DONE]"
 _USAGE_MARK = b'"usage"'
 _CACHE_LINES = TypeAdapter(list[dict[str, Any]])
@@ -52,12 +55,16 @@
         self._upstream = upstream.upstream
         self._client = HttpClient(upstream.address)
         self._side = SideCalls(upstream.upstream, self._client)
+        self._not_streamed: OrderedDict[RequestId, None] = OrderedDict()
+        """Requests that a resume waits for until their whole answer is there."""
 
     async def send(
         self, request: UpstreamRequest, before_first_byte: Callable[[], bool]
     ) -> AsyncIterator[AnswerItem]:
         """Send a request and yield its answer; close the iterator to abandon it."""
         message = request_message(request)
+        if not request.streaming:
+            self._remember(request.request_id)
         items = self._exchange(message, request.request_id, before_first_byte)
         async with aclosing(items):
             async for item in items:
@@ -65,11 +72,12 @@
 
     async def resume(self, request_id: RequestId, after_event: int) -> AsyncIterator[AnswerItem]:
         """Yield the rest of an answer, in the shape in which it was asked for."""
+        is_streamed = request_id not in self._not_streamed
         message = ClientRequest(
             "GET",
             _stream_path(request_id),
             (("last-event-id", str(after_event)),),
-            head_timeout_s=RESUME_HEAD_TIMEOUT_S,
+            head_timeout_s=RESUME_HEAD_TIMEOUT_S if is_streamed else LONGEST_DEADLINE_S,
         )
         items = self._exchange(message, request_id, always_send)
         async with aclosing(items):
@@ -120,6 +128,11 @@
         """Close idle connections."""
         await self._client.aclose()
 
+    def _remember(self, request_id: RequestId) -> None:
+        self._not_streamed[request_id] = None
+        if len(self._not_streamed) > MAX_REMEMBERED_REQUESTS:
+            self._not_streamed.popitem(last=False)
+
     async def _exchange(
         self, message: ClientRequest, request_id: RequestId, before_first_byte: Callable[[], bool]
     ) -> AsyncGenerator[AnswerItem, None]:
--- a/lentilchute/upstreams.py
+++ b/lentilchute/upstreams.py
@@ -41,7 +41,10 @@
     body: bytes
     streaming: bool
     head_timeout_s: float = 60.0
-    """Longest wait from the last byte sent to the head of the answer."""
+    """Longest wait from the last byte sent to the head of a streamed answer.
+
+    One that is not streamed has no bound here: whoever sends it ends it at its deadline.
+    """
     idle_timeout_s: float = 10.0
     """Longest silence within the answer; the service document's ``stream_idle_timeout_s``."""
 
--- a/test/test_answer_relay.py
+++ b/test/test_answer_relay.py
@@ -1,6 +1,18 @@
 """Tests of passing an answer on: whole, without gaps or repeats, never a clean short one."""
 
-from entry_fixtures import BOOKING, dispatched, has, new_entry, only
+from dataclasses import replace
+
+from entry_fixtures import (
+    BOOKING,
+    FIRST,
+    REQUEST,
+    SHARD,
+    dispatched,
+    grant,
+    has,
+    new_entry,
+    only,
+)
 
 from lentilchute.entry_actions import (
     BreakAnswer,
@@ -12,6 +24,7 @@
     SendEnd,
     SendPart,
     SendRefusal,
+    SendUpstream,
 )
 from lentilchute.upstreams import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
 
@@ -28,6 +41,13 @@
     assert only(actions, RecordGoodput).first_token_s == 1.0
 
 
+def test_an_upstream_is_given_the_services_idle_timeout() -> None:
+    requests = new_entry()
+    request_id, _ = requests.accept(replace(REQUEST, stream_idle_timeout_s=3.0), 0.0)
+    actions = requests.granted(SHARD, grant(request_id), FIRST, 0.0)
+    assert only(actions, SendUpstream).request.idle_timeout_s == 3.0
+
+
 def test_a_broken_stream_is_resumed_without_repeats() -> None:
     requests = new_entry()
     request_id = dispatched(requests)
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -185,6 +185,24 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
+def test_callers_are_told_less_than_the_server_keeps() -> None:
+    assert HttpServerSettings().told_keep_alive_s == 10
+    assert HttpServerSettings(keep_alive_timeout_s=6.5, linger_s=2.0).told_keep_alive_s == 4
+    short = HttpServerSettings(keep_alive_timeout_s=2.0, linger_s=2.0)
+
+    async def main() -> bytes:
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(HttpServer(short, echo).serve_stream, theirs)
+            await ours.send_all(GET)
+            answer = await read_all(ours)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    answer = trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert b"connection: close" in answer and b"keep-alive" not in answer
+
+
 def test_a_refused_head_is_answered_before_its_body() -> None:
     def check_head(head: RequestHead) -> int | HeadRefusal:
         refusal = HeadRefusal(401, (("lentilchute-outcome", "not-run"),), b"who are you?")
--- a/test/test_upstream_engine.py
+++ b/test/test_upstream_engine.py
@@ -3,12 +3,14 @@
 import json
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import pytest
 import trio
 from result import Err, Ok
 
+from lentilchute import upstream_engine
 from lentilchute.document import UpstreamKind
 from lentilchute.http_client import ClientRequest, HttpClient, HttpFault, always_send
 from lentilchute.ids import FencingNumber, ModelName, RequestId, UpstreamId
@@ -243,6 +245,23 @@
     run(test)
 
 
+def test_an_answer_that_is_not_streamed_is_waited_for_until_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream_engine, "RESUME_HEAD_TIMEOUT_S", 0.01)
+    slow = EngineStandinSettings(decode_tokens_per_s=60)
+
+    async def test(b: Bench) -> None:
+        message = replace(request(streaming=False), head_timeout_s=0.01, idle_timeout_s=0.01)
+        assert isinstance((await send(b, message))[-1], AnswerEnd)
+        with trio.move_on_after(0.05):
+            await send(b, replace(message, request_id=RequestId("entry-1.9f/2")))
+        resumed = await collect(b.adapter.resume(RequestId("entry-1.9f/2"), 0))
+        assert isinstance(resumed[-1], AnswerEnd)
+
+    run(test, slow)
+
+
 def test_cancel_load_cache_events_and_kv() -> None:
     async def test(b: Bench) -> None:
         await send(b, request())
