--- a/lentilchute/operator_api.py
+++ b/lentilchute/operator_api.py
@@ -222,5 +222,5 @@
         ...
 
     async def drain(self, upstream: UpstreamId) -> DrainAnswer:
-        """Give an upstream no new work from this node; the command asks every node."""
+        """Give an upstream no new work from this node, and tell the other nodes."""
         ...
--- a/lentilchute/operator_routes.py
+++ b/lentilchute/operator_routes.py
@@ -15,7 +15,7 @@
 
 from .checked_yaml import load_document
 from .errors import Finding, Place
-from .http_messages import JSON_HEADER, Headers, header_value
+from .http_messages import JSON_HEADER, Headers, error_body, header_value
 from .http_requests import HeadRefusal, HttpRequest, RequestHead
 from .http_responder import Responder
 from .ids import ServiceName, UpstreamId
@@ -25,8 +25,6 @@
     ChangeAnswer,
     ChangeRequest,
     ChangeState,
-    ErrorAnswer,
-    ErrorDetail,
     FindingAnswer,
     HistoryAnswer,
     OperatorNode,
@@ -204,4 +202,4 @@
 
 
 def _error(status: int, reason: str, message: str) -> Reply:
-    return _json(status, ErrorAnswer(error=ErrorDetail(type=reason, message=message)))
+    return Reply(status, (JSON_HEADER,), error_body(reason, message))
--- a/lentilchute/ui/nodes.py
+++ b/lentilchute/ui/nodes.py
@@ -1,5 +1,6 @@
 """How operator commands reach nodes: their options, and the errors that they share."""
 
+import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -18,6 +19,9 @@
 
 Answer = TypeVar("Answer")
 
+NODES_VARIABLE = "LENTILCHUTE_NODES"
+KEY_FILE_VARIABLE = "LENTILCHUTE_OPERATOR_KEY_FILE"
+
 
 class UnreachableError(UserError):
     """No node answered; nothing was changed."""
@@ -43,10 +47,19 @@
 
     node: Annotated[
         list[str],
-        cappa.Arg(long=True, help="Operators' address of a node; may be given several times."),
+        cappa.Arg(
+            long=True,
+            help="Operators' address of a node; may be given several times. "
+            f"In place of it {NODES_VARIABLE} may hold addresses with commas.",
+        ),
     ] = field(default_factory=list)
     key_file: Annotated[
-        str | None, cappa.Arg(long=True, help="File with the operator key, see operator-key.")
+        str | None,
+        cappa.Arg(
+            long=True,
+            help="File with the operator key, see operator-key. "
+            f"In place of it {KEY_FILE_VARIABLE} may name the file.",
+        ),
     ] = None
     settings: Annotated[
         str | None,
@@ -58,19 +71,28 @@
 
         Raises ``UserError`` where the options do not give them.
         """
-        addresses = list(self.node)
-        key = _read_key(self.key_file) if self.key_file else None
         if self.settings is not None:
-            loaded = load_settings(self.settings)
-            if isinstance(loaded, Err):
-                raise FindingsError(loaded.err_value)
-            addresses = addresses or [loaded.ok_value.listen.operators]
-            key = key or operator_key(loaded.ok_value.shared_key)
-        if not addresses or key is None:
+            return self._from_settings(self.settings)
+        addresses = list(self.node) or _split(os.environ.get(NODES_VARIABLE, ""))
+        key_file = self.key_file or os.environ.get(KEY_FILE_VARIABLE)
+        if not addresses or not key_file:
             raise UserError("give --node and --key-file, or --settings")
+        return addresses, _read_key(key_file)
+
+    def _from_settings(self, path: str) -> tuple[list[str], str]:
+        loaded = load_settings(path)
+        if isinstance(loaded, Err):
+            raise FindingsError(loaded.err_value)
+        settings = loaded.ok_value
+        addresses = list(self.node) or [settings.listen.operators]
+        key = _read_key(self.key_file) if self.key_file else operator_key(settings.shared_key)
         return addresses, key
 
 
+def _split(addresses: str) -> list[str]:
+    return [address.strip() for address in addresses.split(",") if address.strip()]
+
+
 def _read_key(path: str) -> str:
     try:
         return Path(path).read_text(encoding="ascii").strip()
--- a/test/test_whole_path.py
+++ b/test/test_whole_path.py
@@ -6,10 +6,19 @@
 
 import pytest
 import trio
-from processes import Deployment, call, put_document, service_document, wait_ready
+from processes import (
+    ACCOUNT_KEY,
+    SHARED_KEY,
+    Deployment,
+    call,
+    put_document,
+    service_document,
+    wait_ready,
+)
 
 from lentilchute.http_client import HttpAnswer
 from lentilchute.http_messages import header_value
+from lentilchute.node_context import wait_until
 
 ZONES = {"entry-1": "tunis-a", "entry-2": "tunis-b", "entry-3": "bizerte"}
 ENGINES = [f"engine-{number}" for number in range(1, 5)]
@@ -137,3 +146,33 @@
     assert answer.status == status
     assert header_value(answer.headers, "lentilchute-outcome") == "not-run"
     assert int(header_value(answer.headers, "retry-after") or 0) >= 1
+
+
+def test_keys_prompts_and_bodies_are_not_in_any_log(deployment: Deployment) -> None:
+    marker = "marker-5b1e-of-a-deed"
+
+    async def main() -> list[str]:
+        entry = deployment.addresses["entry-1"]
+        answers = [
+            await call(entry, CHAT, prompt(marker, stream=True)),
+            await call(entry, BOOK, {"deed": marker}, key=marker),
+            await call(entry, BOOK, {"deed": marker, "hour": 1}, key=marker),
+            await call(entry, CHAT, {"messages": marker}),
+            await call(entry, f"/services/{marker}/x", {"deed": marker}, bearer=marker),
+        ]
+        ids = [header_value(answer.headers, "lentilchute-request-id") for answer in answers]
+        with trio.fail_after(10):
+            await wait_until(
+                lambda: all(name in log_text(deployment) for name in ids if name), 0.05
+            )
+        return [name for name in ids if name]
+
+    assert len(trio.run(main)) >= 2
+    assert marker not in log_text(deployment)
+    assert ACCOUNT_KEY not in log_text(deployment)
+    assert SHARED_KEY not in log_text(deployment)
+
+
+def log_text(running: Deployment) -> str:
+    """Return the logs of all nodes."""
+    return "".join((running.directory / f"{entry}.log").read_text() for entry in ZONES)
