Prove orders to engines; merge what is said about upstreams

Each order has its own number, which grows, so late orders of the same holder are refused too.

Lists now carry the run that they show.

--- a/lentilchute/engine_orders.py
+++ b/lentilchute/engine_orders.py
@@ -34,10 +34,14 @@
 
 STATE_POLL_S = 2.0
 """Each engine is asked for its state at this interval."""
+ORDER_RETRY_S = 1.0
+"""Wait after an order that could not be written or was not taken."""
 DRAIN_LASTS_S = 15.0
 """A drain lapses after this long unless it is repeated."""
 DRAIN_TIMEOUT_S = 600.0
 """An engine that has not drained by then is left as it is, and tried again later."""
+ORDER_TAKES_S = 10.0
+"""An engine that still serves something else by then did not take the order."""
 LOAD_TIMEOUT_S = 300.0
 """An engine that has not reached its ordered state by then is ordered again."""
 ORDER_NEEDS_S = 4.0
@@ -134,6 +138,7 @@
     row_version: int = 0
     is_asked: bool = False
     next_ask_s: float = 0.0
+    next_order_s: float = -math.inf
     next_drain_s: float = math.inf
 
     @property
@@ -147,6 +152,15 @@
             return None
         return ModelName(self.state.model)
 
+    @property
+    def is_placed(self) -> bool:
+        """Whether the last order is seen to have taken effect."""
+        if self.state is None or self.ordered is None or not self.state.ready:
+            return False
+        if self.fencing is Fencing.CHECKED and self.state.highest_fencing < self.ordered:
+            return False
+        return self.target.is_met_by(self.state)
+
     @property
     def needs_order(self) -> bool:
         if self.state is None or self.state.leaving:
@@ -224,10 +238,11 @@
         engine.state = None if isinstance(answer, Err) else answer.ok_value
         if engine.phase is not OrderPhase.LOADING or engine.state is None:
             return []
-        if engine.target.is_met_by(engine.state) and engine.state.ready:
+        if engine.is_placed:
             return self._watch(engine, now_s)
-        if now_s - engine.since_s > LOAD_TIMEOUT_S:
-            engine.phase = OrderPhase.WATCHED
+        waited_s = now_s - engine.since_s
+        if waited_s > (ORDER_TAKES_S if engine.state.ready else LOAD_TIMEOUT_S):
+            return self._give_up(engine, now_s)
         return []
 
     def order_written(
@@ -240,7 +255,7 @@
         if isinstance(answer, Err):
             self._rows = None
             self._next_scan_s = now_s
-            return self._watch(engine, now_s)
+            return self._give_up(engine, now_s)
         key = order_key(self._service, upstream)
         if self._rows is not None:
             self._rows[key] = self._rows.get(key, 0) + 1
@@ -268,7 +283,7 @@
             return []
         refused = (UpstreamFault.NOT_SENT, UpstreamFault.WRONG_ANSWER, UpstreamFault.NOT_SUPPORTED)
         if isinstance(answer, Err) and answer.err_value in refused:
-            return self._watch(engine, now_s)
+            return self._give_up(engine, now_s)
         engine.phase = OrderPhase.LOADING
         engine.since_s = now_s
         engine.next_ask_s = now_s
@@ -286,7 +301,7 @@
             engine.is_asked = True
             actions.append(AskEngine(engine.upstream))
         if engine.phase is OrderPhase.DRAINING and now_s - engine.since_s > DRAIN_TIMEOUT_S:
-            actions += self._watch(engine, now_s)
+            actions += self._give_up(engine, now_s)
         return actions
 
     def _repeat_drain(self, engine: _Engine, now_s: float) -> list[OrderAction]:
@@ -296,7 +311,7 @@
         return [DrainEngine(engine.upstream, DRAIN_LASTS_S)]
 
     def _begin(self, engine: _Engine, lease_row: Condition, now_s: float) -> list[OrderAction]:
-        if not self._may_change(engine):
+        if now_s < engine.next_order_s or not self._may_change(engine):
             return []
         self._sequence += 1
         engine.ordered = order_fencing(self._lease, self._sequence)
@@ -330,7 +345,7 @@
 
     def _send(self, engine: _Engine, now_s: float) -> list[OrderAction]:
         if engine.ordered is None:
-            return self._watch(engine, now_s)
+            return self._give_up(engine, now_s)
         engine.phase = OrderPhase.SENDING
         engine.since_s = now_s
         target = engine.target
@@ -340,16 +355,19 @@
         return [SendOrder(engine.upstream, order)]
 
     def _watch(self, engine: _Engine, now_s: float) -> list[OrderAction]:
-        is_placed = engine.phase is OrderPhase.LOADING
         engine.phase = OrderPhase.WATCHED
         engine.since_s = now_s
-        if not is_placed:
-            engine.ordered = None
         if not engine.is_drained_for_change:
             return []
         engine.next_drain_s = math.inf
         return [DrainEngine(engine.upstream, 0.0)]
 
+    def _give_up(self, engine: _Engine, now_s: float) -> list[OrderAction]:
+        """The order did not take effect, as far as can be seen: a later one gets a new number."""
+        engine.ordered = None
+        engine.next_order_s = now_s + ORDER_RETRY_S
+        return self._watch(engine, now_s)
+
 
 def _is_under_change(engine: _Engine) -> bool:
     """Whether the engine is on its way to a state that it does not hold."""
--- /dev/null
+++ b/test/test_engine_orders.py
@@ -0,0 +1,360 @@
+"""State machine for orders: an old and a new holder, engines that check numbers and that do not.
+
+Orders are delayed at will, also past the end of their holder. The oracle watches the engines: those
+that check numbers never go back to an old holder's order once the new one has ordered them; all
+reach their targets in the end; and no more engines than allowed are taken out at once.
+"""
+
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+from coverage_counter import CoverageCounter
+from fakes import CallFate, FakeTable, TableCall
+from result import Err, Ok
+from step_machine import Draw, StepMachine, run_steps
+
+from lentilchute.document import Fencing
+from lentilchute.engine_orders import (
+    STATE_POLL_S,
+    AskEngine,
+    DrainEngine,
+    EngineOrders,
+    EngineTarget,
+    OrderAction,
+    ScanOrders,
+    SendOrder,
+    WriteOrder,
+)
+from lentilchute.ids import FencingNumber, ModelName, ServiceName, UpstreamId
+from lentilchute.lease_records import lease_key
+from lentilchute.order_records import ORDERS_PER_LEASE, order_key, read_order
+from lentilchute.platform import Condition, Row, Transaction, Write
+from lentilchute.upstreams import EngineOrder, EngineState, UpstreamFault
+
+SERVICE = ServiceName("fleet")
+OLD = EngineTarget(ModelName("drafts"), "1")
+TARGETS = (OLD, EngineTarget(ModelName("drafts"), "2"), EngineTarget(ModelName("tags"), "1"))
+CHECKED = tuple(UpstreamId(f"checked-{number}") for number in (1, 2))
+IGNORING = tuple(UpstreamId(f"ignoring-{number}") for number in (1, 2))
+MIN_READY = {ModelName("drafts"): 2, ModelName("tags"): 0}
+COVERAGE = CoverageCounter(
+    "orders",
+    (
+        *(f"write {fate.value}" for fate in CallFate),
+        "order took effect",
+        "old holder's order refused by its number",
+        "old holder's order reached an engine that ignores numbers",
+        "order lost",
+        "answer to an order lost",
+        "old holder barred by the lease row",
+        "holder replaced with an order under way",
+        "engine drained",
+        "target changed under way",
+        "engine kept because too few are ready",
+    ),
+)
+
+
+@dataclass(eq=False)
+class Engine:
+    """A fake engine."""
+
+    checks: bool
+    model: str = OLD.model
+    version: str = OLD.version
+    highest: int = 0
+    loads_until_s: float = 0.0
+
+    def state(self, now_s: float) -> EngineState:
+        return EngineState(
+            model=self.model,
+            version=self.version,
+            adapters=(),
+            role="serve",
+            ready=now_s >= self.loads_until_s,
+            leaving=False,
+            highest_fencing=FencingNumber(self.highest),
+        )
+
+
+@dataclass(eq=False)
+class Holder:
+    """One lease holder; ``is_current`` until the next one took the lease."""
+
+    lease: int
+    orders: EngineOrders
+    is_current: bool = True
+
+
+@dataclass(eq=False)
+class SentOrder:
+    """An order on its way to an engine."""
+
+    holder: Holder
+    upstream: UpstreamId
+    order: EngineOrder
+
+
+@dataclass(eq=False)
+class World:
+    """Engines, the table, and what is on its way."""
+
+    engines: dict[UpstreamId, Engine] = field(default_factory=dict)
+    table: FakeTable = field(default_factory=FakeTable)
+    writes: list[tuple[Holder, UpstreamId, TableCall]] = field(default_factory=list)
+    asked: list[tuple[Holder, UpstreamId]] = field(default_factory=list)
+    sent: list[SentOrder] = field(default_factory=list)
+    drained: set[UpstreamId] = field(default_factory=set)
+
+
+class OrdersMachine(StepMachine):
+    WEIGHTS: ClassVar = {
+        "time_passes": 8,
+        "write_ends": 8,
+        "engine_tells_state": 8,
+        "engine_drains": 6,
+        "order_arrives": 3,
+        "targets_change": 2,
+        "rollout": 1,
+        "holder_changes": 1,
+    }
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 10.0
+        self.world = World()
+        for upstream in (*CHECKED, *IGNORING):
+            self.world.engines[upstream] = Engine(checks=upstream in CHECKED)
+        self.targets = dict.fromkeys((*CHECKED, *IGNORING), OLD)
+        self.holders = [self.take_lease(1)]
+
+    def take_lease(self, lease: int) -> Holder:
+        """Write the lease's row, which bars the writes of the holder before."""
+        self.world.table.commit(Transaction((), (Write(lease_key(SERVICE), str(lease)),)))
+        holder = Holder(lease, EngineOrders(SERVICE, FencingNumber(lease)))
+        self.set_targets(holder)
+        return holder
+
+    def set_targets(self, holder: Holder) -> None:
+        wanted = {
+            upstream: (target, Fencing.CHECKED if upstream in CHECKED else Fencing.IGNORED)
+            for upstream, target in self.targets.items()
+        }
+        holder.orders.set_targets(wanted, MIN_READY)
+
+    @property
+    def current(self) -> Holder:
+        return self.holders[-1]
+
+    def take(self, holder: Holder, actions: list[OrderAction]) -> None:
+        for action in actions:
+            if isinstance(action, ScanOrders):
+                holder.orders.orders_read(Ok(self.order_rows(action.prefix)), self.now_s)
+            elif isinstance(action, AskEngine):
+                self.world.asked.append((holder, action.upstream))
+            elif isinstance(action, WriteOrder):
+                call = TableCall("", lambda _answer: None, transaction=action.transaction)
+                self.world.writes.append((holder, action.upstream, call))
+            elif isinstance(action, DrainEngine):
+                self.take_drain(holder, action)
+            else:
+                self.take_order(holder, action)
+
+    def order_rows(self, prefix: str) -> list[Row]:
+        return self.world.table.scan(prefix, 1000)
+
+    def take_drain(self, holder: Holder, action: DrainEngine) -> None:
+        if not holder.is_current:
+            return
+        if action.lasts_s == 0.0:
+            self.world.drained.discard(action.upstream)
+            return
+        if action.upstream not in self.world.drained and len(self.holders) == 1:
+            self.check_capacity(action.upstream)
+        self.world.drained.add(action.upstream)
+
+    def take_order(self, holder: Holder, action: SendOrder) -> None:
+        # The owner asks for the lease just before it sends; an old holder has none left.
+        if not holder.is_current:
+            refused = Err(UpstreamFault.NOT_SENT)
+            self.take(holder, holder.orders.order_answered(action.upstream, refused, self.now_s))
+            return
+        row = self.world.table.rows.get(order_key(SERVICE, action.upstream))
+        record = None if row is None else read_order(row.value)
+        assert record is not None and record.fencing == action.order.fencing, "sent unwritten"
+        engine = self.world.engines[action.upstream]
+        if (engine.model, engine.version) != (action.order.model, action.order.version):
+            # Once an old holder's order may arrive, the engine can differ unseen.
+            is_drained = action.upstream in self.world.drained
+            assert is_drained or len(self.holders) > 1, "an engine in use was ordered to change"
+            COVERAGE.hit("engine drained")
+        self.world.sent.append(SentOrder(holder, action.upstream, action.order))
+
+    # Steps.
+
+    def do_time_passes(self, draw: Draw) -> None:
+        self.pass_time(draw([0.5, 2.0, 5.0]))
+
+    def pass_time(self, passed_s: float) -> None:
+        self.now_s += passed_s
+        for holder in self.holders[-2:]:
+            condition = Condition(lease_key(SERVICE), holder.lease)
+            self.take(holder, holder.orders.tick(condition, self.now_s))
+        self.count_kept()
+
+    def count_kept(self) -> None:
+        orders = self.current.orders
+        for upstream, target in self.targets.items():
+            engine = self.world.engines[upstream]
+            differs = (engine.model, engine.version) != (target.model, target.version)
+            phase = orders.phase(upstream)
+            if differs and phase is not None and phase.value == "watched":
+                COVERAGE.hit("engine kept because too few are ready")
+
+    def do_write_ends(self, draw: Draw) -> None:
+        if self.world.writes:
+            fate = draw([CallFate.ANSWERED, CallFate.ANSWERED, *CallFate])
+            COVERAGE.hit(f"write {fate.value}")
+            current = [item for item in self.world.writes if item[0].is_current]
+            self.end_write(draw(current or self.world.writes), fate)
+
+    def end_write(self, item: tuple[Holder, UpstreamId, TableCall], fate: CallFate) -> None:
+        self.world.writes.remove(item)
+        holder, upstream, call = item
+        self.world.table.execute(call, fate)
+        if not holder.is_current and fate is CallFate.ANSWERED:
+            assert isinstance(call.answer, Err), "an old holder wrote an order"
+            COVERAGE.hit("old holder barred by the lease row")
+        assert call.answer is not None
+        self.take(holder, holder.orders.order_written(upstream, call.answer, self.now_s))
+
+    def do_engine_tells_state(self, draw: Draw) -> None:
+        if self.world.asked:
+            self.tell_state(draw(self.world.asked))
+
+    def tell_state(self, item: tuple[Holder, UpstreamId]) -> None:
+        self.world.asked.remove(item)
+        holder, upstream = item
+        state = Ok(self.world.engines[upstream].state(self.now_s))
+        self.take(holder, holder.orders.state_answered(upstream, state, self.now_s))
+
+    def do_engine_drains(self, draw: Draw) -> None:
+        if self.world.drained:
+            self.drain(draw(sorted(self.world.drained)))
+
+    def drain(self, upstream: UpstreamId) -> None:
+        self.take(self.current, self.current.orders.drained(upstream, self.now_s))
+
+    def do_order_arrives(self, draw: Draw) -> None:
+        if self.world.sent:
+            sent = draw(self.world.sent)
+            fate = draw(["arrives", "arrives", "lost", "answer lost", "doubled"])
+            self.arrive(sent, fate)
+
+    def arrive(self, sent: SentOrder, fate: str) -> None:
+        if fate != "doubled":
+            self.world.sent.remove(sent)
+        if fate == "lost":
+            COVERAGE.hit("order lost")
+            answer = Err(UpstreamFault.TIMED_OUT)
+        else:
+            answer = self.apply(sent)
+        if fate == "answer lost":
+            COVERAGE.hit("answer to an order lost")
+            answer = Err(UpstreamFault.RESET)
+        holder = sent.holder
+        self.take(holder, holder.orders.order_answered(sent.upstream, answer, self.now_s))
+
+    def apply(self, sent: SentOrder) -> Ok[None] | Err[UpstreamFault]:
+        engine = self.world.engines[sent.upstream]
+        order = sent.order
+        is_old = not sent.holder.is_current
+        if engine.checks and order.fencing < engine.highest:
+            if is_old:
+                COVERAGE.hit("old holder's order refused by its number")
+            return Err(UpstreamFault.WRONG_ANSWER)
+        if is_old and not engine.checks:
+            COVERAGE.hit("old holder's order reached an engine that ignores numbers")
+        if is_old and engine.checks:
+            newer = engine.highest >= self.current.lease * ORDERS_PER_LEASE
+            assert not newer, "an old order took effect after the new holder's"
+        engine.highest = max(engine.highest, order.fencing)
+        if (engine.model, engine.version) != (order.model, order.version):
+            engine.model, engine.version = order.model, order.version
+            engine.loads_until_s = self.now_s + 3.0
+            COVERAGE.hit("order took effect")
+        return Ok(None)
+
+    def do_targets_change(self, draw: Draw) -> None:
+        self.targets[draw(list(self.targets))] = draw(TARGETS)
+        if self.world.sent:
+            COVERAGE.hit("target changed under way")
+        self.set_targets(self.current)
+
+    def do_rollout(self, draw: Draw) -> None:
+        """All engines get another version at once."""
+        self.targets = dict.fromkeys(self.targets, draw(TARGETS))
+        self.set_targets(self.current)
+
+    def do_holder_changes(self, draw: Draw) -> None:
+        if self.world.sent:
+            COVERAGE.hit("holder replaced with an order under way")
+        self.current.is_current = False
+        self.world.drained.clear()
+        self.holders.append(self.take_lease(self.current.lease + 1))
+
+    # The oracle.
+
+    def teardown(self) -> None:
+        """Let everything on its way arrive, the oldest last; targets are reached in the end."""
+        self.settle(40)
+        for sent in list(self.world.sent):
+            self.arrive(sent, "arrives")
+        self.settle(100)
+        ready = [u for u, engine in self.world.engines.items() if self.meets_target(u, engine)]
+        kept = [u for u in self.world.engines if u not in ready]
+        for upstream in kept:
+            assert self.is_kept_for_capacity(upstream), f"{upstream} never reached its target"
+        assert not self.world.drained, "an engine stays drained"
+        for upstream in CHECKED:
+            if upstream in ready:
+                highest = self.world.engines[upstream].highest
+                assert highest >= self.current.lease * ORDERS_PER_LEASE, "old orders not barred"
+
+    def meets_target(self, upstream: UpstreamId, engine: Engine) -> bool:
+        target = self.targets[upstream]
+        return (engine.model, engine.version) == (target.model, target.version)
+
+    def is_kept_for_capacity(self, upstream: UpstreamId) -> bool:
+        model = self.world.engines[upstream].model
+        serving = [engine for engine in self.world.engines.values() if engine.model == model]
+        return len(serving) - 1 < MIN_READY[ModelName(model)]
+
+    def settle(self, rounds: int) -> None:
+        for _ in range(rounds):
+            for write in list(self.world.writes):
+                self.end_write(write, CallFate.ANSWERED)
+            for item in list(self.world.asked):
+                self.tell_state(item)
+            for upstream in sorted(self.world.drained):
+                self.drain(upstream)
+            for sent in [sent for sent in self.world.sent if sent.holder.is_current]:
+                self.arrive(sent, "arrives")
+            self.pass_time(STATE_POLL_S / 2)
+
+    def check_capacity(self, upstream: UpstreamId) -> None:
+        """An engine is taken out only while enough others of its model are ready."""
+        model = self.world.engines[upstream].model
+        others = [
+            name
+            for name, engine in self.world.engines.items()
+            if name != upstream and name not in self.world.drained
+            if engine.model == model and self.now_s >= engine.loads_until_s
+        ]
+        is_ready = self.now_s >= self.world.engines[upstream].loads_until_s
+        assert not is_ready or len(others) >= MIN_READY[ModelName(model)], "too few engines left"
+
+
+def test_orders_under_faults() -> None:
+    run_steps(OrdersMachine, max_examples=150)
+    COVERAGE.check()
--- /dev/null
+++ b/test/test_instance_watch.py
@@ -0,0 +1,229 @@
+"""State machine for one upstream's state: copies of the list of unlike age, words and drains.
+
+The truth is a history of lives. Lists show it as it was up to a lag ago, words as it is when asked.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from coverage_counter import CoverageCounter
+from step_machine import Draw, StepMachine, run_steps
+
+from lentilchute.ids import UpstreamId
+from lentilchute.instance_watch import (
+    GONE_AFTER_S,
+    LIST_SETTLE_S,
+    WORD_LASTS_S,
+    InstanceWatch,
+    WatchedState,
+)
+from lentilchute.platform import ListedInstance, ListedState
+
+NAME = UpstreamId("engine-1")
+OTHERS = (UpstreamId("engine-2"), UpstreamId("engine-3"))
+LAG_S = 8.0
+COVERAGE = CoverageCounter(
+    "instance watch",
+    (
+        "leaving by the list",
+        "leaving by own word",
+        "leaving by a drain",
+        "stale list shows it live again",
+        "live again by own word",
+        "live again by the list alone",
+        "gone",
+        "wrong list without any upstream",
+        "late list answer",
+        "list older than the last",
+    ),
+)
+
+
+@dataclass(frozen=True)
+class Truth:
+    """What holds for the upstream from a moment on; ``None`` while it does not run."""
+
+    since_s: float
+    state: ListedState | None
+
+
+@dataclass(frozen=True)
+class ListAnswer:
+    """A list on its way."""
+
+    asked_s: float
+    state: ListedState | None
+    wrong: bool
+    life: int
+    """The run of the upstream that the list shows."""
+
+
+class WatchMachine(StepMachine):
+    WEIGHTS: ClassVar = {
+        "time_passes": 6,
+        "list_is_read": 6,
+        "list_arrives": 6,
+        "upstream_tells": 2,
+        "truth_changes": 1,
+        "operator_drains": 1,
+        "operator_undrains": 1,
+    }
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+        self.truths = [Truth(0.0, ListedState.LIVE)]
+        self.answers: list[ListAnswer] = []
+        self.drained = False
+        self.left_life = 0
+        self.last_taken_s = 0.0
+        self.word_since_leaving = False
+        self.watch = InstanceWatch()
+        for name in (NAME, *OTHERS):
+            self.watch.watch(name, from_list=True)
+
+    def truth(self, at_s: float) -> ListedState | None:
+        return [truth.state for truth in self.truths if truth.since_s <= at_s][-1]
+
+    def life(self, at_s: float) -> int:
+        """Return the number of the run that the truth was in."""
+        lives = [truth for truth in self.truths if truth.state is ListedState.LIVE]
+        return len([truth for truth in lives if truth.since_s <= at_s])
+
+    def do_time_passes(self, draw: Draw) -> None:
+        self.now_s += draw([0.2, 1.0, 2.0])
+        self.watch.tick(self.now_s)
+
+    def do_list_is_read(self, draw: Draw) -> None:
+        lag_s = draw([0.0, 1.0, LAG_S / 2, LAG_S])
+        wrong = draw([False] * 9 + [True])
+        at_s = self.now_s - lag_s
+        self.answers.append(ListAnswer(self.now_s, self.truth(at_s), wrong, self.life(at_s)))
+
+    def do_list_arrives(self, draw: Draw) -> None:
+        if self.answers:
+            self.answers = [item for item in self.answers if self.now_s - item.asked_s < 2.0]
+        if self.answers:
+            answer = draw(self.answers)
+            self.answers.remove(answer)
+            self.take(answer)
+
+    def take(self, answer: ListAnswer) -> None:
+        listed = [_listed(name, ListedState.LIVE) for name in OTHERS]
+        if answer.state is not None:
+            listed.append(_listed(NAME, answer.state))
+        if answer.wrong:
+            COVERAGE.hit("wrong list without any upstream")
+            listed = []
+        if answer.asked_s < self.now_s:
+            COVERAGE.hit("late list answer")
+        if answer.asked_s < self.last_taken_s:
+            COVERAGE.hit("list older than the last")
+        self.last_taken_s = max(self.last_taken_s, answer.asked_s)
+        before = self.watch.state(NAME)
+        self.watch.list_answered(listed, answer.asked_s, self.now_s)
+        self.note_list(answer, before)
+
+    def note_list(self, answer: ListAnswer, before: WatchedState) -> None:
+        state = self.watch.state(NAME)
+        if answer.state is ListedState.LEAVING and not answer.wrong:
+            assert state is not WatchedState.LIVE, "the list shows it leaving"
+            self.left_life = max(self.left_life, answer.life)
+            self.word_since_leaving = False
+            if before is WatchedState.LIVE:
+                COVERAGE.hit("leaving by the list")
+        elif answer.state is ListedState.LIVE and self.truth(self.now_s) != ListedState.LIVE:
+            COVERAGE.hit("stale list shows it live again")
+        if state is WatchedState.LIVE and before is not state and not self.word_since_leaving:
+            COVERAGE.hit("live again by the list alone")
+
+    def do_upstream_tells(self, draw: Draw) -> None:
+        truth = self.truth(self.now_s)
+        if truth is None:
+            return
+        leaving = truth is ListedState.LEAVING
+        before = self.watch.state(NAME)
+        self.watch.own_word(NAME, leaving=leaving, asked_s=self.now_s, now_s=self.now_s)
+        state = self.watch.state(NAME)
+        if leaving:
+            assert state is not WatchedState.LIVE, "it said itself that it leaves"
+            if before is WatchedState.LIVE:
+                COVERAGE.hit("leaving by own word")
+            self.left_life = self.life(self.now_s)
+            self.word_since_leaving = False
+            return
+        self.word_since_leaving = True
+        if state is WatchedState.LIVE and before is not state:
+            COVERAGE.hit("live again by own word")
+
+    def do_truth_changes(self, draw: Draw) -> None:
+        following = {
+            ListedState.LIVE: ListedState.LEAVING,
+            ListedState.LEAVING: None,
+            None: ListedState.LIVE,
+        }
+        current = self.truth(self.now_s)
+        since_s = self.now_s - self.truths[-1].since_s
+        # A name is given to another run only after the lists had time to show it missing.
+        if current is None and since_s < LAG_S + GONE_AFTER_S:
+            return
+        self.truths.append(Truth(self.now_s, following[current]))
+
+    def do_operator_drains(self, draw: Draw) -> None:
+        if self.watch.state(NAME) is WatchedState.LIVE:
+            COVERAGE.hit("leaving by a drain")
+        self.drained = True
+        self.watch.drain(NAME, float("inf"), self.now_s)
+
+    def do_operator_undrains(self, draw: Draw) -> None:
+        self.drained = False
+        self.watch.undrain(NAME, self.now_s)
+
+    def check(self) -> None:
+        state = self.watch.state(NAME)
+        if state is WatchedState.GONE:
+            COVERAGE.hit("gone")
+        if state is not WatchedState.LIVE:
+            return
+        assert not self.drained, "a drained upstream takes work"
+        # A list may show it live from before it left, but not once it was seen leaving since.
+        if self.truth(self.now_s) is not ListedState.LIVE:
+            assert self.life(self.now_s) > self.left_life, "live again by a stale list"
+
+    def teardown(self) -> None:
+        """An upstream that runs is live again in bounded time, by the list alone."""
+        self.do_operator_undrains(lambda items: items[0])
+        if self.truth(self.now_s) is not ListedState.LIVE:
+            return
+        told_leaving = self.watch.state(NAME) is WatchedState.LEAVING
+        for _ in range(int(LAG_S + LIST_SETTLE_S + WORD_LASTS_S) + 2):
+            self.now_s += 1.0
+            self.take(ListAnswer(self.now_s, self.truth(self.now_s), False, 0))
+            if told_leaving:
+                self.do_upstream_tells(lambda items: items[0])
+        assert self.watch.state(NAME) is WatchedState.LIVE, "a live upstream gets no work"
+
+
+def _listed(name: UpstreamId, state: ListedState) -> ListedInstance:
+    return ListedInstance(name, "engines", "127.0.0.1:1", "zone-1", state)
+
+
+def test_instance_watch_under_stale_lists() -> None:
+    run_steps(WatchMachine, max_examples=200)
+    COVERAGE.check()
+
+
+def test_a_list_without_most_upstreams_is_not_believed_but_one_missing_upstream_is_gone() -> None:
+    watch = InstanceWatch()
+    for name in (NAME, *OTHERS):
+        watch.watch(name, from_list=True)
+    others = [_listed(name, ListedState.LIVE) for name in OTHERS]
+    for second in range(60):
+        watch.list_answered([], float(second), float(second))
+    assert watch.state(NAME) is WatchedState.LIVE
+    for second in range(60, 60 + int(GONE_AFTER_S)):
+        watch.list_answered(others, float(second), float(second))
+        assert watch.state(NAME) is WatchedState.LIVE
+    watch.list_answered(others, 60 + GONE_AFTER_S, 60 + GONE_AFTER_S)
+    assert watch.state(NAME) is WatchedState.GONE
+    assert watch.state(OTHERS[0]) is WatchedState.LIVE
