Mend lost refusals, leaked slots and forgotten silent nodes

Found by the whole-system machine or by the new liveness tests, each before its change: - A refusal lost on the way left its caller waiting until the deadline, since the scheduler took the ticket in the next refresh for over. It decides it anew. A request is over 65 s after its deadline at the latest, so the scheduler then frees its room. - Room of a dead node's streams came back only when the node counted as gone, after 30 s; now when it is suspected.

--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry_controller.py
@@ -348,6 +348,7 @@
         await self._relay(request_id, adapter.send(action.request, may_send))
 
     def _start_resume(self, action: ResumeUpstream) -> None:
+        self._stop_reading(action.request_id)
         if self._nursery is not None:
             self._nursery.start_soon(self._resume, action)
 
@@ -367,6 +368,9 @@
             self._sends[request_id] = scope
             async with aclosing(items):
                 async for item in items:
+                    if self._sends.get(request_id) is not scope:
+                        # The stream was resumed or cancelled; what this one still holds is stale.
+                        break
                     self._on_item(request_id, item)
                     answer = self._answers.get(request_id)
                     if answer is not None:
@@ -377,10 +381,13 @@
     def _on_item(self, request_id: RequestId, item: AnswerItem) -> None:
         self._execute(self._requests.answer_item(request_id, item, self._context.now_s()))
 
-    def _cancel_upstream(self, action: CancelUpstream) -> None:
-        scope = self._sends.pop(action.request_id, None)
+    def _stop_reading(self, request_id: RequestId) -> None:
+        scope = self._sends.pop(request_id, None)
         if scope is not None:
             scope.cancel()
+
+    def _cancel_upstream(self, action: CancelUpstream) -> None:
+        self._stop_reading(action.request_id)
         adapter = self._context.directory.adapter(action.upstream)
         if adapter is not None and self._nursery is not None:
             self._nursery.start_soon(adapter.cancel, action.request_id)
--- a/lentilchute/entry_requests.py
+++ b/lentilchute/entry_requests.py
@@ -64,7 +64,7 @@
 """Time for a request to arrive after its caller sent it, and to be read after a pause."""
 
 PAUSE_S = 0.5
-"""A gap between two ticks from which this process counts as having stood still."""
+"""A gap between two calls of ``is_idle`` from which this process counts as having stood still."""
 
 QUIET_REFRESHES = 3
 """Empty refreshes after which a scheduler certainly knows that nothing is held here."""
@@ -94,7 +94,7 @@
         self._local: dict[ServiceName, tuple[LocalUpstream, ...]] = {}
         self._refreshed_s: dict[ShardId, float] = {}
         self._stopping_s: float | None = None
-        self._ticked_s: float | None = None
+        self._asked_idle_s = -math.inf
         self._woke_s = -math.inf
 
     # Callers.
@@ -243,14 +243,17 @@
         return []
 
     def is_idle(self, now_s: float) -> bool:
-        """Tell whether a planned stop may end: nothing held, and nothing more to come."""
+        """Tell whether a planned stop may end: nothing held, and nothing more to come.
+
+        Ask several times a second from the stop on, so that a pause of the process is noticed.
+        """
+        if now_s - self._asked_idle_s > PAUSE_S:
+            self._woke_s = now_s
+        self._asked_idle_s = now_s
         return self._stop_window_is_over(now_s) and not self._book.held
 
     def tick(self, now_s: float) -> list[EntryAction]:
         """Do what has become due: deadlines, resumes, silent schedulers, refreshes."""
-        if self._ticked_s is not None and now_s - self._ticked_s > PAUSE_S:
-            self._woke_s = now_s
-        self._ticked_s = now_s
         actions: list[EntryAction] = []
         for held in self._book.take_due(now_s):
             actions += self._tick_request(held, now_s)
--- a/lentilchute/placements.py
+++ b/lentilchute/placements.py
@@ -8,6 +8,9 @@
 from .ids import InstanceId, RequestId, UpstreamId
 from .tickets import Ticket
 
+LONGEST_RUN_PAST_DEADLINE_S = 65.0
+"""An entry ends each request by this long after its deadline; later its report was lost."""
+
 
 class PlacementState(Enum):
     """How far a granted request has come."""
@@ -56,6 +59,7 @@
         self._by_entry: dict[InstanceId, set[RequestId]] = {}
         self._by_upstream: dict[UpstreamId, set[RequestId]] = {}
         self._expiry: list[tuple[float, RequestId]] = []
+        self._over: list[tuple[float, RequestId]] = []
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -72,6 +76,8 @@
         self._by_upstream.setdefault(placement.upstream, set()).add(request_id)
         if placement.state is PlacementState.GRANTED:
             heapq.heappush(self._expiry, (placement.expires_s, request_id))
+        over_s = placement.ticket.deadline_s + LONGEST_RUN_PAST_DEADLINE_S
+        heapq.heappush(self._over, (over_s, request_id))
 
     def remove(self, request_id: RequestId) -> Placement | None:
         """Take a placement out; ``None`` when there is none."""
@@ -101,6 +107,21 @@
                 expired.append(placement)
         return expired
 
+    def take_over(self, now_s: float) -> list[RequestId]:
+        """Return the requests that are certainly over, since their deadline is long past."""
+        over = []
+        while self._over and self._over[0][0] <= now_s:
+            request_id = heapq.heappop(self._over)[1]
+            if request_id in self._by_id:
+                over.append(request_id)
+        return over
+
+    def next_over_s(self) -> float:
+        """Return when ``take_over`` has work; infinity for never."""
+        while self._over and self._over[0][1] not in self._by_id:
+            heapq.heappop(self._over)
+        return self._over[0][0] if self._over else float("inf")
+
     def next_expiry_s(self) -> float:
         """Return when ``expire`` has work; infinity for never."""
         while self._expiry:
--- a/lentilchute/request_book.py
+++ b/lentilchute/request_book.py
@@ -144,10 +144,12 @@
         scheduler = self.choice(shard).current
         if scheduler is None:
             return []
-        self.choice(shard).asked(now_s)
         waiting = tuple(self.waiting_tickets(service))
         in_flight = tuple(self.in_flight(service, now_s))
         is_quiet = not waiting and not in_flight
+        if not is_quiet:
+            # An empty refresh need not be answered: it may find no scheduler of the shard there.
+            self.choice(shard).asked(now_s)
         self.quiet_refreshes[shard] = self.quiet_refreshes.get(shard, 0) + 1 if is_quiet else 0
         return [RefreshScheduler(scheduler, shard, waiting, in_flight)]
 
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -9,7 +9,6 @@
         ...
 """
 
-import math
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -313,6 +312,10 @@
         if placement is not None and placement.state is PlacementState.UNCONFIRMED:
             # The entry still waits after the grant expired, so it did not use the grant.
             self._release(ticket.request_id)
+        if self._ended.get(ticket.request_id) == ticket.attempt:
+            # The entry has not heard the refusal of this attempt: it is decided anew, so that its
+            # caller does not wait in vain and no lower tier's ticket stays in its place.
+            del self._ended[ticket.request_id]
         if not self._is_news(ticket):
             return []
         self._forget(ticket.request_id)
@@ -346,10 +349,15 @@
 
     def next_tick_s(self) -> float:
         """Return when ``tick`` has work; infinity for never."""
-        return min(self._waiting.next_late_s(), self._placements.next_expiry_s(), math.inf)
+        placements = self._placements
+        return min(
+            self._waiting.next_late_s(), placements.next_expiry_s(), placements.next_over_s()
+        )
 
     def _decide(self, now_s: float) -> list[Decision]:
         self._placements.expire(now_s)
+        for request_id in self._placements.take_over(now_s):
+            self._release(request_id)
         if self._policy.decline_detection:
             self._decline.compare(self._pool.all(), now_s)
         decisions: list[Decision] = []
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -229,7 +229,9 @@
         log_event(Event.UPSTREAM_ADDED, service=hosted.service, upstream=upstream)
 
     def _on_peer_change(self, change: PeerChange) -> None:
-        if change.kind is not PeerChangeKind.GONE:
+        # A silent node's streams must not hold room that waiting work needs; one that lives says
+        # with its next refresh what runs there.
+        if change.kind not in (PeerChangeKind.SUSPECT, PeerChangeKind.GONE):
             return
         for hosted in self._shards.values():
             now_s = self._context.now_s()
--- /dev/null
+++ b/test/system_group.py
@@ -0,0 +1,220 @@
+"""The system under test: nodes, upstreams, a platform, the links between them, and callers."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from entry_fixtures import REQUEST
+from system_nodes import SimNode
+from system_oracle import (
+    CALM_SETTLE_S,
+    SHEDS,
+    TROUBLE_SETTLE_S,
+    CallerRecord,
+    Oracle,
+)
+from system_platform import FakePlatform
+from system_upstreams import FakeUpstream
+from system_world import World
+
+from lentilchute.document import (
+    AccountEntry,
+    ServiceDocument,
+    TierEntry,
+    UpstreamEntry,
+    UpstreamGroup,
+    UpstreamKind,
+)
+from lentilchute.entry_actions import AcceptedRequest
+from lentilchute.ids import ClientAccountId, Fingerprint, IdempotencyKey, ServiceName, Tier
+
+NODES = ("entry-1", "entry-2", "entry-3")
+DRAFTS = "drafts"
+LEDGER = "ledger"
+UPSTREAMS = {DRAFTS: ("engine-1", "engine-2", "engine-3"), LEDGER: ("book-1", "book-2")}
+ANSWER_LIFETIME_S = 10.0
+
+
+def document(service: str, kind: UpstreamKind, max_streams: int) -> ServiceDocument:
+    """A small document, whose tiers have few places so that they are shed."""
+    members = tuple(
+        UpstreamEntry(name=name, address="127.0.0.1:1", availability_zone="zone-1")
+        for name in UPSTREAMS[service]
+    )
+    return ServiceDocument(
+        service=service,
+        upstreams=(UpstreamGroup(kind=kind, members=members, max_streams=max_streams),),
+        tiers=tuple(TierEntry(name=f"tier-{rank}", max_waiting=2) for rank in range(3)),
+        client_accounts=(AccountEntry(name="notary-1", key_sha256="0" * 64),),
+    )
+
+
+@dataclass
+class Lookup:
+    """An answer to "which entries", as a caller keeps it."""
+
+    names: list[str]
+    asked_s: float
+
+
+class System:
+    """Three nodes, three engines, two plain services, a platform, and callers."""
+
+    def __init__(self, seed: int, coverage: Counter[str]) -> None:
+        self.world = World(seed, coverage)
+        self.rng = random.Random(seed)
+        self.platform = FakePlatform(self.world)
+        self.oracle = Oracle(coverage)
+        self.documents = {
+            DRAFTS: document(DRAFTS, UpstreamKind.ENGINE, 2),
+            LEDGER: document(LEDGER, UpstreamKind.PLAIN, 1),
+        }
+        self.upstreams = {
+            name: FakeUpstream(name, service == DRAFTS, self.world, self.oracle)
+            for service, names in UPSTREAMS.items()
+            for name in names
+        }
+        self.nodes: dict[str, SimNode] = {}
+        for name in NODES:
+            self.nodes[name] = SimNode(name, self)
+        for node in self.nodes.values():
+            node.start()
+        self.run_for(2.0)
+        self.lookup = Lookup(list(NODES), self.world.now_s)
+
+    def run_for(self, duration_s: float) -> None:
+        self.world.run_until(self.world.now_s + duration_s)
+
+    def run_briefly(self) -> None:
+        """Let some of the work happen, so that the next fault meets it at any point."""
+        self.run_for(self.rng.choice([0.0, 0.002, 0.01, 0.05, 0.2, 0.8]))
+
+    def up_nodes(self) -> list[SimNode]:
+        return [node for node in self.nodes.values() if node.is_up]
+
+    def serving(self) -> list[SimNode]:
+        return [node for node in self.up_nodes() if not node.is_stopping]
+
+    def shed(self, record: CallerRecord) -> None:
+        """Check a refusal by overload against what waits in the whole system."""
+        refusal = record.refusal
+        if refusal is None or refusal.reason not in SHEDS or record.shed_s is None:
+            return
+        calm = self.world.now_s - self.world.last_trouble_s > TROUBLE_SETTLE_S
+        lower = [
+            other
+            for node in self.up_nodes()
+            if self._could_know(record.shed_by or record.entry, node)
+            for ticket in node.entry.refresh(ServiceName(record.service), self.world.now_s)[0]
+            if (other := self.oracle.by_request[ticket.request_id]).tier > record.tier
+            and other.shed_s is None
+        ]
+        settled_s = CALM_SETTLE_S if calm else TROUBLE_SETTLE_S
+        self.oracle.check_shed(record, lower, settled_s, record.shed_s)
+
+    def _could_know(self, scheduler: str, entry: SimNode) -> bool:
+        """Tell whether a scheduler could know of an entry's tickets.
+
+        It cannot when the entry's process stands still or the link between the two is cut. Then
+        neither can displace the other's tickets, and each serves what it knows of.
+        """
+        apart_until_s = max(entry.frozen_until_s, self.world.cut_until_s(scheduler, entry.name))
+        return self.world.now_s - apart_until_s > TROUBLE_SETTLE_S
+
+    # Callers.
+
+    def look_up(self) -> None:
+        """Callers ask some node which entries to use, and keep the answer for its lifetime."""
+        awake = [node for node in self.serving() if node.frozen_until_s <= self.world.now_s]
+        if awake:
+            node = self.rng.choice(awake)
+            names = [info.instance for info in node.membership.alive(self.world.now_s)]
+            self.lookup = Lookup(list(names), self.world.now_s)
+
+    def send(
+        self,
+        node: int,
+        service: str,
+        tier: int,
+        deadline_s: float,
+        key: str | None,
+        content: str | None,
+    ) -> None:
+        if self.world.now_s - self.lookup.asked_s > ANSWER_LIFETIME_S:
+            self.look_up()
+        if not self.lookup.names or self.world.now_s - self.lookup.asked_s > ANSWER_LIFETIME_S:
+            return
+        serial = len(self.oracle.records)
+        record = CallerRecord(
+            serial=serial,
+            service=service,
+            tier=tier,
+            entry=self.lookup.names[node % len(self.lookup.names)],
+            sent_s=self.world.now_s,
+            deadline_s=self.world.now_s + deadline_s,
+            key=key,
+            content=content or f"content-{serial}",
+            is_engine=service == DRAFTS,
+        )
+        self.oracle.records[serial] = record
+        self.world.after(self.world.latency_s(), lambda: self._arrive(record, deadline_s))
+
+    def _arrive(self, record: CallerRecord, deadline_s: float) -> None:
+        node = self.nodes[record.entry]
+        if not node.is_up:
+            assert not node.ended_by_stop, f"{node.name} left before its callers could know"
+            record.end = "no connection"
+            return
+        record.has_arrived = True
+
+        def accept() -> None:
+            # The header gives seconds, which count from when the entry reads it.
+            record.deadline_s = self.world.now_s + deadline_s
+            node.accept(record, _request(record, record.deadline_s))
+
+        node.guard(accept)()
+
+    # Afterwards.
+
+    def check_deadlines(self) -> None:
+        """No request is silent past its deadline, unless its process stands still."""
+        self.oracle.check_deadlines(self.world.now_s, lambda name: self.nodes[name].frozen_until_s)
+
+    def leaks(self) -> list[str]:
+        """Return what is still open, waiting or held anywhere."""
+        leaks = [f"{record} open" for record in self.oracle.records.values() if record.is_open]
+        for node in self.up_nodes():
+            leaks += self._leaks_of(node)
+        return leaks
+
+    def _leaks_of(self, node: SimNode) -> list[str]:
+        leaks = [] if node.claims.is_idle else [f"{node.name} has claims open"]
+        for service in UPSTREAMS:
+            held = node.entry.refresh(ServiceName(service), self.world.now_s)
+            if held != ([], []):
+                leaks.append(f"{node.name} still holds {held}")
+        for scheduler in node.schedulers.values():
+            status = scheduler.status(self.world.now_s)
+            if any(status.waiting.values()) or any(status.in_flight.values()):
+                leaks.append(f"{node.name} has tickets or slots: {status}")
+        return leaks
+
+
+def _request(record: CallerRecord, deadline_s: float) -> AcceptedRequest:
+    return AcceptedRequest(
+        service=ServiceName(record.service),
+        method="POST",
+        path="/v1/chat/completions" if record.is_engine else "/postings",
+        headers=(),
+        body=str(record.serial).encode(),
+        streaming=record.is_engine,
+        tier=Tier(record.tier),
+        client_account=ClientAccountId("notary-1"),
+        deadline_s=deadline_s,
+        prompt_tokens=10,
+        max_output_tokens=8,
+        model=REQUEST.model,
+        fingerprint=Fingerprint(record.content),
+        idempotent=record.key is None,
+        idempotency_key=IdempotencyKey(record.key) if record.key is not None else None,
+    )
--- a/test/system_nodes.py
+++ b/test/system_nodes.py
@@ -310,6 +310,10 @@
             self._act_one(action)
 
     def _act_one(self, action: ea.EntryAction) -> None:
+        if isinstance(action, ea.SubmitTicket):
+            submitted = self.group.oracle.by_request.get(action.ticket.request_id)
+            if submitted is not None:
+                submitted.waits_since_s = self.world.now_s
         if isinstance(action, ea.SchedulerAction):
             self.to_scheduler(action)
         elif isinstance(action, ea.ClaimsAction):
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -3,7 +3,7 @@
 from lentilchute.document import TierEntry
 from lentilchute.ids import Attempt, InstanceId, UpstreamId
 from lentilchute.policy import Policy
-from lentilchute.tickets import EndState, RefusalReason
+from lentilchute.tickets import EndState, InFlight, RefusalReason
 
 ONE_SLOT = {"max_streams": 1}
 
@@ -127,3 +127,24 @@
         running = made.ended(grant.request_id, EndState.COMPLETE, 0, 0.0)
     low = sum("low" in request_id for request_id in order)
     assert 15 <= low <= 25
+
+
+def test_a_refusal_that_was_lost_is_decided_anew_at_the_refresh() -> None:
+    tiers = (TierEntry(name="only", max_waiting=0),)
+    made = scheduler(document(group(["e1"], **ONE_SLOT), tiers))
+    made.submit(ticket("running"), 0.0)
+    late = ticket("late")
+    (refused,) = refusals(made.submit(late, 0.1))
+    running = InFlight(ticket("running"), UpstreamId("e1"), 0.0)
+    (again,) = refusals(made.refresh(InstanceId("i1"), [late], [running], 1.0))
+    assert (again.request_id, again.attempt) == (refused.request_id, refused.attempt)
+
+
+def test_a_request_whose_end_was_never_reported_does_not_hold_its_room_for_ever() -> None:
+    made = scheduler(document(group(["e1"], **ONE_SLOT)))
+    made.submit(ticket("lost", deadline_s=10.0), 0.0)
+    made.dispatched(ticket("lost").request_id, Attempt(1), UpstreamId("e1"), 0.1)
+    assert made.submit(ticket("next", deadline_s=100.0), 0.2) == []
+    assert made.next_tick_s() <= 75.0
+    (granted,) = grants(made.tick(75.0))
+    assert granted.request_id == ticket("next").request_id
