Index prompt prefixes, hold tickets for the holder, and bound streams by what goes on at once

Cause: equal prefixes were prefilled on every engine; the engine with a prefix had no room while its prompt ran, so copies of the prompt went elsewhere. The stream limit fell to 1 to 5 where a cache miss or a long prompt made first tokens late. Change: a bounded index per upstream, entered at the grant, corrected by cache events, distrusted after gaps; a ticket waits up to 3 s for a holder that saves 512 tokens or more; the stream limit is the largest number of streams seen to go on at once and some to spare.

Waste still misses its target; most of it is prefill of answers that come too late.

Seen failing with the mechanism off: equal prompts go to one upstream.

--- a/lentilchute/granting.py
+++ b/lentilchute/granting.py
@@ -1,15 +1,18 @@
 """Grants in tier order: which waiting ticket goes to an upstream next."""
 
+import math
+
 from .document import ServiceDocument
 from .ids import Tier, UpstreamId
 from .placements import Placement, PlacementBook, PlacementState
 from .placing import Choice, UpstreamPool
 from .policy import Policy
+from .prefix_index import PrefixIndex
 from .settings import SchedulerSettings
 from .tickets import Decision, Grant, Ticket
 from .waiting import Waiting, WaitingList
 
-LOOKAHEAD = 8
+LOOKAHEAD = 16
 """Tickets of a tier that are tried when those before them cannot be placed."""
 
 GRANT_MEMORY = 0.99
@@ -26,18 +29,22 @@
     def __init__(
         self,
         pool: UpstreamPool,
+        prefixes: PrefixIndex,
         waiting: WaitingList,
         placements: PlacementBook,
         settings: SchedulerSettings,
         policy: Policy,
     ) -> None:
         self._pool = pool
+        self._prefixes = prefixes
         self._waiting = waiting
         self._placements = placements
         self._settings = settings
         self._policy = policy
         self._floors: dict[Tier, float] = {}
         self._recent_grants = 0.0
+        self.next_hold_end_s = math.inf
+        """When a ticket that waits for the holder of its prefix may go elsewhere."""
         self._recent_by_tier: dict[Tier, float] = {}
 
     def configure(self, document: ServiceDocument) -> None:
@@ -53,6 +60,7 @@
     def grant_all(self, now_s: float) -> list[Decision]:
         """Grant until no ticket can be placed."""
         grants: list[Decision] = []
+        self.next_hold_end_s = math.inf
         while len(self._waiting) and (found := self._next(now_s)) is not None:
             waiting, choice = found
             grants.append(self._grant(waiting.ticket, choice, now_s))
@@ -80,12 +88,17 @@
         Where no ticket of a higher tier fits, one of a lower tier may, as when the higher one is
         excluded from the upstreams with room. It takes nothing that the higher one could use.
         """
+        candidates = self._pool.with_room(tier, now_s)
+        if not candidates:
+            return None
         for tried, waiting in enumerate(self._waiting.in_order(tier)):
             if tried == LOOKAHEAD:
                 break
-            choice = self._pool.choose(waiting.ticket, now_s)
+            choice = self._pool.choose(waiting, candidates, now_s)
             if choice is not None:
                 return waiting, choice
+            if waiting.hold_until_s is not None and waiting.hold_until_s > now_s:
+                self.next_hold_end_s = min(self.next_hold_end_s, waiting.hold_until_s)
         return None
 
     def _grant(self, ticket: Ticket, choice: Choice, now_s: float) -> Grant:
@@ -116,6 +129,7 @@
             ticket, upstream, PlacementState.GRANTED, now_s, expires_s, tokens, tokens
         )
         self._placements.add(placement)
+        self._prefixes.enter(upstream, ticket.prefix_hashes)
         load = self._pool.known(upstream)
         load.granted_s = now_s
         load.reserve(ticket.tier, tokens)
--- a/lentilchute/limits.py
+++ b/lentilchute/limits.py
@@ -12,48 +12,69 @@
 CONGESTED_PART = 0.5
 """Part of the first-token target beyond which a first token is late."""
 
-CONGESTED_FACTOR = 2.0
-"""A first token is late only if it took this many times as long as expected."""
+CONGESTED_FACTOR = 4.0
+"""A first token is late only if it took this many times as long as expected.
 
-DECREASE = 0.95
+Prefill beside decoding is some times slower than alone, which is no sign of a full batch.
+"""
+
+MIN_SPARE_STREAMS = 4
+MAX_SPARE_STREAMS = 32
 INCREASE_INTERVAL_S = 0.25
 DECREASE_INTERVAL_S = 1.0
 
+PEAK_HALF_LIFE_S = 60.0
+"""The largest number of streams seen to go on at once falls to half in this time."""
+
 
 class AdaptiveLimits:
-    """Stream limit that rises slowly while first tokens come in time, and falls when late."""
+    """Stream limit: the streams that were seen to go on at once, and some to spare.
+
+    An upstream whose batch is full starts no further stream, so the number that go on at once shows
+    its size. The spare streams wait in the upstream's queue; they get fewer while first tokens are
+    late, and more while they come in time and the limit is reached.
+    """
 
     def __init__(self, max_streams: int, max_prompt_tokens: int, target_s: float) -> None:
         self._max_streams = max_streams
         self._max_prompt_tokens = max_prompt_tokens
         self._target_s = target_s
-        self._streams = float(max_streams)
+        # Until streams show the size of the batch, half of the stated bound is taken for it.
+        self._peak = max_streams / 2
+        self._peak_s = 0.0
+        self._spare = MIN_SPARE_STREAMS
         self._changed_s = 0.0
 
     @property
     def streams(self) -> int:
         """Streams that may be outstanding."""
-        return max(1, int(self._streams))
+        return max(1, min(int(self._peak) + self._spare, self._max_streams))
 
     def prompt_tokens(self, is_top_tier: bool, prefill_tokens_per_s: float) -> float:
         """Return how many prompt tokens may be outstanding ahead of a new prompt."""
         part = TOP_TIER_PART if is_top_tier else LOWER_TIER_PART
         return min(part * self._target_s * prefill_tokens_per_s, self._max_prompt_tokens)
 
+    def started(self, decoding: int, now_s: float) -> None:
+        """Note how many streams go on at once, just after one has begun."""
+        faded = self._peak * 0.5 ** ((now_s - self._peak_s) / PEAK_HALF_LIFE_S)
+        self._peak = max(faded, float(decoding))
+        self._peak_s = now_s
+
     def first_token(
         self, took_s: float, expected_s: float, streams: int, dispatched_s: float, now_s: float
     ) -> None:
         """Adapt to the time from dispatch to first token of one request."""
         late_s = max(CONGESTED_PART * self._target_s, CONGESTED_FACTOR * expected_s)
         if took_s > late_s:
-            self._decrease(streams, dispatched_s, now_s)
+            self._decrease(dispatched_s, now_s)
         elif streams >= self.streams and now_s - self._changed_s >= INCREASE_INTERVAL_S:
-            self._streams = min(self._streams + 1, self._max_streams)
+            self._spare = min(self._spare + 1, MAX_SPARE_STREAMS)
             self._changed_s = now_s
 
-    def _decrease(self, streams: int, dispatched_s: float, now_s: float) -> None:
+    def _decrease(self, dispatched_s: float, now_s: float) -> None:
         # A request sent before the last change tells nothing about the present limit.
         if dispatched_s < self._changed_s or now_s - self._changed_s < DECREASE_INTERVAL_S:
             return
-        self._streams = max(1.0, min(self._streams, streams) * DECREASE)
+        self._spare = max(MIN_SPARE_STREAMS, self._spare // 2)
         self._changed_s = now_s
--- a/lentilchute/placing.py
+++ b/lentilchute/placing.py
@@ -4,10 +4,12 @@
 from dataclasses import dataclass
 
 from .forecast import OutputForecast
-from .ids import UpstreamId
+from .ids import Tier, UpstreamId
 from .policy import Policy
+from .prefix_index import PrefixIndex
 from .tickets import Ticket
 from .upstream_load import UpstreamLoad
+from .waiting import Waiting
 
 BLOCKING_PROMPT_S = 1.5
 """A prompt that takes longer holds up the prompts behind it beyond a first-token target."""
@@ -16,6 +18,16 @@
 """Part of the upstreams that lower tiers leave free of blocking prompts."""
 
 
+MAX_HOLD_S = 3.0
+"""Time that a ticket may wait for an upstream that holds its prefix while others have room."""
+
+MIN_HOLD_TOKENS = 512
+"""Prompt tokens that such an upstream has to save."""
+
+PREFILL_WEIGHT = 2.0
+"""How much the time of a prompt counts against an upstream besides the wait for it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """An upstream with room for a ticket, and what placing it there is expected to take."""
@@ -29,7 +41,8 @@
 class UpstreamPool:
     """All upstreams of one shard."""
 
-    def __init__(self, policy: Policy, forecast: OutputForecast) -> None:
+    def __init__(self, policy: Policy, forecast: OutputForecast, prefixes: PrefixIndex) -> None:
+        self._prefixes = prefixes
         self._forecast = forecast
         self.reserved_shares: tuple[float, ...] = ()
         self._policy = policy
@@ -64,31 +77,69 @@
             load.is_open and load.upstream not in ticket.excluded for load in self._loads.values()
         )
 
-    def choose(self, ticket: Ticket, now_s: float) -> Choice | None:
-        """Return the upstream with room that finishes first, or ``None`` when none has room."""
-        best: Choice | None = None
+    def with_room(self, tier: Tier, now_s: float) -> list[UpstreamLoad]:
+        """Return the upstreams that may get a ticket of a tier now."""
+        return [
+            load
+            for load in self._loads.values()
+            if load.is_open
+            and (load.needs_probe(tier, now_s) or load.has_room(tier, self.reserved_shares))
+        ]
+
+    def choose(
+        self, waiting: Waiting, candidates: list[UpstreamLoad], now_s: float
+    ) -> Choice | None:
+        """Return the candidate that suits a ticket best, or ``None`` when it shall wait.
+
+        A ticket waits for a while when an upstream without room holds so much of its prompt that
+        it is expected to answer sooner than any candidate.
+        """
+        ticket = waiting.ticket
         output_tokens = self._forecast.tokens(ticket)
-        for load in self._loads.values():
-            if not load.is_open or load.upstream in ticket.excluded:
-                continue
-            if load.needs_probe(ticket.tier, now_s):
-                return self._choice(load, ticket, output_tokens)
-            if not load.has_room(ticket.tier, self.reserved_shares):
+        best: Choice | None = None
+        for load in candidates:
+            if load.upstream in ticket.excluded:
                 continue
             choice = self._choice(load, ticket, output_tokens)
+            if load.needs_probe(ticket.tier, now_s):
+                return choice
             if best is None or _rank(choice) < _rank(best):
                 best = choice
         if best is None or self._must_stay_free(best, ticket):
             return None
+        if self._may_hold(waiting, now_s) and self._has_better_holder(best, ticket, output_tokens):
+            waiting.hold_until_s = waiting.hold_until_s or now_s + MAX_HOLD_S
+            return None
         return best
 
     @staticmethod
-    def _choice(load: UpstreamLoad, ticket: Ticket, output_tokens: float) -> Choice:
-        uncached_tokens = ticket.prompt_tokens
+    def _may_hold(waiting: Waiting, now_s: float) -> bool:
+        return waiting.hold_until_s is None or now_s < waiting.hold_until_s
+
+    def _has_better_holder(self, best: Choice, ticket: Ticket, output_tokens: float) -> bool:
+        if not self._policy.prefix_affinity or best.uncached_tokens < MIN_HOLD_TOKENS:
+            return False
+        for upstream in self._prefixes.holders(ticket.prefix_hashes):
+            load = self._loads.get(upstream)
+            if load is None or not load.is_open or load.upstream in ticket.excluded:
+                continue
+            choice = self._choice(load, ticket, output_tokens)
+            saved = best.uncached_tokens - choice.uncached_tokens
+            if saved >= MIN_HOLD_TOKENS and _rank(choice) < _rank(best):
+                return True
+        return False
+
+    def _choice(self, load: UpstreamLoad, ticket: Ticket, output_tokens: float) -> Choice:
+        uncached_tokens = max(ticket.prompt_tokens - self._cached_tokens(load, ticket), 1)
         first_token_s = load.wait_s() + uncached_tokens / load.prefill_tokens_per_s
         finish_s = first_token_s + output_tokens / load.decode_tokens_per_s
         return Choice(load, uncached_tokens, first_token_s, finish_s)
 
+    def _cached_tokens(self, load: UpstreamLoad, ticket: Ticket) -> int:
+        if not self._policy.prefix_affinity:
+            return 0
+        return self._prefixes.cached_tokens(load.upstream, ticket.prefix_hashes)
+
     def _must_stay_free(self, choice: Choice, ticket: Ticket) -> bool:
         """Tell whether a lower tier's long prompt would take an upstream kept for short ones."""
         if ticket.tier == 0 or not self._policy.reserve:
@@ -103,4 +154,6 @@
 
 def _rank(choice: Choice) -> tuple[float, float]:
     load = choice.load
-    return choice.finish_s, load.streams / max(load.stream_limit, 1)
+    # A prompt also takes time from the streams beside it.
+    prefill_s = choice.uncached_tokens / load.prefill_tokens_per_s
+    return choice.finish_s + PREFILL_WEIGHT * prefill_s, load.streams / max(load.stream_limit, 1)
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -9,7 +9,6 @@
         ...
 """
 
-import math
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -22,6 +21,7 @@
 from .placements import Placement, PlacementBook, PlacementState
 from .placing import UpstreamPool
 from .policy import FULL_POLICY, Policy
+from .prefix_index import PrefixIndex
 from .retry_after import DrainRate, RetryAfter
 from .settings import SchedulerSettings
 from .shard_status import ShardStatus
@@ -65,7 +65,8 @@
         self._settings = settings
         self._policy = policy
         self._forecast = OutputForecast()
-        self._pool = UpstreamPool(policy, self._forecast)
+        self._prefixes = PrefixIndex(settings.prefix_block_tokens)
+        self._pool = UpstreamPool(policy, self._forecast, self._prefixes)
         self._decline = DeclineDetector()
         self._waiting = WaitingList(policy.tiers)
         self._placements = PlacementBook()
@@ -73,7 +74,9 @@
         self._drain = DrainRate(now_s)
         self._retry_after = RetryAfter(settings, rng, policy.retry_spread)
         self._verdicts: list[PoisonVerdict] = []
-        self._granter = Granter(self._pool, self._waiting, self._placements, settings, policy)
+        self._granter = Granter(
+            self._pool, self._prefixes, self._waiting, self._placements, settings, policy
+        )
         self._take_document(document)
 
     def _take_document(self, document: ServiceDocument) -> None:
@@ -97,6 +100,7 @@
         """Add an upstream, or take its group's bounds anew; a leaving one stays leaving."""
         target_s = self._document.limits.first_token_target_s
         self._pool.known(upstream.upstream).configure(group, target_s)
+        self._prefixes.add_upstream(upstream.upstream, group.cache_tokens)
         return self._decide(now_s)
 
     def remove_upstream(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
@@ -104,6 +108,7 @@
         load = self._pool.get(upstream_id)
         if load is not None:
             load.group = None
+            self._prefixes.remove_upstream(upstream_id)
             self._discard_idle(upstream_id)
         return self._decide(now_s)
 
@@ -124,7 +129,9 @@
         return self._decide(now_s)
 
     def cache_events(self, events: Iterable[CacheEvent], now_s: float) -> None:
-        """Take entries of upstreams' prefix cache logs."""
+        """Take entries of upstreams' prefix cache logs, which may have gaps."""
+        for event in events:
+            self._prefixes.learn(event)
 
     # Tickets
 
@@ -219,6 +226,7 @@
 
     def _first_token(self, placement: Placement, load: UpstreamLoad, now_s: float) -> None:
         placement.first_token_s = now_s
+        load.decoding += 1
         self._release_prompt(placement)
         if placement.state is PlacementState.DISPATCHED and placement.expected_first_token_s:
             load.first_token(
@@ -238,12 +246,21 @@
         """Note that a dispatched request is over, and give its room back."""
         self._waiting.remove(request_id)
         placement = self._release(request_id)
-        if placement is not None and end is EndState.COMPLETE:
-            self._forecast.learn(placement.ticket, placement.output_tokens)
+        if placement is not None:
+            self._learn_end(placement, end, cached_prompt_tokens)
         self._remember_end(request_id, _FINAL)
         self._drain.record(now_s)
         return self._decide(now_s)
 
+    def _learn_end(self, placement: Placement, end: EndState, cached_prompt_tokens: int) -> None:
+        ticket = placement.ticket
+        if end is EndState.UPSTREAM_CRASHED:
+            self._prefixes.clear(placement.upstream)
+        elif end is EndState.COMPLETE:
+            self._forecast.learn(ticket, placement.output_tokens)
+            expected_tokens = ticket.prompt_tokens - placement.uncached_tokens
+            self._prefixes.confirm(placement.upstream, expected_tokens, cached_prompt_tokens)
+
     def declined(self, request_id: RequestId, attempt: Attempt, now_s: float) -> list[Decision]:
         """Give back the room of a grant that was not used; the entry submits a newer attempt."""
         placement = self._placements.get(request_id)
@@ -262,6 +279,7 @@
         load = self._pool.known(placement.upstream)
         load.release_prompt(placement.prompt_tokens)
         load.release_stream(placement.ticket.tier)
+        load.decoding -= placement.first_token_s is not None
         self._discard_idle(placement.upstream)
         return placement
 
@@ -346,7 +364,11 @@
 
     def next_tick_s(self) -> float:
         """Return when ``tick`` has work; infinity for never."""
-        return min(self._waiting.next_late_s(), self._placements.next_expiry_s(), math.inf)
+        return min(
+            self._waiting.next_late_s(),
+            self._placements.next_expiry_s(),
+            self._granter.next_hold_end_s,
+        )
 
     def _decide(self, now_s: float) -> list[Decision]:
         self._placements.expire(now_s)
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/upstream_load.py
@@ -33,9 +33,11 @@
         self.streams = 0
         self.streams_by_tier: dict[Tier, int] = {}
         self.prompt_tokens = 0
+        self.decoding = 0
+        """Streams that have begun to answer."""
         self._policy = policy
         self.rates = UpstreamRates(1.0, 1.0)
-        self._limits = AdaptiveLimits(0, 0, 1.0)
+        self.limits = AdaptiveLimits(0, 0, 1.0)
         self._taken: tuple[UpstreamGroup, float] | None = None
 
     def configure(self, group: UpstreamGroup, first_token_target_s: float) -> None:
@@ -47,7 +49,7 @@
         self.rates = UpstreamRates(
             group.initial_prefill_tokens_per_s, group.initial_decode_tokens_per_s
         )
-        self._limits = AdaptiveLimits(
+        self.limits = AdaptiveLimits(
             group.max_streams, group.max_prompt_tokens, first_token_target_s
         )
 
@@ -61,7 +63,7 @@
         """Streams that may be outstanding now."""
         if self.group is not None and not self._policy.adaptive_limits:
             return self.group.max_streams
-        return self._limits.streams
+        return self.limits.streams
 
     @property
     def prefill_tokens_per_s(self) -> float:
@@ -81,7 +83,7 @@
         """Return the prompt tokens that may be outstanding ahead of a ticket of a tier."""
         if self.group is not None and not self._policy.adaptive_limits:
             return self.group.max_prompt_tokens
-        return self._limits.prompt_tokens(tier == 0, self.prefill_tokens_per_s)
+        return self.limits.prompt_tokens(tier == 0, self.prefill_tokens_per_s)
 
     def reserve(self, tier: Tier, prompt_tokens: int) -> None:
         """Take a stream and prompt tokens."""
@@ -102,9 +104,10 @@
         self, dispatched_s: float, uncached_tokens: int, expected_s: float, now_s: float
     ) -> None:
         """Learn from a first token."""
+        self.limits.started(self.decoding, now_s)
         self.rates.first_token(dispatched_s, uncached_tokens, now_s)
         took_s = now_s - dispatched_s
-        self._limits.first_token(took_s, expected_s, self.streams, dispatched_s, now_s)
+        self.limits.first_token(took_s, expected_s, self.streams, dispatched_s, now_s)
 
     def decoded(self, tokens: int, seconds: float, now_s: float) -> None:
         """Learn from the progress of one stream."""
--- a/lentilchute/waiting.py
+++ b/lentilchute/waiting.py
@@ -8,13 +8,15 @@
 from .tickets import Ticket
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Waiting:
     """A ticket with the time when it came and the latest time to start it."""
 
     ticket: Ticket
     since_s: float
     start_by_s: float
+    hold_until_s: float | None = None
+    """Until when the ticket may wait for an upstream that holds its prefix."""
 
 
 class WaitingList:
--- /dev/null
+++ b/test/test_prefix_index.py
@@ -0,0 +1,87 @@
+from schedulers import document, grants, group, scheduler, ticket
+
+from lentilchute.ids import BlockHash, UpstreamId
+from lentilchute.policy import FULL_POLICY, Policy
+from lentilchute.prefix_index import PrefixIndex
+from lentilchute.tickets import CacheEvent
+
+E1, E2 = UpstreamId("e1"), UpstreamId("e2")
+
+
+def blocks(first: int, count: int) -> tuple[BlockHash, ...]:
+    return tuple(BlockHash(block) for block in range(first, first + count))
+
+
+def index(cache_tokens: int = 64 * 100) -> PrefixIndex:
+    made = PrefixIndex(64)
+    made.add_upstream(E1, cache_tokens)
+    made.add_upstream(E2, cache_tokens)
+    return made
+
+
+def test_the_longest_common_prefix_counts() -> None:
+    made = index()
+    made.enter(E1, blocks(0, 10))
+    prompt = blocks(0, 6) + blocks(100, 6)
+    assert made.cached_tokens(E1, prompt) == 6 * 64
+    assert made.cached_tokens(E2, prompt) == 0
+    assert made.holders(prompt) == [E1]
+
+
+def test_the_index_is_bounded_and_forgets_the_oldest() -> None:
+    made = index(cache_tokens=64 * 15)
+    made.enter(E1, blocks(0, 10))
+    made.enter(E1, blocks(100, 10))
+    assert made.cached_tokens(E1, blocks(100, 10)) == 640
+    assert made.cached_tokens(E1, blocks(0, 10)) == 5 * 64
+
+
+def test_evictions_are_learned_and_late_events_change_nothing() -> None:
+    made = index()
+    made.enter(E1, blocks(0, 10))
+    made.learn(CacheEvent(E1, 2, evicted=blocks(5, 5)))
+    made.learn(CacheEvent(E1, 1, evicted=blocks(0, 5)))
+    assert made.cached_tokens(E1, blocks(0, 10)) == 5 * 64
+
+
+def test_a_gap_lowers_the_trust_and_a_confirmation_raises_it() -> None:
+    made = index()
+    made.enter(E1, blocks(0, 10))
+    made.learn(CacheEvent(E1, 1))
+    made.learn(CacheEvent(E1, 5))
+    lowered = made.cached_tokens(E1, blocks(0, 10))
+    assert lowered < 640
+    made.confirm(E1, 640, 640)
+    assert made.cached_tokens(E1, blocks(0, 10)) > lowered
+
+
+def test_a_crash_empties_the_view() -> None:
+    made = index()
+    made.enter(E1, blocks(0, 10))
+    made.clear(E1)
+    assert made.cached_tokens(E1, blocks(0, 10)) == 0
+    assert made.holders(blocks(0, 10)) == []
+
+
+def spread(policy: Policy) -> set[str]:
+    made = scheduler(document(group(["e1", "e2", "e3"])), policy)
+    prompt = {"prompt_tokens": 6_400, "prefix_hashes": blocks(0, 100)}
+    granted = []
+    for n in range(3):
+        granted += grants(made.submit(ticket(f"same-{n}", **prompt), 0.0))
+    return {grant.upstream for grant in granted}
+
+
+def test_equal_prompts_that_arrive_together_go_to_one_upstream() -> None:
+    assert len(spread(FULL_POLICY)) == 1
+
+
+def test_a_held_ticket_goes_elsewhere_when_its_time_is_over() -> None:
+    made = scheduler(
+        document(group(["e1", "e2"], max_streams=64, initial_prefill_tokens_per_s=20_000.0))
+    )
+    prompt = {"prefix_hashes": blocks(0, 400)}
+    (first,) = grants(made.submit(ticket("a", 1, prompt_tokens=25_600, **prompt), 0.0))
+    assert made.submit(ticket("b", 1, prompt_tokens=25_600, **prompt), 0.0) == []
+    (second,) = grants(made.tick(made.next_tick_s())) or grants(made.tick(made.next_tick_s()))
+    assert second.upstream != first.upstream
