Share a tier between client accounts by weighted work

Cause: one account's backlog went before all other accounts' tickets. Change: each account has a virtual time per tier that grows with granted work (prompt and four times the expected output) by its weight; a full list sheds the newest ticket of the account with the most.

Seen failing with the mechanism off: a small account is not starved.

--- a/lentilchute/granting.py
+++ b/lentilchute/granting.py
@@ -3,7 +3,8 @@
 import math
 
 from .document import ServiceDocument
-from .ids import Tier, UpstreamId
+from .forecast import OutputForecast
+from .ids import ClientAccountId, Tier, UpstreamId
 from .placements import Placement, PlacementBook, PlacementState
 from .placing import Choice, UpstreamPool
 from .policy import Policy
@@ -12,6 +13,9 @@
 from .tickets import Decision, Grant, Ticket
 from .waiting import Waiting, WaitingList
 
+OUTPUT_WORK = 4.0
+"""Work of an output token, in prompt tokens, when accounts share a tier."""
+
 LOOKAHEAD = 16
 """Tickets of a tier that are tried when those before them cannot be placed."""
 
@@ -30,6 +34,7 @@
         self,
         pool: UpstreamPool,
         prefixes: PrefixIndex,
+        forecast: OutputForecast,
         waiting: WaitingList,
         placements: PlacementBook,
         settings: SchedulerSettings,
@@ -37,6 +42,8 @@
     ) -> None:
         self._pool = pool
         self._prefixes = prefixes
+        self._forecast = forecast
+        self._weights: dict[ClientAccountId, float] = {}
         self._waiting = waiting
         self._placements = placements
         self._settings = settings
@@ -48,12 +55,15 @@
         self._recent_by_tier: dict[Tier, float] = {}
 
     def configure(self, document: ServiceDocument) -> None:
-        """Take the tiers' floors and reserved shares from a document."""
+        """Take floors and reserved shares of tiers, and weights of accounts, from a document."""
         self._floors = {
             Tier(rank): tier.floor_share
             for rank, tier in enumerate(document.tiers)
             if tier.floor_share > 0
         }
+        self._weights = {
+            ClientAccountId(account.name): account.weight for account in document.client_accounts
+        }
         shares = tuple(tier.reserved_share for tier in document.tiers)
         self._pool.reserved_shares = shares if self._policy.reserve else ()
 
@@ -91,9 +101,7 @@
         candidates = self._pool.with_room(tier, now_s)
         if not candidates:
             return None
-        for tried, waiting in enumerate(self._waiting.in_order(tier)):
-            if tried == LOOKAHEAD:
-                break
+        for waiting in self._waiting.in_order(tier, LOOKAHEAD):
             choice = self._pool.choose(waiting, candidates, now_s)
             if choice is not None:
                 return waiting, choice
@@ -104,6 +112,8 @@
     def _grant(self, ticket: Ticket, choice: Choice, now_s: float) -> Grant:
         self._waiting.remove(ticket.request_id)
         self._count(ticket.tier)
+        work = choice.uncached_tokens + OUTPUT_WORK * self._forecast.tokens(ticket)
+        self._waiting.charge(ticket, work / self._weights.get(ticket.client_account, 1.0))
         placement = self.reserve(ticket, choice.load.upstream, choice.uncached_tokens, now_s)
         placement.expected_first_token_s = choice.first_token_s
         reason = f"first token expected in {choice.first_token_s:.3f} s"
--- a/lentilchute/measure/cases.py
+++ b/lentilchute/measure/cases.py
@@ -5,6 +5,7 @@
 
 from .fake_engine import EngineSpec
 from .workload import (
+    TIER_DEADLINES_S,
     Draft,
     DraftSource,
     Mix,
@@ -19,6 +20,7 @@
 BASE_STEP_S = 0.03
 MAX_BATCH = 32
 CACHE_TOKENS = 200_000
+LOWEST_TIER = 3
 
 
 class FaultKind(Enum):
@@ -94,6 +96,18 @@
     return mix
 
 
+def _bulk_by_account(shares: tuple[float, ...]) -> Mix:
+    """Like ``_by_account``, with all requests of the first account in the lowest tier."""
+
+    def mix(source: DraftSource) -> Draft:
+        draft = replace(default_mix(source), account=source.choice(shares))
+        if draft.account:
+            return draft
+        return replace(draft, tier=LOWEST_TIER, patience_s=TIER_DEADLINES_S[LOWEST_TIER])
+
+    return mix
+
+
 BURST = ((0.0, 0.6), (10.0, 3.0), (70.0, 0.6))
 LARGE_ACCOUNT = (2.0, 0.16, 0.16, 0.16, 0.16)
 
@@ -113,6 +127,12 @@
         load=((0.0, sum(LARGE_ACCOUNT)),),
         accounts=LARGE_ACCOUNT,
     ),
+    Case(
+        "large-bulk",
+        mix=_bulk_by_account(LARGE_ACCOUNT),
+        load=((0.0, sum(LARGE_ACCOUNT)),),
+        accounts=LARGE_ACCOUNT,
+    ),
     Case("retry-storm", load=((0.0, 0.6), (10.0, 2.0), (40.0, 0.6)), callers_return=True),
     Case("notary", mix=notary_mix, load=((0.0, 0.7), (20.0, 1.5), (50.0, 0.7))),
     Case("terminal", mix=terminal_mix, load=((0.0, 0.7), (20.0, 1.5), (50.0, 0.7))),
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -68,14 +68,20 @@
         self._prefixes = PrefixIndex(settings.prefix_block_tokens)
         self._pool = UpstreamPool(policy, self._forecast, self._prefixes)
         self._decline = DeclineDetector()
-        self._waiting = WaitingList(policy.tiers)
+        self._waiting = WaitingList(policy)
         self._placements = PlacementBook()
         self._ended: OrderedDict[RequestId, Attempt] = OrderedDict()
         self._drain = DrainRate(now_s)
         self._retry_after = RetryAfter(settings, rng, policy.retry_spread)
         self._verdicts: list[PoisonVerdict] = []
         self._granter = Granter(
-            self._pool, self._prefixes, self._waiting, self._placements, settings, policy
+            self._pool,
+            self._prefixes,
+            self._forecast,
+            self._waiting,
+            self._placements,
+            settings,
+            policy,
         )
         self._take_document(document)
 
--- a/lentilchute/waiting.py
+++ b/lentilchute/waiting.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .ids import InstanceId, RequestId, Tier
+from .fair_queue import FairQueue
+from .ids import ClientAccountId, InstanceId, RequestId, Tier
+from .policy import Policy
 from .tickets import Ticket
 
 
@@ -20,14 +22,11 @@
 
 
 class WaitingList:
-    """Tickets by tier, first come first within a tier.
+    """Tickets by tier; within a tier client accounts take turns by weighted work."""
 
-    With ``tiers`` false all tickets count as the highest tier.
-    """
-
-    def __init__(self, tiers: bool = True) -> None:
-        self._has_tiers = tiers
-        self._tiers: dict[Tier, dict[RequestId, Waiting]] = {}
+    def __init__(self, policy: Policy) -> None:
+        self._policy = policy
+        self._tiers: dict[Tier, FairQueue] = {}
         self._by_id: dict[RequestId, Waiting] = {}
         self._by_entry: dict[InstanceId, set[RequestId]] = {}
         self._start_by: list[tuple[float, RequestId]] = []
@@ -36,7 +35,10 @@
         return len(self._by_id)
 
     def _rank(self, ticket: Ticket) -> Tier:
-        return ticket.tier if self._has_tiers else Tier(0)
+        return ticket.tier if self._policy.tiers else Tier(0)
+
+    def _account(self, ticket: Ticket) -> ClientAccountId:
+        return ticket.client_account if self._policy.fairness else ClientAccountId("")
 
     def get(self, request_id: RequestId) -> Waiting | None:
         """Return a waiting ticket, or ``None``."""
@@ -45,7 +47,8 @@
     def add(self, waiting: Waiting) -> None:
         """Append a ticket to its tier."""
         ticket = waiting.ticket
-        self._tiers.setdefault(self._rank(ticket), {})[ticket.request_id] = waiting
+        queue = self._tiers.setdefault(self._rank(ticket), FairQueue())
+        queue.add(self._account(ticket), ticket.request_id)
         self._by_id[ticket.request_id] = waiting
         self._by_entry.setdefault(ticket.entry, set()).add(ticket.request_id)
         heapq.heappush(self._start_by, (waiting.start_by_s, ticket.request_id))
@@ -56,7 +59,7 @@
         if waiting is None:
             return None
         ticket = waiting.ticket
-        del self._tiers[self._rank(ticket)][request_id]
+        self._tiers[self._rank(ticket)].remove(self._account(ticket), request_id)
         of_entry = self._by_entry[ticket.entry]
         of_entry.discard(request_id)
         if not of_entry:
@@ -65,19 +68,39 @@
 
     def tiers(self) -> list[Tier]:
         """Return the tiers with waiting tickets, the highest first."""
-        return sorted(tier for tier, tickets in self._tiers.items() if tickets)
-
-    def in_order(self, tier: Tier) -> Iterator[Waiting]:
-        """Yield a tier's tickets in dispatch order; do not change the list meanwhile."""
-        return iter(self._tiers.get(tier, {}).values())
+        return sorted(tier for tier, tickets in self._tiers.items() if len(tickets))
+
+    def in_order(self, tier: Tier, count: int) -> Iterator[Waiting]:
+        """Yield up to ``count`` tickets of a tier in dispatch order, while nothing changes."""
+        for request_id in self._tiers[tier].in_order(count):
+            yield self._by_id[request_id]
+
+    def charge(self, ticket: Ticket, work: float) -> None:
+        """Count work granted to a ticket's account, divided by the account's weight."""
+        self._tiers.setdefault(self._rank(ticket), FairQueue()).charge(self._account(ticket), work)
+
+    def ahead_of(self, ticket: Ticket) -> int:
+        """Return about how many tickets of its tier go before a new ticket."""
+        queue = self._tiers.get(self._rank(ticket))
+        if queue is None or not len(queue):
+            return 0
+        own = queue.waiting_of(self._account(ticket)) + 1
+        return min(own * max(queue.accounts, 1), len(queue))
+
+    def oldest_since_s(self, tier: Tier) -> float | None:
+        """Return since when the ticket that goes next in a tier waits, or ``None``."""
+        queue = self._tiers.get(tier)
+        if queue is None or not len(queue):
+            return None
+        return self._by_id[queue.oldest()].since_s
 
     def newest(self, tier: Tier) -> Waiting:
-        """Return the ticket of a tier that came last."""
-        return next(reversed(self._tiers[tier].values()))
+        """Return the ticket that came last of the account with the most in a tier."""
+        return self._by_id[self._tiers[tier].newest_of_largest()]
 
     def count(self, tier: Tier) -> int:
         """Return how many tickets of a tier wait."""
-        return len(self._tiers.get(tier, {}))
+        return len(self._tiers.get(tier, ()))
 
     def count_up_to(self, tier: Tier) -> int:
         """Return how many tickets of this tier and of higher ones wait."""
