Follow upstreams by the list, their own word and drains together

Cause: the node took the list's last answer as an upstream's state, so a stale list brought a leaving upstream back, one missing answer removed it, and its own word was not asked for. Change: the upstream controller drives the instance watch; the scheduler asks the upstreams of its shards for their own word each second and shares changes; a drain is told to nodes that join.

--- a/lentilchute/messages.py
+++ b/lentilchute/messages.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 from .claim_actions import ClaimQuery, ClaimReplyState
 from .ids import (
@@ -169,13 +170,24 @@
     verdicts: tuple[PoisonVerdict, ...]
 
 
+class UpstreamNews(Enum):
+    """What a node learned about an upstream."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    """The upstream itself says that it is leaving."""
+    DRAINED = "drained"
+    """An operator took it out."""
+    UNDRAINED = "undrained"
+
+
 @peer_message("upstream_notice")
 @dataclass(frozen=True, slots=True)
 class UpstreamNotice:
-    """An upstream's new state as the sender learned it: ``leaving`` or ``live``."""
+    """News of an upstream, from the upstream itself or an operator."""
 
     upstream: UpstreamId
-    state: str
+    news: UpstreamNews
 
 
 @peer_message("claim_question")
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -181,7 +181,7 @@
 
 struct UpstreamNotice {
   1: string upstream
-  2: string state
+  2: string news
 }
 
 struct PeerMessage {
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -119,12 +119,19 @@
         return self._decide(now_s)
 
     def mark_leaving(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
-        """Grant nothing more to an upstream until it is removed and added again."""
+        """Grant nothing more to an upstream until ``mark_live``."""
         load = self._pool.get(upstream_id)
         if load is not None:
             load.leaving = True
         return self._decide(now_s)
 
+    def mark_live(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
+        """An upstream that was leaving takes work again."""
+        load = self._pool.get(upstream_id)
+        if load is not None:
+            load.leaving = False
+        return self._decide(now_s)
+
     def _discard_idle(self, upstream_id: UpstreamId) -> None:
         load = self._pool.get(upstream_id)
         if load is not None and load.group is None and load.streams == 0:
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -29,6 +29,9 @@
 from .settings import Role
 from .shard_status import ShardStatus
 from .tickets import Decision, Grant, Refusal
+from .upstream_controller import UpstreamController
+from .upstream_directory import KnownUpstream
+from .upstreams import UpstreamAdapter
 
 ACK_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 1.0
@@ -225,7 +228,7 @@
             log_event(Event.UPSTREAM_LEAVING, service=hosted.service, upstream=upstream)
             return
         decisions = hosted.scheduler.add_upstream(known.upstream, known.group, now_s)
-        self._deliver(hosted, decisions)
+        self._deliver(hosted, decisions + hosted.scheduler.mark_live(upstream, now_s))
         log_event(Event.UPSTREAM_ADDED, service=hosted.service, upstream=upstream)
 
     def _on_peer_change(self, change: PeerChange) -> None:
@@ -245,13 +248,16 @@
             async with trio.open_nursery() as nursery:
                 for hosted in list(self._shards.values()):
                     for known in self._context.directory.of_service(hosted.service):
-                        if known.group.reports_load:
-                            nursery.start_soon(self._poll_one, hosted, known.upstream.upstream)
+                        nursery.start_soon(self._poll_one, hosted, known)
 
-    async def _poll_one(self, hosted: HostedShard, upstream: UpstreamId) -> None:
+    async def _poll_one(self, hosted: HostedShard, known: KnownUpstream) -> None:
+        upstream = known.upstream.upstream
         adapter = self._context.directory.adapter(upstream)
         if adapter is None:
             return
+        await self._ask_state(upstream, adapter)
+        if not known.group.reports_load:
+            return
         report = await adapter.load()
         if report.is_ok():
             decisions = hosted.scheduler.load_report(report.unwrap(), self._context.now_s())
@@ -264,6 +270,13 @@
             hosted.cache_sequence[upstream] = events[-1].sequence
             hosted.scheduler.cache_events(events, self._context.now_s())
 
+    async def _ask_state(self, upstream: UpstreamId, adapter: UpstreamAdapter) -> None:
+        asked_s = self._context.now_s()
+        state = await adapter.state()
+        if state.is_ok():
+            controller = self._context.controller(UpstreamController)
+            controller.own_word(upstream, leaving=state.unwrap().leaving, asked_s=asked_s)
+
     # Decisions.
 
     def _deliver(
--- a/lentilchute/upstream_controller.py
+++ b/lentilchute/upstream_controller.py
@@ -1,64 +1,128 @@
-"""Controller that follows the platform's list of instances and the states of upstreams."""
+"""Controller that follows the states of upstreams: the list, their own word, operators' drains."""
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Mapping
 from typing import Any
 
 import trio
 
 from .events import Event, log_event
 from .ids import InstanceId, UpstreamId
-from .messages import UpstreamNotice
+from .instance_watch import WatchChange, WatchedState
+from .messages import UpstreamNews, UpstreamNotice
 from .node_context import MessageHandler, NodeContext, node_controller
-from .peers import PeerAddress
+from .peers import PeerAddress, PeerChange, PeerChangeKind
 from .platform import ListedInstance, ListedState
-from .upstream_directory import UpstreamState
 
 ENTRY_KIND = "entry"
 
+_EVENTS = {
+    WatchedState.LIVE: Event.UPSTREAM_ADDED,
+    WatchedState.LEAVING: Event.UPSTREAM_LEAVING,
+    WatchedState.GONE: Event.UPSTREAM_REMOVED,
+}
+
 
 @node_controller(None)
 class UpstreamController:
-    """Polls the list, marks leaving upstreams and shares an operator's drain."""
+    """Drives ``InstanceWatch`` and tells the rest of the node what changed."""
 
     def __init__(self, context: NodeContext) -> None:
         self._context = context
+        self._watch = context.directory.watch
+        self._listed: dict[UpstreamId, ListedInstance] = {}
+        self._drained: set[UpstreamId] = set()
+        context.peer_listeners.append(self._on_peer_change)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
         return {UpstreamNotice: self._on_notice}
 
     async def run(self) -> None:
         while True:
+            asked_s = self._context.now_s()
             listed = await self._context.platform.instances.instances()
             if listed.is_ok():
-                self._take_list(listed.unwrap())
+                self._take_list(listed.unwrap(), asked_s)
+            self._tell(self._watch.tick(self._context.now_s()))
             await trio.sleep(self._context.settings.membership.instance_poll_s)
 
+    def own_word(self, upstream: UpstreamId, *, leaving: bool, asked_s: float) -> None:
+        """Take what an upstream says of itself; a change is shared with the other nodes."""
+        changes = self._take_word(upstream, leaving=leaving, asked_s=asked_s)
+        if changes:
+            news = UpstreamNews.LEAVING if leaving else UpstreamNews.LIVE
+            self._context.broadcast(UpstreamNotice(upstream, news))
+
     def drain(self, upstream: UpstreamId) -> bool:
         """Give an upstream no new work, here and on the other nodes; false when unknown."""
         known = self._context.directory.get(upstream) is not None
-        self._context.broadcast(UpstreamNotice(upstream, UpstreamState.LEAVING.value))
-        self._set_state(upstream, UpstreamState.LEAVING)
+        self._context.broadcast(UpstreamNotice(upstream, UpstreamNews.DRAINED))
+        self._set_drained(upstream)
         return known
 
-    def _on_notice(self, sender: InstanceId, notice: UpstreamNotice) -> None:
-        if notice.state == UpstreamState.LEAVING.value:
-            self._set_state(notice.upstream, UpstreamState.LEAVING)
+    def undrain(self, upstream: UpstreamId) -> bool:
+        """End a drain here and on the other nodes; false when the upstream is unknown."""
+        known = self._context.directory.get(upstream) is not None
+        self._context.broadcast(UpstreamNotice(upstream, UpstreamNews.UNDRAINED))
+        self._end_drain(upstream)
+        return known
 
-    def _take_list(self, listed: list[ListedInstance]) -> None:
+    def _on_notice(self, sender: InstanceId, notice: UpstreamNotice) -> None:
+        if notice.news is UpstreamNews.DRAINED:
+            self._set_drained(notice.upstream)
+        elif notice.news is UpstreamNews.UNDRAINED:
+            self._end_drain(notice.upstream)
+        else:
+            leaving = notice.news is UpstreamNews.LEAVING
+            asked_s = self._context.now_s()
+            self._take_word(notice.upstream, leaving=leaving, asked_s=asked_s)
+
+    def _on_peer_change(self, change: PeerChange) -> None:
+        if change.kind is PeerChangeKind.ALIVE:
+            # A node that started after a drain learns it from those that know of it.
+            for upstream in self._drained:
+                notice = UpstreamNotice(upstream, UpstreamNews.DRAINED)
+                self._context.post(change.info.instance, notice)
+
+    def _take_word(
+        self, upstream: UpstreamId, *, leaving: bool, asked_s: float
+    ) -> list[WatchChange]:
+        changes = self._watch.own_word(
+            upstream, leaving=leaving, asked_s=asked_s, now_s=self._context.now_s()
+        )
+        self._tell(changes)
+        return changes
+
+    def _set_drained(self, upstream: UpstreamId) -> None:
+        self._drained.add(upstream)
+        self._tell(self._watch.drain(upstream, math.inf, self._context.now_s()))
+
+    def _end_drain(self, upstream: UpstreamId) -> None:
+        self._drained.discard(upstream)
+        self._tell(self._watch.undrain(upstream, self._context.now_s()))
+
+    def _take_list(self, listed: list[ListedInstance], asked_s: float) -> None:
         context = self._context
         context.membership.learn_peers(_entries(listed), context.now_s())
-        self._tell(context.directory.set_listed(listed))
-        for instance in listed:
-            if instance.kind != ENTRY_KIND and instance.state is ListedState.LEAVING:
-                self._set_state(UpstreamId(instance.name), UpstreamState.LEAVING)
-
-    def _set_state(self, upstream: UpstreamId, state: UpstreamState) -> None:
-        if self._context.directory.set_state(upstream, state):
-            log_event(Event.UPSTREAM_LEAVING, upstream=upstream, state=state)
-            self._tell([upstream])
-
-    def _tell(self, changed: Iterable[UpstreamId]) -> None:
+        upstreams = [item for item in listed if item.kind != ENTRY_KIND]
+        self._listed.update({UpstreamId(item.name): item for item in upstreams})
+        changed = context.directory.set_listed(list(self._listed.values()))
+        changes = self._watch.list_answered(upstreams, asked_s, context.now_s())
+        for change in changes:
+            if change.state is WatchedState.GONE:
+                self._listed.pop(change.upstream, None)
+        self._notify(changed)
+        self._tell(changes)
+
+    def _tell(self, changes: list[WatchChange]) -> None:
+        for change in changes:
+            log_event(_EVENTS[change.state], upstream=change.upstream, reason=change.reason)
+        self._notify([change.upstream for change in changes])
+
+    def _notify(self, changed: list[UpstreamId]) -> None:
         for upstream in changed:
+            if upstream in self._drained:
+                self._watch.drain(upstream, math.inf, self._context.now_s())
             for listener in self._context.upstream_listeners:
                 listener(upstream)
 
--- a/lentilchute/upstream_directory.py
+++ b/lentilchute/upstream_directory.py
@@ -5,21 +5,14 @@
 """
 
 from dataclasses import dataclass
-from enum import Enum
 
 from .document import ServiceDocument, UpstreamGroup
 from .ids import ServiceName, UpstreamId
+from .instance_watch import InstanceWatch, WatchedState
 from .platform import ListedInstance
 from .upstreams import Upstream, UpstreamAdapter, adapter_for
 
 
-class UpstreamState(Enum):
-    """Whether an upstream takes new work."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
 @dataclass(frozen=True, slots=True)
 class KnownUpstream:
     """An upstream with the group that it belongs to."""
@@ -36,7 +29,8 @@
         self._documents: dict[ServiceName, ServiceDocument] = {}
         self._listed: list[ListedInstance] = []
         self._known: dict[UpstreamId, KnownUpstream] = {}
-        self._states: dict[UpstreamId, UpstreamState] = {}
+        self.watch = InstanceWatch()
+        """Which of the known upstreams take new work."""
         self._adapters: dict[UpstreamId, UpstreamAdapter] = {}
 
     def set_document(self, service: ServiceName, document: ServiceDocument) -> list[UpstreamId]:
@@ -63,13 +57,7 @@
 
     def is_leaving(self, upstream: UpstreamId) -> bool:
         """Tell whether an upstream gets no new work."""
-        return self._states.get(upstream) is UpstreamState.LEAVING
-
-    def set_state(self, upstream: UpstreamId, state: UpstreamState) -> bool:
-        """Set an upstream's state; return whether it changed."""
-        before = self._states.get(upstream, UpstreamState.LIVE)
-        self._states[upstream] = state
-        return before is not state
+        return self.watch.state(upstream) is not WatchedState.LIVE
 
     def adapter(self, upstream: UpstreamId) -> UpstreamAdapter | None:
         """Return the adapter of a known upstream, made at its first use."""
@@ -92,8 +80,17 @@
             if before and (after is None or after.upstream != before.upstream):
                 self._adapters.pop(upstream, None)
         self._known = wanted
+        self._follow(changed)
         return sorted(changed)
 
+    def _follow(self, changed: list[UpstreamId]) -> None:
+        for upstream in changed:
+            known = self._known.get(upstream)
+            if known is None:
+                self.watch.forget(upstream)
+            else:
+                self.watch.watch(upstream, from_list=known.group.selector is not None)
+
     def _wanted(self) -> list[KnownUpstream]:
         found = []
         for service, document in sorted(self._documents.items()):
--- a/test/test_process_failures.py
+++ b/test/test_process_failures.py
@@ -11,6 +11,7 @@
 import trio
 from processes import (
     ACCOUNT_KEY,
+    SHARED_KEY,
     Deployment,
     call,
     put_document,
@@ -27,6 +28,7 @@
 )
 from lentilchute.http_client import HttpAnswer
 from lentilchute.http_messages import header_value
+from lentilchute.operator_api import operator_key
 from lentilchute.tickets import Outcome
 
 ZONES = {"entry-1": "tunis-a", "entry-2": "tunis-b", "entry-3": "bizerte"}
@@ -242,6 +244,43 @@
     assert {result.outcome for result in broken} == {Outcome.MAY_HAVE_RUN}
 
 
+def test_a_leaving_or_drained_engine_gets_nothing_new_and_a_returning_one_does(
+    deployment: Deployment,
+) -> None:
+    async def ran_on() -> set[str]:
+        """Return the engines that some requests, sent now, ran on."""
+        before = [await _received(deployment, engine) for engine in ENGINES]
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                entry = deployment.addresses[f"entry-{number % 3 + 1}"]
+                nursery.start_soon(call, entry, CHAT, chat_body(f"deed {number}"))
+        after = [await _received(deployment, engine) for engine in ENGINES]
+        return {name for name, old, new in zip(ENGINES, before, after, strict=True) if new > old}
+
+    async def main() -> None:
+        assert await ran_on() == set(ENGINES)
+        await call(deployment.addresses["engine-1"], "/control", {"leaving": True})
+        with trio.fail_after(60):
+            await trio.sleep(3.0)
+            assert await ran_on() == {"engine-2", "engine-3"}
+            bearer = operator_key(SHARED_KEY)
+            operators = deployment.operators["entry-2"]
+            answer = await call(operators, "/upstreams/engine-2/drain", {}, bearer=bearer)
+            assert answer.status == 200
+            assert await ran_on() == {"engine-3"}
+            await call(deployment.addresses["engine-1"], "/control", {"leaving": False})
+            while True:
+                if await ran_on() == {"engine-1", "engine-3"}:
+                    return
+
+    trio.run(main)
+
+
+async def _received(deployment: Deployment, engine: str) -> int:
+    record = await call(deployment.addresses[engine], "/record", method="GET")
+    return len(json.loads(record.body)["received"])
+
+
 def _contents(body: bytes) -> list[str]:
     lines = [line[6:] for line in body.split(b"\n") if line.startswith(b"data: {")]
     return [json.loads(line)["choices"][0]["delta"].get("content", "") for line in lines]
