--- a/lentilchute/caller_attempt.py
+++ b/lentilchute/caller_attempt.py
@@ -24,6 +24,7 @@
     status: int | None = None
     outcome: Outcome = Outcome.MAY_HAVE_RUN
     reason: str = ""
+    findings: tuple[str, ...] = ()
     retry_after_s: float | None = None
 
 
@@ -97,10 +98,12 @@
         if isinstance(part, Err) or part.ok_value is None:
             break
         body += part.ok_value
+    reason, findings = _refusal_reason(bytes(body))
     return Attempt(
         status=head.status,
         outcome=_outcome(head),
-        reason=_refusal_type(bytes(body)),
+        reason=reason,
+        findings=findings,
         retry_after_s=_retry_after_s(head),
     )
 
@@ -118,8 +121,11 @@
     return float(value) if value.isdecimal() and len(value) <= 6 else None
 
 
-def _refusal_type(body: bytes) -> str:
+def _refusal_reason(body: bytes) -> tuple[str, tuple[str, ...]]:
+    """Return the type of a refusal and its findings, one line each."""
     try:
-        return str(json.loads(body)["error"]["type"])
-    except (ValueError, KeyError, TypeError, RecursionError):
-        return "unknown"
+        error = json.loads(body)["error"]
+        lines = [f"{one['field']}: {one['message']}" for one in error.get("findings", [])]
+        return str(error["type"]), tuple(lines)
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+        return "unknown", ()
--- a/lentilchute/caller_client.py
+++ b/lentilchute/caller_client.py
@@ -71,6 +71,8 @@
     outcome: Outcome
     status: int | None = None
     reason: str = ""
+    findings: tuple[str, ...] = ()
+    """What a refusal finds wrong with the request."""
     retry_after_s: float | None = None
     entry: str = ""
     attempts: int = 0
@@ -224,6 +226,7 @@
             outcome=self._outcome(attempt),
             status=attempt.status,
             reason=attempt.reason or (attempt.fault.value if attempt.fault else ""),
+            findings=attempt.findings,
             retry_after_s=attempt.retry_after_s,
             entry=self._entry,
             attempts=self._attempts,
--- a/lentilchute/ui/call.py
+++ b/lentilchute/ui/call.py
@@ -10,10 +10,12 @@
 
 import cappa
 import trio
+from result import Err
 
 from ..caller_client import CallerClient, CallerSettings, CallRequest, CallResult, CallState
 from ..errors import ExitCode, UserError
 from ..http_messages import JSON_HEADER
+from ..sse import SseReader
 from ..tickets import Outcome
 from .registry import register_command
 
@@ -54,6 +56,9 @@
     idempotency_key: Annotated[
         str, cappa.Arg(long=True, help="Makes a resend safe; the same key for the same request.")
     ] = ""
+    text: Annotated[
+        bool, cappa.Arg(long=True, help="Print only the text that a model generates.")
+    ] = False
     json: Annotated[bool, cappa.Arg(long=True, help="Print result and answer as JSON.")] = False
 
     def __call__(self) -> ExitCode:
@@ -71,15 +76,18 @@
         settings = CallerSettings(self.entry, self._key(), self.zone)
         client = CallerClient(settings, random.Random())
         kept = bytearray()
+        text = GeneratedText()
 
         async def deliver(part: bytes) -> None:
             if self.json:
                 kept.extend(part)
                 return
-            sys.stdout.buffer.write(part)
+            sys.stdout.buffer.write(text.take(part) if self.text else part)
             sys.stdout.buffer.flush()
 
         result = await client.call(self._request(), deliver, _report)
+        if self.text:
+            sys.stdout.buffer.write(text.rest())
         await client.aclose()
         return result, bytes(kept)
 
@@ -114,6 +122,38 @@
         return self.data.encode()
 
 
+class GeneratedText:
+    """Takes the text out of a model's answer, streamed or not."""
+
+    def __init__(self) -> None:
+        self._sse = SseReader()
+        self._body = bytearray()
+
+    def take(self, part: bytes) -> bytes:
+        """Return the text of the events that ``part`` completes."""
+        if self._body or part.startswith(b"{"):
+            self._body += part
+            return b""
+        events = self._sse.feed(part)
+        if isinstance(events, Err):
+            return part
+        return b"".join(_text_of(event.data) for event in events.ok_value)
+
+    def rest(self) -> bytes:
+        """Return the text of an answer that is not streamed, and the last line's end."""
+        return _text_of(bytes(self._body)) + b"\n"
+
+
+def _text_of(data: bytes) -> bytes:
+    """Return the generated text of one JSON object; what holds none gives none."""
+    try:
+        choice = json.loads(data)["choices"][0]
+        content = choice.get("delta") or choice.get("message") or {"content": choice.get("text")}
+        return str(content.get("content") or "").encode()
+    except (ValueError, LookupError, TypeError, AttributeError, RecursionError):
+        return b""
+
+
 def exit_code(result: CallResult) -> ExitCode:
     """Return the exit code that tells a script what became of its request."""
     if result.state is CallState.COMPLETE:
@@ -126,8 +166,9 @@
 
 def plain_line(result: CallResult) -> str:
     """Return one line that tells how a call ended and what became of the request."""
-    line = f"{result.state.value}: {result.reason}; the request's outcome: {result.outcome.value}"
-    if result.retry_after_s is not None:
+    reasons = "; ".join((result.reason, *result.findings))
+    line = f"{result.state.value}: {reasons}; the request's outcome: {result.outcome.value}"
+    if result.retry_after_s is not None and result.status == 503:
         line += f"; try again in {result.retry_after_s:.0f} s"
     return line
 
@@ -139,6 +180,7 @@
         "outcome": result.outcome.value,
         "status": result.status,
         "reason": result.reason,
+        "findings": list(result.findings),
         "retry_after_s": result.retry_after_s,
         "entry": result.entry,
         "attempts": result.attempts,
--- a/test/test_whole_path.py
+++ b/test/test_whole_path.py
@@ -6,8 +6,17 @@
 
 import pytest
 import trio
-from processes import Deployment, call, put_document, service_document, wait_ready
+from processes import (
+    ACCOUNT_KEY,
+    Deployment,
+    call,
+    put_document,
+    service_document,
+    wait_ready,
+)
 
+from lentilchute import ui
+from lentilchute.errors import ExitCode
 from lentilchute.http_client import HttpAnswer
 from lentilchute.http_messages import header_value
 
@@ -137,3 +146,17 @@
     assert answer.status == status
     assert header_value(answer.headers, "lentilchute-outcome") == "not-run"
     assert int(header_value(answer.headers, "retry-after") or 0) >= 1
+
+
+def test_the_call_command_prints_the_whole_answer(
+    deployment: Deployment,
+    monkeypatch: pytest.MonkeyPatch,
+    capfdbinary: pytest.CaptureFixture[bytes],
+) -> None:
+    monkeypatch.setenv("LENTILCHUTE_KEY", ACCOUNT_KEY)
+    body = prompt("called from the command line", stream=True)
+    entry = deployment.addresses["entry-3"]
+    argv = ["call", "drafters", "--entry", entry, "--data", json.dumps(body), "--text"]
+    assert ui.run(argv) == ExitCode.OK
+    expected = trio.run(direct, deployment, body)
+    assert capfdbinary.readouterr().out == expected + b"\n"
