Ask for entries once for calls at the same time, each answer with its own lifetime

Cause: concurrent calls asked side by side and shared the time of the question, so an answer could be kept from a later question's time than its own: longer than its lifetime, into the time when the named node has stopped. One call now asks while the others wait, and the lifetime counts from before that question. Found by reading, after test_nodes_stopped_and_replaced_in_turn failed once in a full run under load; whether this was its cause is not shown.

Seen failing first: calls at the same time (no lock), the lifetime (counted from the answer).

--- a/lentilchute/caller_entries.py
+++ b/lentilchute/caller_entries.py
@@ -50,12 +50,13 @@
         self._client_for = client_for
         self._entries: list[KnownEntry] = []
         self._keep_until_s = float("-inf")
-        self._asked_s = 0.0
+        self._asking = trio.Lock()
 
     async def choose(self, failed: frozenset[str]) -> KnownEntry | None:
         """Return an entry whose address is not in ``failed``, or ``None`` when there is none."""
-        if trio.current_time() >= self._keep_until_s:
-            await self._ask()
+        async with self._asking:
+            if trio.current_time() >= self._keep_until_s:
+                await self._ask()
         for entry in self._entries:
             if entry.address not in failed:
                 return entry
@@ -70,14 +71,15 @@
         self._entries = []
         others = [seed for seed in self._seeds if seed not in known]
         for address in known + others:
+            # The lifetime counts from before the question, since the answer may be slow.
+            asked_s = trio.current_time()
             answer = await self._ask_one(address)
             if answer is not None and answer.entries:
                 self._learn(answer)
+                self._keep_until_s = asked_s + answer.keep_s
                 return
 
     async def _ask_one(self, address: str) -> _EntriesAnswer | None:
-        # The lifetime counts from before the question, since the answer may have been slow.
-        self._asked_s = trio.current_time()
         request = ClientRequest("GET", "/entries", head_timeout_s=ASK_TIMEOUT_S)
         answer = await self._client_for(address).call(request)
         if isinstance(answer, Err) or answer.ok_value.status != 200:
@@ -96,4 +98,3 @@
         self._rng.shuffle(entries)
         entries.sort(key=lambda entry: entry.availability_zone != self._zone)
         self._entries = entries
-        self._keep_until_s = self._asked_s + answer.keep_s
--- a/test/test_caller_client.py
+++ b/test/test_caller_client.py
@@ -59,6 +59,7 @@
         self.asked = 0
         self.received: list[tuple[str, HttpRequest]] = []
         self.keep_s = 10.0
+        self.ask_s = 0.0
 
     async def open(self, address: str, nursery: trio.Nursery) -> Any:
         if address in self.refused:
@@ -77,6 +78,7 @@
             await self._script.pop(0)(responder)
             return
         self.asked += 1
+        await trio.sleep(self.ask_s)
         lines = [
             {"instance": "far", "address": FAR, "availability_zone": "bizerte"},
             {"instance": "near", "address": NEAR, "availability_zone": "tunis-a"},
@@ -86,7 +88,12 @@
 
 
 def call(
-    entries: Entries, times: int = 1, pause_s: float = 0.0, seed: int = 1, **fields: Any
+    entries: Entries,
+    times: int = 1,
+    pause_s: float = 0.0,
+    seed: int = 1,
+    at_once: bool = False,
+    **fields: Any,
 ) -> tuple[list[CallResult], bytes, float]:
     """Make calls one after another; return their results, the delivered bytes and the time."""
     delivered = bytearray()
@@ -105,9 +112,17 @@
             client = CallerClient(settings, random.Random(seed), opener)
             request = CallRequest("agenda-core", "bookings", body=b"{}", **fields)
             results = []
-            for _ in range(times):
+
+            async def one() -> None:
                 results.append(await client.call(request, deliver))
                 await trio.sleep(pause_s)
+
+            async with trio.open_nursery() as calls:
+                for _ in range(times):
+                    if at_once:
+                        calls.start_soon(one)
+                    else:
+                        await one()
             await client.aclose()
             nursery.cancel_scope.cancel()
         return results, bytes(delivered), trio.current_time() - start_s
@@ -141,6 +156,20 @@
     assert entries.asked == 2
 
 
+def test_the_lifetime_counts_from_before_the_question() -> None:
+    entries = Entries(whole, whole)
+    entries.keep_s, entries.ask_s = 3.0, 2.0
+    call(entries, times=2, pause_s=1.5)
+    assert entries.asked == 2
+
+
+def test_calls_at_the_same_time_ask_once() -> None:
+    entries = Entries(*[whole] * 5)
+    entries.ask_s = 1.0
+    call(entries, times=5, at_once=True)
+    assert entries.asked == 1
+
+
 def test_an_entry_that_cannot_be_reached_is_passed_over() -> None:
     entries = Entries(whole)
     entries.refused = {NEAR}
