Run suspects of a crash alone and refuse content that crashed upstreams twice

Cause: a request that crashes its engine came back and took engine after engine with it. Change: all content in flight at a crash is suspect; at most one suspect runs on an upstream, and nothing new goes there before it answers; completing clears it, a second crash condemns it, a third one where new content beside it was as likely the cause. Verdicts are offered to peers and taken from them.

--- a/lentilchute/granting.py
+++ b/lentilchute/granting.py
@@ -10,6 +10,7 @@
 from .policy import Policy
 from .prefix_index import PrefixIndex
 from .settings import SchedulerSettings
+from .suspects import SuspectBook
 from .tickets import Decision, Grant, Ticket
 from .tier_flow import TierFlow
 from .waiting import Waiting, WaitingList
@@ -36,6 +37,7 @@
         pool: UpstreamPool,
         prefixes: PrefixIndex,
         forecast: OutputForecast,
+        suspects: SuspectBook,
         waiting: WaitingList,
         placements: PlacementBook,
         settings: SchedulerSettings,
@@ -44,6 +46,7 @@
         self._pool = pool
         self._prefixes = prefixes
         self._forecast = forecast
+        self._suspects = suspects
         self._weights: dict[ClientAccountId, float] = {}
         self._waiting = waiting
         self._placements = placements
@@ -146,4 +149,7 @@
         load = self._pool.known(upstream)
         load.granted_s = now_s
         load.reserve(ticket.tier, tokens)
+        if self._policy.suspects and self._suspects.is_suspect(ticket.fingerprint):
+            load.suspect = ticket.request_id
+            load.suspect_answers = False
         return placement
--- a/lentilchute/placing.py
+++ b/lentilchute/placing.py
@@ -7,6 +7,7 @@
 from .ids import Tier, UpstreamId
 from .policy import Policy
 from .prefix_index import PrefixIndex
+from .suspects import SuspectBook
 from .tickets import Ticket
 from .upstream_load import UpstreamLoad
 from .waiting import Waiting
@@ -47,7 +48,14 @@
 class UpstreamPool:
     """All upstreams of one shard."""
 
-    def __init__(self, policy: Policy, forecast: OutputForecast, prefixes: PrefixIndex) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        forecast: OutputForecast,
+        prefixes: PrefixIndex,
+        suspects: SuspectBook,
+    ) -> None:
+        self._suspects = suspects
         self._prefixes = prefixes
         self._forecast = forecast
         self.reserved_shares: tuple[float, ...] = ()
@@ -105,9 +113,12 @@
         ticket = waiting.ticket
         output_tokens = self._forecast.tokens(ticket)
         best: Choice | None = None
+        is_suspect = self._suspects.is_suspect(ticket.fingerprint)
         for load in candidates:
             if load.upstream in ticket.excluded:
                 continue
+            if is_suspect and load.suspect is not None:
+                continue
             choice = self._choice(load, ticket, output_tokens)
             if self._is_too_late(choice, ticket, now_s):
                 continue
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -25,7 +25,7 @@
 from .retry_after import DrainRate, RetryAfter
 from .settings import SchedulerSettings
 from .shard_status import ShardStatus
-from .suspects import PoisonVerdict
+from .suspects import SAME_CRASH_S, Crash, PoisonVerdict, SuspectBook
 from .tickets import (
     CacheEvent,
     Decision,
@@ -71,19 +71,20 @@
         self._settings = settings
         self._policy = policy
         self._forecast = OutputForecast()
+        self._suspects = SuspectBook()
         self._prefixes = PrefixIndex(settings.prefix_block_tokens)
-        self._pool = UpstreamPool(policy, self._forecast, self._prefixes)
+        self._pool = UpstreamPool(policy, self._forecast, self._prefixes, self._suspects)
         self._next_compare_s = now_s
         self._waiting = WaitingList(policy)
         self._placements = PlacementBook()
         self._ended: OrderedDict[RequestId, Attempt] = OrderedDict()
         self._drain = DrainRate(now_s)
         self._retry_after = RetryAfter(settings, rng, policy.retry_spread)
-        self._verdicts: list[PoisonVerdict] = []
         self._granter = Granter(
             self._pool,
             self._prefixes,
             self._forecast,
+            self._suspects,
             self._waiting,
             self._placements,
             settings,
@@ -175,6 +176,8 @@
     def _admit(self, ticket: Ticket, now_s: float) -> list[Decision]:
         if ticket.deadline_s <= now_s:
             return [self._refuse(ticket, RefusalReason.EXPIRED)]
+        if self._suspects.is_condemned(ticket.fingerprint):
+            return [self._refuse(ticket, RefusalReason.POISON)]
         if not self._pool.has_open(ticket):
             return [self._refuse(ticket, RefusalReason.NO_UPSTREAM)]
         start_by_s = self._start_by_s(ticket)
@@ -259,6 +262,8 @@
     def _first_token(self, placement: Placement, load: UpstreamLoad, now_s: float) -> None:
         placement.first_token_s = now_s
         load.decoding += 1
+        if load.suspect == placement.ticket.request_id:
+            load.suspect_answers = True
         self._release_prompt(placement)
         if placement.state is PlacementState.DISPATCHED and placement.expected_first_token_s:
             load.first_token(
@@ -277,18 +282,23 @@
     ) -> list[Decision]:
         """Note that a dispatched request is over, and give its room back."""
         self._waiting.remove(request_id)
-        placement = self._release(request_id)
+        placement = self._placements.get(request_id)
+        if placement is not None and end is EndState.UPSTREAM_CRASHED:
+            self._judge_crash(placement, now_s)
+        self._release(request_id)
         if placement is not None:
             self._learn_end(placement, end, cached_prompt_tokens)
         self._remember_end(request_id, _FINAL)
         self._drain.record(now_s)
-        return self._decide(now_s)
+        condemned = self._refuse_condemned() if end is EndState.UPSTREAM_CRASHED else []
+        return condemned + self._decide(now_s)
 
     def _learn_end(self, placement: Placement, end: EndState, cached_prompt_tokens: int) -> None:
         ticket = placement.ticket
         if end is EndState.UPSTREAM_CRASHED:
             self._prefixes.clear(placement.upstream)
         elif end is EndState.COMPLETE:
+            self._suspects.completed(ticket.fingerprint)
             self._forecast.learn(ticket, placement.output_tokens)
             expected_tokens = ticket.prompt_tokens - placement.uncached_tokens
             self._prefixes.confirm(placement.upstream, expected_tokens, cached_prompt_tokens)
@@ -311,6 +321,8 @@
         load = self._pool.known(placement.upstream)
         load.release_prompt(placement.prompt_tokens)
         load.release_stream(placement.ticket.tier)
+        if load.suspect == request_id:
+            load.suspect = None
         load.decoding -= placement.first_token_s is not None
         self._discard_idle(placement.upstream)
         return placement
@@ -380,13 +392,40 @@
 
     def learn_verdict(self, verdict: PoisonVerdict, now_s: float) -> list[Decision]:
         """Take a peer's verdict on a fingerprint."""
-        return self._decide(now_s)
+        self._suspects.learn(verdict)
+        return self._refuse_condemned() + self._decide(now_s)
 
     def take_verdicts(self) -> list[PoisonVerdict]:
         """Return the verdicts found since the last call."""
-        verdicts = self._verdicts
-        self._verdicts = []
-        return verdicts
+        return self._suspects.take_news()
+
+    def _refuse_condemned(self) -> list[Decision]:
+        refusals: list[Decision] = []
+        for waiting in self._waiting.all():
+            if self._suspects.is_condemned(waiting.ticket.fingerprint):
+                self._waiting.remove(waiting.ticket.request_id)
+                refusals.append(self._refuse(waiting.ticket, RefusalReason.POISON))
+        return refusals
+
+    def _judge_crash(self, placement: Placement, now_s: float) -> None:
+        """Count a crash against the content of a request that it cut."""
+        if not self._policy.suspects:
+            return
+        load = self._pool.known(placement.upstream)
+        if load.last_crash is None or now_s - load.last_crash.at_s > SAME_CRASH_S:
+            load.last_crash = Crash(now_s, self._newcomers(placement.upstream))
+        request_id = placement.ticket.request_id
+        has_doubt = load.last_crash.has_doubt(request_id)
+        self._suspects.crashed(placement.ticket.fingerprint, has_doubt)
+
+    def _newcomers(self, upstream: UpstreamId) -> frozenset[RequestId]:
+        return frozenset(
+            placement.ticket.request_id
+            for placement in self._placements.of_upstream(upstream)
+            if placement.first_token_s is None
+            and placement.state is PlacementState.DISPATCHED
+            and not self._suspects.is_suspect(placement.ticket.fingerprint)
+        )
 
     # Decisions
 
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/upstream_load.py
@@ -1,11 +1,12 @@
 """What a scheduler knows of one upstream: its room, its work in flight and its rates."""
 
 from .document import UpstreamGroup
-from .ids import Tier, UpstreamId
+from .ids import RequestId, Tier, UpstreamId
 from .limits import AdaptiveLimits
 from .policy import Policy
 from .rates import UpstreamRates
 from .shard_status import UpstreamStatus
+from .suspects import Crash
 
 PROBE_STREAMS = 2
 """Streams of lower tiers that a declined upstream gets, to see whether it has recovered."""
@@ -35,6 +36,10 @@
         self.prompt_tokens = 0
         self.decoding = 0
         """Streams that have begun to answer."""
+        self.suspect: RequestId | None = None
+        """A suspect of an earlier crash that is in flight here; at most one."""
+        self.suspect_answers = False
+        self.last_crash: Crash | None = None
         self._policy = policy
         self.rates = UpstreamRates(1.0, 1.0)
         self.limits = AdaptiveLimits(0, 0, 1.0)
@@ -119,6 +124,8 @@
         Rates are learned from placed work only, so one that seems slow would stay without work.
         """
         interval_s = TOP_TIER_PROBE_INTERVAL_S if tier == 0 else PROBE_INTERVAL_S
+        if self.suspect is not None:
+            return False
         return self.streams == 0 and now_s - self.granted_s >= interval_s
 
     def has_room(self, tier: Tier, reserved_shares: tuple[float, ...]) -> bool:
@@ -131,6 +138,9 @@
             return False
         if self.is_declined and (tier == 0 or self.streams >= PROBE_STREAMS):
             return False
+        if self.suspect is not None and not self.suspect_answers:
+            # Nothing new comes beside a suspect, so that a crash shows its cause.
+            return False
         kept = self._kept_streams(tier, reserved_shares)
         return self.streams + kept < self.stream_limit
 
--- a/lentilchute/waiting.py
+++ b/lentilchute/waiting.py
@@ -44,6 +44,10 @@
         """Return a waiting ticket, or ``None``."""
         return self._by_id.get(request_id)
 
+    def all(self) -> list[Waiting]:
+        """Return every waiting ticket."""
+        return list(self._by_id.values())
+
     def add(self, waiting: Waiting) -> None:
         """Append a ticket to its tier."""
         ticket = waiting.ticket
