--- a/lentilchute/granting.py
+++ b/lentilchute/granting.py
@@ -10,7 +10,9 @@
 from .policy import Policy
 from .prefix_index import PrefixIndex
 from .settings import SchedulerSettings
+from .suspects import SuspectBook
 from .tickets import Decision, Grant, Ticket
+from .tier_flow import TierFlow
 from .waiting import Waiting, WaitingList
 
 OUTPUT_WORK = 4.0
@@ -35,6 +37,7 @@
         pool: UpstreamPool,
         prefixes: PrefixIndex,
         forecast: OutputForecast,
+        suspects: SuspectBook,
         waiting: WaitingList,
         placements: PlacementBook,
         settings: SchedulerSettings,
@@ -43,6 +46,7 @@
         self._pool = pool
         self._prefixes = prefixes
         self._forecast = forecast
+        self._suspects = suspects
         self._weights: dict[ClientAccountId, float] = {}
         self._waiting = waiting
         self._placements = placements
@@ -50,6 +54,7 @@
         self._policy = policy
         self._floors: dict[Tier, float] = {}
         self._recent_grants = 0.0
+        self.flow = TierFlow()
         self.next_hold_end_s = math.inf
         """When a ticket that waits for the holder of its prefix may go elsewhere."""
         self._recent_by_tier: dict[Tier, float] = {}
@@ -112,6 +117,7 @@
     def _grant(self, ticket: Ticket, choice: Choice, now_s: float) -> Grant:
         self._waiting.remove(ticket.request_id)
         self._count(ticket.tier)
+        self.flow.granted(ticket.tier, now_s)
         work = choice.uncached_tokens + OUTPUT_WORK * self._forecast.tokens(ticket)
         self._waiting.charge(ticket, work / self._weights.get(ticket.client_account, 1.0))
         placement = self.reserve(ticket, choice.load.upstream, choice.uncached_tokens, now_s)
@@ -143,4 +149,7 @@
         load = self._pool.known(upstream)
         load.granted_s = now_s
         load.reserve(ticket.tier, tokens)
+        if self._policy.suspects and self._suspects.is_suspect(ticket.fingerprint):
+            load.suspect = ticket.request_id
+            load.suspect_answers = False
         return placement
