--- /dev/null
+++ b/lentilchute/demo.py
@@ -0,0 +1,316 @@
+"""A whole deployment on embedded stand-ins, in one process on loopback, with callers of four tiers.
+
+Three nodes stand before three engines of unlike speed and a plain service. The callers send more
+than the engines can take, so that the tiers show.
+"""
+
+import json
+import random
+import socket
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from hashlib import sha256
+
+import trio
+from prometheus_client.parser import text_string_to_metric_families
+
+from .caller_client import CallerClient, CallerSettings, CallRequest, CallResult, CallState
+from .configuration_apply import ApplyState, DocumentChange
+from .document_changes import apply_change
+from .errors import UserError
+from .http_client import ClientRequest, HttpClient
+from .ids import DocumentVersion, ServiceName
+from .metrics_catalogue import Metric
+from .node import Node
+from .operator_api import operator_key
+from .platform import platform_for
+from .settings import Listen, NodeSettings, PeerSeed, PlatformSettings
+from .standins import engine, plain, platform
+from .standins.engine_settings import EngineStandinSettings
+
+TIERS = ("signing", "client-answer", "summary", "sorting")
+CALLERS_BY_TIER = {"signing": 4, "client-answer": 8, "summary": 16, "sorting": 24}
+DEADLINES_S = {"signing": 5.0, "client-answer": 5.0, "summary": 8.0, "sorting": 3.0}
+PROMPT_WORDS_BY_TIER = {"signing": 300, "client-answer": 120, "summary": 1_500, "sorting": 20}
+OUTPUT_TOKENS = 24
+ZONES = ("zone-a", "zone-b", "zone-c")
+ENGINE_SPEEDS = (1.0, 2.0, 5.0)
+PREFILL_TOKENS_PER_S = 2_000.0
+DECODE_TOKENS_PER_S = 30.0
+ENGINE_BATCH = 4
+SHARED_KEY = "demo-shared-key-0001"
+ACCOUNT_KEY = "demo-account-key"
+MODEL_SERVICE = ServiceName("drafts")
+PLAIN_SERVICE = ServiceName("bookings")
+READY_TIMEOUT_S = 20.0
+READY_CHECK_S = 0.05
+BOOKING_INTERVAL_S = 0.2
+
+Report = Callable[[str], None]
+
+
+@dataclass(slots=True)
+class TierTally:
+    """What the callers of one tier saw."""
+
+    sent: int = 0
+    complete: int = 0
+    refused: Counter[str] = field(default_factory=Counter)
+    broken: int = 0
+    first_byte_s: list[float] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class DemoResult:
+    """The demo's figures: by tier for the model service, and for bookings of the plain one."""
+
+    tiers: dict[str, TierTally]
+    bookings: TierTally
+    wasted_prefill_tokens: dict[str, int]
+    """By reason, as the nodes' metrics say."""
+    prefill_tokens: int
+    """Prompt tokens of all completed answers."""
+
+
+@dataclass(slots=True)
+class _Deployment:
+    nodes: list[Node]
+    engines: dict[str, str]
+    plain: str
+    platform: str
+
+
+async def run_demo(duration_s: float, seed: int, report: Report) -> DemoResult:
+    """Start everything, call for ``duration_s``, stop, and return the figures."""
+    async with trio.open_nursery() as nursery:
+        report("starting the stand-ins and three nodes")
+        deployment = await _start(nursery)
+        await _wait_until_ready(deployment)
+        report(f"sending requests of four tiers for {duration_s:g} s")
+        result = await _call_for(deployment, duration_s, random.Random(seed))
+        result.wasted_prefill_tokens = await _wasted_prefill(deployment)
+        nursery.cancel_scope.cancel()
+    return result
+
+
+async def _start(nursery: trio.Nursery) -> _Deployment:
+    platform_address = await nursery.start(platform.serve, platform.PlatformStandinSettings())
+    plain_address = await nursery.start(plain.serve, plain.PlainStandinSettings())
+    engines = {}
+    for number, speed in enumerate(ENGINE_SPEEDS, 1):
+        settings = EngineStandinSettings(
+            name=f"engine-{number}",
+            prefill_tokens_per_s=PREFILL_TOKENS_PER_S * speed,
+            decode_tokens_per_s=DECODE_TOKENS_PER_S * speed,
+            max_batch=ENGINE_BATCH,
+        )
+        engines[settings.name] = await nursery.start(engine.serve, settings)
+    await _accept_documents(platform_address, engines, plain_address)
+    nodes = [Node(settings) for settings in _node_settings(platform_address)]
+    for node in nodes:
+        await nursery.start(node.run)
+    return _Deployment(nodes, engines, plain_address, platform_address)
+
+
+def _node_settings(platform_address: str) -> list[NodeSettings]:
+    names = [f"entry-{number}" for number in range(1, len(ZONES) + 1)]
+    peers = {name: free_address() for name in names}
+    return [
+        NodeSettings(
+            instance=name,
+            availability_zone=zone,
+            listen=Listen(callers=free_address(), peers=peers[name], operators=free_address()),
+            peers=tuple(
+                PeerSeed(instance=other, address=address)
+                for other, address in peers.items()
+                if other != name
+            ),
+            platform=PlatformSettings(
+                table=platform_address, objects=platform_address, instances=platform_address
+            ),
+            shared_key=SHARED_KEY,
+        )
+        for name, zone in zip(names, ZONES, strict=True)
+    ]
+
+
+def free_address() -> str:
+    """Return a loopback address whose port was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def _accept_documents(platform_address: str, engines: dict[str, str], plain: str) -> None:
+    adapter = platform_for(
+        PlatformSettings(
+            table=platform_address, objects=platform_address, instances=platform_address
+        )
+    )
+    for service, text in (
+        (MODEL_SERVICE, _document(MODEL_SERVICE, "engine", engines)),
+        (PLAIN_SERVICE, _document(PLAIN_SERVICE, "plain", {"bookings-1": plain})),
+    ):
+        change = DocumentChange(service, text, DocumentVersion(0), f"demo-{service}", "demo")
+        operation = await apply_change(adapter.table, change, READY_TIMEOUT_S)
+        if operation.state is not ApplyState.ACCEPTED:
+            raise UserError(f"the document of {service} was not accepted")
+    await adapter.aclose()
+
+
+def _document(service: ServiceName, kind: str, upstreams: dict[str, str]) -> str:
+    members = [
+        {"name": name, "address": address, "availability_zone": ZONES[number % len(ZONES)]}
+        for number, (name, address) in enumerate(upstreams.items())
+    ]
+    group = {"kind": kind, "members": members, "max_streams": ENGINE_BATCH}
+    tiers = [{"name": name, "max_waiting": 8 if name == "sorting" else 64} for name in TIERS]
+    account = {"name": "demo", "key_sha256": sha256(ACCOUNT_KEY.encode()).hexdigest()}
+    # JSON is YAML.
+    return json.dumps(
+        {
+            "service": service,
+            "upstreams": [group],
+            "tiers": tiers,
+            "client_accounts": [account],
+            "paths": [{"pattern": "/book", "idempotent": False}],
+        }
+    )
+
+
+async def _wait_until_ready(deployment: _Deployment) -> None:
+    with trio.move_on_after(READY_TIMEOUT_S):
+        for node in deployment.nodes:
+            await _wait_until_one_is_ready(node)
+        return
+    raise UserError(f"the nodes were not ready within {READY_TIMEOUT_S:g} s")
+
+
+async def _wait_until_one_is_ready(node: Node) -> None:
+    client = HttpClient(node.settings.listen.operators)
+    while True:
+        if await _is_ready(client):
+            break
+        await trio.sleep(READY_CHECK_S)
+    await client.aclose()
+
+
+async def _is_ready(client: HttpClient) -> bool:
+    answer = await client.call(ClientRequest("GET", "/status", _operator_headers()))
+    if answer.is_err():
+        return False
+    status = json.loads(answer.unwrap().body)
+    return bool(status["ready"]) and len(status["documents"]) == 2 and len(status["peers"]) == 2
+
+
+def _operator_headers() -> tuple[tuple[str, str], ...]:
+    return (("authorization", f"Bearer {operator_key(SHARED_KEY)}"),)
+
+
+async def _call_for(deployment: _Deployment, duration_s: float, rng: random.Random) -> DemoResult:
+    addresses = tuple(node.settings.listen.callers for node in deployment.nodes)
+    client = CallerClient(CallerSettings(addresses, ACCOUNT_KEY, max_attempts=1), rng)
+    result = DemoResult({name: TierTally() for name in TIERS}, TierTally(), {}, 0)
+    end_s = trio.current_time() + duration_s
+    async with trio.open_nursery() as nursery:
+        for tier, count in CALLERS_BY_TIER.items():
+            for number in range(count):
+                name = f"{tier} {number}"
+                nursery.start_soon(_model_caller, client, result, tier, name, end_s, rng)
+        nursery.start_soon(_booking_caller, client, result, end_s)
+    await client.aclose()
+    return result
+
+
+async def _model_caller(
+    client: CallerClient,
+    result: DemoResult,
+    tier: str,
+    name: str,
+    end_s: float,
+    rng: random.Random,
+) -> None:
+    """Call again and again; the prompts of one caller share their beginning."""
+    words = PROMPT_WORDS_BY_TIER[tier]
+    beginning = " ".join(f"{name}-{number}" for number in range(words * 3 // 4))
+    count = 0
+    while trio.current_time() < end_s:
+        count += 1
+        rest = " ".join(f"{count}-{number}" for number in range(words // 4))
+        body = {
+            "model": "model",
+            "stream": True,
+            "max_tokens": OUTPUT_TOKENS,
+            "messages": [{"role": "user", "content": f"{beginning} {rest}"}],
+        }
+        request = CallRequest(
+            MODEL_SERVICE,
+            "/v1/chat/completions",
+            body=json.dumps(body).encode(),
+            tier=tier,
+            deadline_s=DEADLINES_S[tier],
+        )
+        call = await _tallied(client, request, result.tiers[tier])
+        if call.state is CallState.COMPLETE:
+            result.prefill_tokens += words
+        elif call.retry_after_s is not None:
+            left_s = max(end_s - trio.current_time(), 0.0)
+            await trio.sleep(min(call.retry_after_s * rng.uniform(1.0, 1.2), left_s))
+
+
+async def _booking_caller(client: CallerClient, result: DemoResult, end_s: float) -> None:
+    count = 0
+    while trio.current_time() < end_s:
+        count += 1
+        request = CallRequest(
+            PLAIN_SERVICE,
+            "/book",
+            body=json.dumps({"hour": count}).encode(),
+            tier=TIERS[0],
+            deadline_s=DEADLINES_S[TIERS[0]],
+            idempotency_key=f"booking-{count}",
+        )
+        await _tallied(client, request, result.bookings)
+        await trio.sleep(BOOKING_INTERVAL_S)
+
+
+async def _tallied(client: CallerClient, request: CallRequest, tally: TierTally) -> CallResult:
+    started_s = trio.current_time()
+    tally.sent += 1
+    call = await client.call(request, _first_byte_timer(started_s, tally))
+    if call.state is CallState.COMPLETE:
+        tally.complete += 1
+    elif call.state is CallState.REFUSED:
+        tally.refused[call.reason] += 1
+    else:
+        tally.broken += 1
+    return call
+
+
+def _first_byte_timer(started_s: float, tally: TierTally) -> Callable[[bytes], Awaitable[None]]:
+    is_first = True
+
+    async def deliver(data: bytes) -> None:
+        nonlocal is_first
+        if is_first:
+            is_first = False
+            tally.first_byte_s.append(trio.current_time() - started_s)
+
+    return deliver
+
+
+async def _wasted_prefill(deployment: _Deployment) -> dict[str, int]:
+    """Add up what the nodes' metrics pages say."""
+    wasted: Counter[str] = Counter()
+    for node in deployment.nodes:
+        client = HttpClient(node.settings.listen.operators)
+        page = await client.call(ClientRequest("GET", "/metrics", _operator_headers()))
+        await client.aclose()
+        if page.is_err():
+            raise UserError("a node's metrics could not be read")
+        for family in text_string_to_metric_families(page.unwrap().body.decode()):
+            for sample in family.samples:
+                if sample.name == Metric.WASTED_PREFILL_TOKENS.value.exposed_name:
+                    wasted[sample.labels["reason"]] += int(sample.value)
+    return dict(wasted)
--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry_controller.py
@@ -78,7 +78,7 @@
         self._claims = ClaimsController(context, self._on_claim_resolved)
         self._callers = CallerInterface(context, self)
         self._answers: dict[RequestId, CallerAnswer] = {}
-        self._accepted: dict[RequestId, AcceptedRequest] = {}
+        self._accepted: dict[RequestId, tuple[AcceptedRequest, float]] = {}
         self._sends: dict[RequestId, trio.CancelScope] = {}
         self._progress: dict[tuple[InstanceId, ServiceName], dict[RequestId, int]] = {}
         self._nursery: trio.Nursery | None = None
@@ -123,7 +123,7 @@
         answer = CallerAnswer()
         request_id, actions = self._requests.accept(request, self._context.now_s())
         self._answers[request_id] = answer
-        self._accepted[request_id] = request
+        self._accepted[request_id] = request, self._context.now_s()
         log_event(
             Event.REQUEST_ACCEPTED,
             request_id=request_id,
@@ -298,8 +298,9 @@
             outcome=action.outcome,
             retry_after_s=round(action.retry_after_s, 2),
         )
-        request = self._accepted.get(action.request_id)
-        if request is not None:
+        accepted = self._accepted.get(action.request_id)
+        if accepted is not None:
+            request, _ = accepted
             self._context.metrics.refused(request.service, request.tier, action.reason)
         answer = self._answers.get(action.request_id)
         if answer is not None:
@@ -343,10 +344,17 @@
                 return False
             log_event(Event.REQUEST_DISPATCHED, request_id=request_id, upstream=action.upstream)
             self._execute(self._requests.take_actions())
+            self._measure_dispatch(request_id, now_s)
             return True
 
         await self._relay(request_id, adapter.send(action.request, may_send))
 
+    def _measure_dispatch(self, request_id: RequestId, now_s: float) -> None:
+        accepted = self._accepted.get(request_id)
+        if accepted is not None:
+            request, accepted_s = accepted
+            self._context.metrics.dispatched(request.service, request.tier, now_s - accepted_s)
+
     def _start_resume(self, action: ResumeUpstream) -> None:
         self._stop_reading(action.request_id)
         if self._nursery is not None:
--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -16,6 +16,7 @@
 
 COMMAND_MODULES = (
     "serve",
+    "demo",
     "check",
     "call",
     "standin",
