Write parts that wait together in one write, and measure the whole path

Cause: profiling one node under 32 callers, socket sends took 3.1 s of 10.5 s of processor time outside poll, one send for each token. Change: the caller's task joins the parts that have queued up. Also: the demo's JSON failed on a Counter that dataclasses.asdict rebuilt with pairs as keys; its tally is a plain dictionary now. tools/measure_path.py measures added latency and what one node carries for each core.

--- a/lentilchute/caller_answer.py
+++ b/lentilchute/caller_answer.py
@@ -44,12 +44,23 @@
             await self._wake.wait()
             self._wake = trio.Event()
             while self._actions:
-                action = self._actions.popleft()
+                action = self._take()
                 self._room.set()
                 await _write_action(action, responder)
                 if isinstance(action, _LAST_ACTIONS):
                     return
 
+    def _take(self) -> CallerAction:
+        """Return the next action; parts that wait together go out in one write."""
+        action = self._actions.popleft()
+        if not isinstance(action, SendPart):
+            return action
+        parts = [action.data]
+        while self._actions and isinstance(following := self._actions[0], SendPart):
+            parts.append(following.data)
+            self._actions.popleft()
+        return action if len(parts) == 1 else SendPart(action.request_id, b"".join(parts))
+
 
 async def _write_action(action: CallerAction, responder: Responder) -> None:
     if isinstance(action, SendPart):
--- a/lentilchute/demo.py
+++ b/lentilchute/demo.py
@@ -56,7 +56,7 @@
 
     sent: int = 0
     complete: int = 0
-    refused: Counter[str] = field(default_factory=Counter)
+    refused: dict[str, int] = field(default_factory=dict)
     broken: int = 0
     first_byte_s: list[float] = field(default_factory=list)
 
@@ -282,7 +282,7 @@
     if call.state is CallState.COMPLETE:
         tally.complete += 1
     elif call.state is CallState.REFUSED:
-        tally.refused[call.reason] += 1
+        tally.refused[call.reason] = tally.refused.get(call.reason, 0) + 1
     else:
         tally.broken += 1
     return call
--- /dev/null
+++ b/tools/measure_path.py
@@ -0,0 +1,172 @@
+"""Measures what one node adds to a request, against direct calls to the same stand-in engine.
+
+    .venv/bin/python tools/measure_path.py [--calls 400] [--seconds 10]
+
+It prints the added time to the first token (p50, p95) and the requests and tokens per second that
+one node carries for each core that it keeps busy. The load comes from this process and the engines
+are processes of their own; the node's processor time is read from /proc.
+"""
+
+import argparse
+import json
+import os
+import statistics
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "test"))
+
+from processes import (
+    ACCOUNT_KEY,
+    Deployment,
+    put_document,
+    service_document,
+    wait_ready,
+)
+
+from lentilchute.http_client import ClientRequest, HttpClient
+
+CHAT = "/v1/chat/completions"
+SERVICE_CHAT = f"/services/drafters{CHAT}"
+ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+CALLERS = 32
+
+
+@dataclass(frozen=True)
+class Shape:
+    """Size of one request."""
+
+    prompt_words: int
+    output_tokens: int
+
+
+def request(path: str, number: str, shape: Shape) -> ClientRequest:
+    words = " ".join(f"{number}-{word}" for word in range(shape.prompt_words))
+    body = {
+        "model": "model",
+        "stream": True,
+        "max_tokens": shape.output_tokens,
+        "messages": [{"role": "user", "content": words}],
+    }
+    headers = (
+        ("authorization", f"Bearer {ACCOUNT_KEY}"),
+        ("lentilchute-tier", "signing"),
+        ("lentilchute-deadline-s", "60"),
+        ("x-request-id", f"direct/{number}"),
+        ("content-type", "application/json"),
+    )
+    return ClientRequest("POST", path, headers, json.dumps(body).encode())
+
+
+async def first_token_s(client: HttpClient, message: ClientRequest) -> float:
+    """Return the time to the first part of the answer, and read the rest."""
+    started_s = trio.current_time()
+    async with client.exchange(message) as exchange:
+        head = (await exchange.head()).unwrap()
+        assert head.status == 200, head
+        first_s = None
+        while True:
+            part = (await exchange.part()).unwrap()
+            if part is None:
+                break
+            first_s = first_s or trio.current_time()
+    assert first_s is not None
+    return first_s - started_s
+
+
+async def measure_latency(running: Deployment, calls: int) -> dict[str, float]:
+    """Take turns between the direct path and the path through the node, one call at a time."""
+    shape = Shape(64, 4)
+    direct = HttpClient(running.addresses["engine-1"])
+    through = HttpClient(running.addresses["entry-1"])
+    direct_s, through_s = [], []
+    for number in range(calls):
+        direct_s.append(await first_token_s(direct, request(CHAT, f"d{number}", shape)))
+        through_s.append(await first_token_s(through, request(SERVICE_CHAT, f"t{number}", shape)))
+    return {
+        "direct_p50_ms": percentile(direct_s, 50) * 1000,
+        "direct_p95_ms": percentile(direct_s, 95) * 1000,
+        "through_p50_ms": percentile(through_s, 50) * 1000,
+        "through_p95_ms": percentile(through_s, 95) * 1000,
+        "added_p50_ms": (percentile(through_s, 50) - percentile(direct_s, 50)) * 1000,
+        "added_p95_ms": (percentile(through_s, 95) - percentile(direct_s, 95)) * 1000,
+    }
+
+
+async def measure_throughput(running: Deployment, seconds: float, shape: Shape) -> dict[str, float]:
+    """Keep ``CALLERS`` requests in flight and relate what came to the node's processor time."""
+    pid = running.processes["entry-1"].pid
+    done = 0
+    end_s = trio.current_time() + seconds
+
+    async def caller(number: int) -> None:
+        nonlocal done
+        client = HttpClient(running.addresses["entry-1"])
+        count = 0
+        while trio.current_time() < end_s:
+            count += 1
+            await first_token_s(client, request(SERVICE_CHAT, f"{number}x{count}", shape))
+            done += 1
+
+    before_s, started_s = cpu_s(pid), trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for number in range(CALLERS):
+            nursery.start_soon(caller, number)
+    busy_s, wall_s = cpu_s(pid) - before_s, trio.current_time() - started_s
+    return {
+        "requests_per_s": done / wall_s,
+        "node_cores": busy_s / wall_s,
+        "requests_per_core_s": done / busy_s,
+        "tokens_per_core_s": done * shape.output_tokens / busy_s,
+        "node_rss_mb": rss_mb(pid),
+    }
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process, user and system."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def rss_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def percentile(values: list[float], share: int) -> float:
+    """Return a percentile of some values."""
+    return statistics.quantiles(values, n=100)[share - 1]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--calls", type=int, default=400)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory, Deployment(Path(directory)) as running:
+        running.standin("platform", "platform")
+        for engine in ENGINES:
+            rates = ("--prefill-tokens-per-s", "1000000", "--decode-tokens-per-s", "2000")
+            running.standin(engine, "engine", "--name", engine, *rates)
+        running.wait_for("platform", *ENGINES)
+        engines = {engine: running.addresses[engine] for engine in ENGINES}
+        text = service_document("drafters", "engine", engines)
+        trio.run(put_document, running.addresses["platform"], "drafters", text)
+        running.nodes({"entry-1": "tunis-a"})
+        trio.run(wait_ready, running.addresses["entry-1"], SERVICE_CHAT)
+        figures: dict[str, object] = {
+            "latency": trio.run(measure_latency, running, arguments.calls)
+        }
+        for name, shape in (("short", Shape(64, 4)), ("long", Shape(64, 200))):
+            figures[name] = trio.run(measure_throughput, running, arguments.seconds, shape)
+    print(json.dumps(figures, indent=2))
+
+
+if __name__ == "__main__":
+    main()
