--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -13,19 +13,21 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+from .admission import Admission
 from .decline import mark_declined
 from .document import ServiceDocument, UpstreamGroup
 from .forecast import OutputForecast
 from .granting import Granter
 from .ids import Attempt, InstanceId, RequestId, ShardId, Tier, UpstreamId
-from .placements import Placement, PlacementBook, PlacementState
-from .placing import DEADLINE_MARGIN, UpstreamPool
+from .outcomes import Outcomes
+from .placements import PlacementBook, PlacementState
+from .placing import UpstreamPool
 from .policy import FULL_POLICY, Policy
 from .prefix_index import PrefixIndex
 from .retry_after import DrainRate, RetryAfter
 from .settings import SchedulerSettings
 from .shard_status import ShardStatus
-from .suspects import SAME_CRASH_S, Crash, PoisonVerdict, SuspectBook
+from .suspects import PoisonVerdict, SuspectBook
 from .tickets import (
     CacheEvent,
     Decision,
@@ -36,7 +38,6 @@
     RefusalReason,
     Ticket,
 )
-from .upstream_load import UpstreamLoad
 from .upstreams import Upstream
 from .waiting import Waiting, WaitingList
 
@@ -49,9 +50,6 @@
 COMPARE_INTERVAL_S = 0.5
 """Upstreams are compared with each other at most this often."""
 
-WAIT_MARGIN = 1.3
-"""Factor on the expected wait of a new ticket, which has to end in time for its deadline."""
-
 _FINAL = Attempt(2**31)
 
 
@@ -90,11 +88,18 @@
             settings,
             policy,
         )
+        self._admission = Admission(
+            self._pool, self._waiting, self._suspects, self._granter.flow, settings, policy
+        )
+        self._outcomes = Outcomes(
+            self._pool, self._placements, self._prefixes, self._forecast, self._suspects, policy
+        )
         self._take_document(document)
 
     def _take_document(self, document: ServiceDocument) -> None:
         self._document = document
         self._granter.configure(document)
+        self._admission.configure(document)
 
     # Upstreams
 
@@ -123,7 +128,7 @@
         if load is not None:
             load.group = None
             self._prefixes.remove_upstream(upstream_id)
-            self._discard_idle(upstream_id)
+            self._outcomes.discard_idle(upstream_id)
         return self._decide(now_s)
 
     def mark_leaving(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
@@ -133,11 +138,6 @@
             load.leaving = True
         return self._decide(now_s)
 
-    def _discard_idle(self, upstream_id: UpstreamId) -> None:
-        load = self._pool.get(upstream_id)
-        if load is not None and load.group is None and load.streams == 0:
-            self._pool.discard(upstream_id)
-
     def load_report(self, report: LoadReport, now_s: float) -> list[Decision]:
         """Take an upstream's lagging word on its load."""
         return self._decide(now_s)
@@ -171,46 +171,21 @@
 
     def _forget(self, request_id: RequestId) -> None:
         self._waiting.remove(request_id)
-        self._release(request_id)
+        self._outcomes.release(request_id)
 
     def _admit(self, ticket: Ticket, now_s: float) -> list[Decision]:
-        if ticket.deadline_s <= now_s:
-            return [self._refuse(ticket, RefusalReason.EXPIRED)]
-        if self._suspects.is_condemned(ticket.fingerprint):
-            return [self._refuse(ticket, RefusalReason.POISON)]
-        if not self._pool.has_open(ticket):
-            return [self._refuse(ticket, RefusalReason.NO_UPSTREAM)]
-        start_by_s = self._start_by_s(ticket)
-        if self._is_hopeless(ticket, start_by_s, now_s):
-            return [self._refuse(ticket, RefusalReason.DEADLINE)]
-        self._waiting.add(Waiting(ticket, now_s, start_by_s))
+        reason = self._admission.reason_to_refuse(ticket, now_s)
+        if reason is not None:
+            return [self._refuse(ticket, reason)]
+        self._waiting.add(Waiting(ticket, now_s, self._admission.start_by_s(ticket)))
         return []
 
-    def _start_by_s(self, ticket: Ticket) -> float:
-        if not self._policy.deadline_refusal:
-            return ticket.deadline_s
-        return ticket.deadline_s - DEADLINE_MARGIN * self._pool.quickest_s(ticket)
-
-    def _is_hopeless(self, ticket: Ticket, start_by_s: float, now_s: float) -> bool:
-        """Tell whether a new ticket would wait until it is too late."""
-        if not self._policy.deadline_refusal:
-            return False
-        since_s = self._waiting.oldest_since_s(ticket.tier)
-        wait_s = self._granter.flow.wait_s(
-            ticket.tier,
-            self._waiting.ahead_of(ticket),
-            self._waiting.count_up_to(ticket.tier),
-            now_s if since_s is None else since_s,
-            now_s,
-        )
-        return now_s + WAIT_MARGIN * wait_s > start_by_s
-
     def withdraw(self, request_id: RequestId, now_s: float) -> list[Decision]:
         """Drop a request that its entry gave up before dispatch."""
         waiting = self._waiting.remove(request_id)
         if waiting is not None:
             self._remember_end(request_id, waiting.ticket.attempt)
-        placement = self._release(request_id)
+        placement = self._outcomes.release(request_id)
         if placement is not None:
             self._remember_end(request_id, placement.ticket.attempt)
         return self._decide(now_s)
@@ -237,7 +212,7 @@
         if placement is None or placement.ticket.attempt != attempt:
             return []
         if placement.upstream != upstream_id:
-            self._release(request_id)
+            self._outcomes.release(request_id)
             tokens = placement.prompt_tokens
             placement = self._granter.reserve(placement.ticket, upstream_id, tokens, now_s)
         if placement.state is not PlacementState.DISPATCHED:
@@ -250,32 +225,7 @@
         placement = self._placements.get(request_id)
         if placement is None or output_tokens <= placement.output_tokens:
             return
-        load = self._pool.known(placement.upstream)
-        if placement.first_token_s is None:
-            self._first_token(placement, load, now_s)
-        else:
-            tokens = output_tokens - placement.output_tokens
-            load.decoded(tokens, now_s - placement.progress_s, now_s)
-        placement.output_tokens = output_tokens
-        placement.progress_s = now_s
-
-    def _first_token(self, placement: Placement, load: UpstreamLoad, now_s: float) -> None:
-        placement.first_token_s = now_s
-        load.decoding += 1
-        if load.suspect == placement.ticket.request_id:
-            load.suspect_answers = True
-        self._release_prompt(placement)
-        if placement.state is PlacementState.DISPATCHED and placement.expected_first_token_s:
-            load.first_token(
-                placement.dispatched_s,
-                placement.uncached_tokens,
-                placement.expected_first_token_s,
-                now_s,
-            )
-
-    def _release_prompt(self, placement: Placement) -> None:
-        self._pool.known(placement.upstream).release_prompt(placement.prompt_tokens)
-        placement.prompt_tokens = 0
+        self._outcomes.progress(placement, output_tokens, now_s)
 
     def ended(
         self, request_id: RequestId, end: EndState, cached_prompt_tokens: int, now_s: float
@@ -284,25 +234,15 @@
         self._waiting.remove(request_id)
         placement = self._placements.get(request_id)
         if placement is not None and end is EndState.UPSTREAM_CRASHED:
-            self._judge_crash(placement, now_s)
-        self._release(request_id)
+            self._outcomes.judge_crash(placement, now_s)
+        self._outcomes.release(request_id)
         if placement is not None:
-            self._learn_end(placement, end, cached_prompt_tokens)
+            self._outcomes.learn_end(placement, end, cached_prompt_tokens)
         self._remember_end(request_id, _FINAL)
         self._drain.record(now_s)
         condemned = self._refuse_condemned() if end is EndState.UPSTREAM_CRASHED else []
         return condemned + self._decide(now_s)
 
-    def _learn_end(self, placement: Placement, end: EndState, cached_prompt_tokens: int) -> None:
-        ticket = placement.ticket
-        if end is EndState.UPSTREAM_CRASHED:
-            self._prefixes.clear(placement.upstream)
-        elif end is EndState.COMPLETE:
-            self._suspects.completed(ticket.fingerprint)
-            self._forecast.learn(ticket, placement.output_tokens)
-            expected_tokens = ticket.prompt_tokens - placement.uncached_tokens
-            self._prefixes.confirm(placement.upstream, expected_tokens, cached_prompt_tokens)
-
     def declined(self, request_id: RequestId, attempt: Attempt, now_s: float) -> list[Decision]:
         """Give back the room of a grant that was not used; the entry submits a newer attempt."""
         placement = self._placements.get(request_id)
@@ -310,23 +250,10 @@
             return []
         if placement.state is PlacementState.DISPATCHED:
             return []
-        self._release(request_id)
+        self._outcomes.release(request_id)
         self._remember_end(request_id, attempt)
         return self._decide(now_s)
 
-    def _release(self, request_id: RequestId) -> Placement | None:
-        placement = self._placements.remove(request_id)
-        if placement is None:
-            return None
-        load = self._pool.known(placement.upstream)
-        load.release_prompt(placement.prompt_tokens)
-        load.release_stream(placement.ticket.tier)
-        if load.suspect == request_id:
-            load.suspect = None
-        load.decoding -= placement.first_token_s is not None
-        self._discard_idle(placement.upstream)
-        return placement
-
     # What entries say about all of their requests
 
     def refresh(
@@ -352,7 +279,7 @@
             if placement.state is PlacementState.GRANTED:
                 continue
             if self._is_settled(placement.ticket, listed, since_s, now_s):
-                self._release(placement.ticket.request_id)
+                self._outcomes.release(placement.ticket.request_id)
 
     @staticmethod
     def _is_settled(ticket: Ticket, listed: set[RequestId], since_s: float, now_s: float) -> bool:
@@ -374,7 +301,7 @@
         placement = self._placements.get(ticket.request_id)
         if placement is not None and placement.state is PlacementState.UNCONFIRMED:
             # The entry still waits after the grant expired, so it did not use the grant.
-            self._release(ticket.request_id)
+            self._outcomes.release(ticket.request_id)
         if not self._is_news(ticket):
             return []
         self._forget(ticket.request_id)
@@ -385,7 +312,7 @@
         for waiting in self._waiting.of_entry(entry):
             self._waiting.remove(waiting.ticket.request_id)
         for placement in self._placements.of_entry(entry):
-            self._release(placement.ticket.request_id)
+            self._outcomes.release(placement.ticket.request_id)
         return self._decide(now_s)
 
     # Suspects
@@ -407,26 +334,6 @@
                 refusals.append(self._refuse(waiting.ticket, RefusalReason.POISON))
         return refusals
 
-    def _judge_crash(self, placement: Placement, now_s: float) -> None:
-        """Count a crash against the content of a request that it cut."""
-        if not self._policy.suspects:
-            return
-        load = self._pool.known(placement.upstream)
-        if load.last_crash is None or now_s - load.last_crash.at_s > SAME_CRASH_S:
-            load.last_crash = Crash(now_s, self._newcomers(placement.upstream))
-        request_id = placement.ticket.request_id
-        has_doubt = load.last_crash.has_doubt(request_id)
-        self._suspects.crashed(placement.ticket.fingerprint, has_doubt)
-
-    def _newcomers(self, upstream: UpstreamId) -> frozenset[RequestId]:
-        return frozenset(
-            placement.ticket.request_id
-            for placement in self._placements.of_upstream(upstream)
-            if placement.first_token_s is None
-            and placement.state is PlacementState.DISPATCHED
-            and not self._suspects.is_suspect(placement.ticket.fingerprint)
-        )
-
     # Decisions
 
     def tick(self, now_s: float) -> list[Decision]:
@@ -451,7 +358,7 @@
             reason = RefusalReason.EXPIRED if is_over else RefusalReason.DEADLINE
             decisions.append(self._refuse(waiting.ticket, reason))
         decisions += self._granter.grant_all(now_s)
-        decisions += self._displace()
+        decisions += self._shed()
         return decisions
 
     def _compare_upstreams(self, now_s: float) -> None:
@@ -460,31 +367,14 @@
         if self._policy.decline_detection:
             mark_declined(self._pool.all())
 
-    def _displace(self) -> list[Decision]:
+    def _shed(self) -> list[Decision]:
         refusals: list[Decision] = []
-        while (tier := self._tier_over_bound()) is not None:
-            lowest = self._waiting.tiers()[-1]
-            victim = self._waiting.newest(lowest).ticket
-            self._waiting.remove(victim.request_id)
-            reason = RefusalReason.OVERLOADED if lowest == tier else RefusalReason.DISPLACED
-            refusals.append(self._refuse(victim, reason))
+        while (shed := self._admission.next_to_shed()) is not None:
+            ticket, reason = shed
+            self._waiting.remove(ticket.request_id)
+            refusals.append(self._refuse(ticket, reason))
         return refusals
 
-    def _tier_over_bound(self) -> Tier | None:
-        """Return the tier whose waiting bound is passed, or ``None``.
-
-        A tier may use the places of the tiers below it, so its bound is the sum of its own places
-        and of theirs.
-        """
-        waiting = 0
-        places = 0
-        for rank in reversed(range(len(self._document.tiers))):
-            waiting += self._waiting.count(Tier(rank))
-            places += self._document.tiers[rank].max_waiting
-            if waiting > min(places, self._settings.max_tickets):
-                return Tier(rank)
-        return None
-
     def status(self, now_s: float) -> ShardStatus:
         """Describe the shard for operators and metrics."""
         tiers = [Tier(rank) for rank in range(len(self._document.tiers))]
