Open the callers' address of a starting node once it is ready

Cause: peers name a node to callers as soon as its heartbeats come, and the node itself answers /entries, both before it has confirmed its configuration. Ruled out: idle connections closed under a request, and the lifetime of the answer to which entries (no call was broken or unreachable).

Change: the node listens for callers once it is ready, or after 5 s, to say that it is not. A caller finds the address closed and passes on to another entry; the client does not count that as an attempt, since nothing was sent. Peers could also keep a node out of the answer until its heartbeat says ready; that belongs to membership.

Seen failing first: the closed address of a node that is not ready (listening at once).

--- a/lentilchute/caller_client.py
+++ b/lentilchute/caller_client.py
@@ -34,6 +34,7 @@
     key: str = field(repr=False)
     availability_zone: str = ""
     max_attempts: int = 10
+    """Times that a request is sent; an entry that cannot be reached does not count."""
     retry_delay_s: float = 0.5
     """Pause before another attempt when no entry said how long to wait."""
 
@@ -148,7 +149,6 @@
             entry = await self._entries.choose(self._failed)
             attempt = Attempt(fault=HttpFault.NOT_SENT)
             if entry is not None:
-                self._attempts += 1
                 self._entry = entry.instance
                 attempt = await make_attempt(
                     self._client.client_for(entry.address), self._message(), self._body
@@ -184,9 +184,12 @@
         if entry is None:
             self._failed = frozenset()
             self._entries.forget()
-        elif attempt.fault is HttpFault.NOT_SENT:
+            return
+        if attempt.fault is HttpFault.NOT_SENT:
             self._failed |= {entry.address}
-        elif attempt.fault is not None or attempt.outcome is Outcome.MAY_HAVE_RUN:
+            return
+        self._attempts += 1
+        if attempt.fault is not None or attempt.outcome is Outcome.MAY_HAVE_RUN:
             self._may_have_run = True
 
     def _is_final(self, attempt: Attempt) -> bool:
--- a/lentilchute/caller_interface.py
+++ b/lentilchute/caller_interface.py
@@ -15,7 +15,7 @@
 from .http_requests import RequestHead as HttpRequestHead
 from .http_responder import Responder
 from .http_server import HttpServer, open_listeners
-from .node_context import NodeContext
+from .node_context import NodeContext, wait_until
 from .peers import PeerInfo
 from .refusal_answers import RefusalAnswer, refusal_answer
 from .settings import Role
@@ -24,6 +24,8 @@
 ENTRIES_PATH = "/entries"
 MAX_NAMED_ENTRIES = 16
 REFUSED_RETRY_AFTER_S = 1.0
+READY_WAIT_S = 5.0
+READY_CHECK_S = 0.02
 
 
 class RequestServer(Protocol):
@@ -46,11 +48,21 @@
         self._is_closed = trio.Event()
 
     async def run(self) -> None:
-        """Serve until closed."""
+        """Serve until closed.
+
+        A node that starts is named to callers by its peers before it knows its configuration. They
+        then find its address closed and pass on to another entry, where they would be refused.
+        After ``READY_WAIT_S`` it listens all the same, to tell callers why it admits nothing.
+        """
+        with trio.move_on_after(READY_WAIT_S):
+            await wait_until(self._is_ready, READY_CHECK_S)
         listeners = await open_listeners(self._context.settings.listen.callers)
         await self._http.serve(listeners)
         self._is_closed.set()
 
+    def _is_ready(self) -> bool:
+        return self._context.configuration.is_ready(self._context.now_s())
+
     def begin_close(self) -> None:
         """Tell callers to connect anew, elsewhere; requests that still come are served."""
         self._http.begin_close()
--- a/test/test_caller_client.py
+++ b/test/test_caller_client.py
@@ -175,6 +175,7 @@
     entries.refused = {NEAR}
     (result,), _, _ = call(entries)
     assert result.state is CallState.COMPLETE and entries.received[0][0] == FAR
+    assert result.attempts == 1
     entries.refused = {NEAR, FAR}
     (result,), _, took_s = call(entries, deadline_s=5.0)
     assert (result.state, result.outcome) == (CallState.UNREACHABLE, Outcome.NOT_RUN)
--- /dev/null
+++ b/test/test_caller_interface.py
@@ -0,0 +1,83 @@
+"""Tests of when a node opens its address to callers."""
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+import trio
+from entry_fixtures import node_settings
+from result import Err, Ok
+
+from lentilchute import caller_interface
+from lentilchute.caller_interface import CallerInterface
+from lentilchute.http_client import ClientRequest, HttpAnswer, HttpClient, HttpFault
+from lentilchute.http_messages import join_address
+from lentilchute.node_context import NodeContext
+
+
+class Starting:
+    """A node that starts, as far as its callers' interface asks."""
+
+    def __init__(self, address: str) -> None:
+        self.is_ready = False
+        settings = node_settings()
+        listen = settings.listen.model_copy(update={"callers": address})
+        self.settings = settings.model_copy(update={"listen": listen})
+        self.rng = SimpleNamespace(shuffle=lambda _entries: None)
+        self.zone = settings.zone
+        self.membership = SimpleNamespace(alive=lambda _now_s: ())
+        self.configuration = SimpleNamespace(is_ready=lambda _now_s: self.is_ready)
+
+    def now_s(self) -> float:
+        return trio.current_time()
+
+
+async def free_address() -> str:
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = join_address(*listeners[0].socket.getsockname()[:2])
+    for listener in listeners:
+        await listener.aclose()
+    return address
+
+
+async def answer_once_open(address: str) -> HttpAnswer:
+    """Return the first answer of an address that is closed at first."""
+    with trio.fail_after(10):
+        while True:
+            answer = await HttpClient(address).call(ClientRequest("GET", "/entries"))
+            if isinstance(answer, Ok):
+                return answer.ok_value
+            await trio.lowlevel.checkpoint()
+
+
+def test_a_node_opens_its_address_once_it_is_ready() -> None:
+    async def main() -> None:
+        node = Starting(await free_address())
+        address = node.settings.listen.callers
+        async with trio.open_nursery() as nursery:
+            callers = CallerInterface(cast(NodeContext, node), cast(Any, None))
+            nursery.start_soon(callers.run)
+            await trio.testing.wait_all_tasks_blocked()
+            closed = await HttpClient(address).call(ClientRequest("GET", "/entries"))
+            assert closed == Err(HttpFault.NOT_SENT)
+            node.is_ready = True
+            assert (await answer_once_open(address)).status == 200
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_a_node_that_does_not_become_ready_opens_to_say_so(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_interface, "READY_WAIT_S", 0.05)
+
+    async def main() -> None:
+        node = Starting(await free_address())
+        async with trio.open_nursery() as nursery:
+            callers = CallerInterface(cast(NodeContext, node), cast(Any, None))
+            nursery.start_soon(callers.run)
+            assert (await answer_once_open(node.settings.listen.callers)).status == 200
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
