--- a/lentilchute/membership.py
+++ b/lentilchute/membership.py
@@ -144,6 +144,8 @@
     def heartbeat(self, now_s: float) -> list[OutgoingHeartbeat]:
         """Return the heartbeats to send now, to a bounded number of peers."""
         self._notice_pause(now_s)
+        if self._is_replaced:
+            return []
         self._sequence += 1
         targets = self._targets()
         asked: set[InstanceId] = set()
@@ -151,7 +153,7 @@
             asked.update(self._rng.sample(sorted(targets), min(VIEW_REQUESTS, len(targets))))
         outgoing = [
             OutgoingHeartbeat(name, address, self._heartbeat_to(name, wants_view=name in asked))
-            for name, address in targets.items()
+            for name, address in [*targets.items(), *self._replies(targets)]
         ]
         self._view_wanted_by.clear()
         self._reply_to.clear()
@@ -184,7 +186,7 @@
         return self._view.judge_silence(now_s)
 
     def _targets(self) -> dict[InstanceId, str]:
-        targets = dict(self._reply_to)
+        targets: dict[InstanceId, str] = {}
         for name in [*self._regular_targets(), *sorted(self._view_wanted_by)]:
             if name in self._view.peers:
                 targets[name] = self._view.peers[name].info.address
@@ -192,6 +194,10 @@
             targets.setdefault(name, address)
         return targets
 
+    def _replies(self, targets: dict[InstanceId, str]) -> list[tuple[InstanceId, str]]:
+        """Return the runs to answer that do not know of another one under their name."""
+        return [item for item in self._reply_to.items() if targets.get(item[0]) != item[1]]
+
     def _regular_targets(self) -> list[InstanceId]:
         known = list(self._view.peers)
         if self._view.is_full_mesh:
@@ -237,7 +243,8 @@
             return
         if heartbeat.wants_view:
             self._view_wanted_by.add(sender.instance)
-        if heartbeat.heard > peer.echoed:
+        # A higher number than this run has sent speaks of an earlier run under this name.
+        if peer.echoed < heartbeat.heard <= self._sequence:
             peer.echoed = heartbeat.heard
             peer.echo_s = now_s
 
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -1,13 +1,45 @@
-"""Tests of membership: one group of nodes under lost, late and doubled heartbeats."""
+"""State machine for membership: lost, late, doubled heartbeats, cuts, freezes, kills, restarts.
+
+The oracle knows which runs live. A node that hears from its peers must not call a dead run alive
+for long, nor a reachable one gone; a replaced run must find out; and once all heals, all agree.
+"""
 
 import random
+from dataclasses import dataclass
+from typing import ClassVar
+
+import pytest
+from coverage_counter import CoverageCounter
+from step_machine import Draw, StepMachine, run_steps
 
 from lentilchute.ids import AvailabilityZone, IncarnationId, InstanceId, ShardId
 from lentilchute.membership import Membership
-from lentilchute.peers import PeerAddress, PeerInfo
+from lentilchute.peers import Heartbeat, PeerAddress, PeerChange, PeerChangeKind, PeerInfo
 from lentilchute.settings import MembershipSettings, Role
 
 SETTINGS = MembershipSettings()
+INTERVAL_S = SETTINGS.heartbeat_interval_s
+SHARD = ShardId("fleet/0")
+NAMES = tuple(InstanceId(f"entry-{number}") for number in range(1, 6))
+DETECTED_S = SETTINGS.suspect_after_s + 2 * INTERVAL_S
+COVERAGE = CoverageCounter(
+    "membership",
+    (
+        *(f"peer {kind.value}" for kind in PeerChangeKind),
+        "heartbeat lost",
+        "heartbeat doubled",
+        "heartbeat late",
+        "link cut one way",
+        "link cut both ways",
+        "node killed",
+        "node restarted under its name",
+        "restarted with an earlier clock",
+        "node frozen past every timeout",
+        "node woke to heartbeats from before",
+        "old run woke after it was replaced",
+        "planned stop",
+    ),
+)
 
 
 def peer_info(name: str, run: str = "a", generation: int = 1) -> PeerInfo:
@@ -15,7 +47,7 @@
         instance=InstanceId(name),
         incarnation=IncarnationId(f"{name}.{run}"),
         generation=generation,
-        address=f"address-of-{name}",
+        address=f"address-of-{name}-{run}",
         callers_address=f"callers-of-{name}",
         zone=AvailabilityZone("zone-1"),
         region="region-1",
@@ -23,20 +55,308 @@
     )
 
 
-def test_nodes_that_know_one_seed_find_each_other_and_agree_on_the_scheduler() -> None:
-    names = [f"entry-{number}" for number in range(9)]
-    seed = PeerAddress(InstanceId(names[0]), f"address-of-{names[0]}")
-    nodes = {
-        name: Membership(peer_info(name), SETTINGS, random.Random(name), 0.0, [seed])
-        for name in names
+@dataclass(eq=False)
+class Node:
+    """One run of one node."""
+
+    view: Membership
+    info: PeerInfo
+    frozen: bool = False
+    frozen_since_s: float = 0.0
+    ended: bool = False
+
+
+@dataclass(frozen=True)
+class Message:
+    """A heartbeat on its way to an address."""
+
+    sender: InstanceId
+    address: str
+    heartbeat: Heartbeat
+
+
+class MembershipMachine(StepMachine):
+    WEIGHTS: ClassVar = {
+        "beat": 30,
+        "link_is_cut": 2,
+        "links_heal": 2,
+        "node_dies": 1,
+        "node_restarts": 3,
+        "node_freezes": 1,
+        "node_wakes": 3,
+        "node_leaves": 1,
     }
-    now_s = 0.0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rng = random.Random(1)
+        self.now_s = 100.0
+        self.runs = 0
+        self.cut: set[tuple[InstanceId, InstanceId]] = set()
+        self.late: list[Message] = []
+        self.nodes: dict[InstanceId, Node] = {}
+        self.old: list[Node] = []
+        for name in NAMES:
+            self.start(name, 1)
+
+    def start(self, name: InstanceId, generation: int) -> None:
+        self.runs += 1
+        info = peer_info(name, f"run{self.runs}", generation)
+        seeds = [PeerAddress(other, self.address(other)) for other in NAMES if other != name]
+        view = Membership(info, SETTINGS, random.Random(self.runs), self.now_s, seeds)
+        self.nodes[name] = Node(view, info)
+
+    def address(self, name: InstanceId) -> str:
+        """Return a seed's address: that of the run which listens for this name."""
+        return f"seed-{name}"
+
+    def listener(self, address: str) -> Node | None:
+        """Return the run that listens on an address, if it can."""
+        for node in (*self.nodes.values(), *self.old):
+            if address in (node.info.address, self.address(node.info.instance)) and not node.ended:
+                return node
+        return None
+
+    def live(self) -> list[Node]:
+        return [node for node in (*self.nodes.values(), *self.old) if not node.ended]
+
+    # Steps.
+
+    def do_beat(self, draw: Draw) -> None:
+        """One interval: every node that runs ticks and sends; some heartbeats go astray."""
+        self.beat(lambda: draw(["arrives"] * 8 + ["lost", "late", "doubled"]))
+
+    def beat(self, fate_of: "object") -> None:
+        assert callable(fate_of)
+        self.now_s += INTERVAL_S
+        messages = self.take_late()
+        for node in self.live():
+            if node.frozen:
+                continue
+            self.note(node, node.view.tick(self.now_s))
+            for outgoing in node.view.heartbeat(self.now_s):
+                message = Message(node.info.instance, outgoing.address, outgoing.heartbeat)
+                messages += self.transmit(message, fate_of())
+        self.rng.shuffle(messages)
+        for message in messages:
+            self.deliver(message)
+
+    def take_late(self) -> list[Message]:
+        late = [message for message in self.late if self.can_take(message)]
+        self.late = [message for message in self.late if message not in late]
+        return late
+
+    def can_take(self, message: Message) -> bool:
+        receiver = self.listener(message.address)
+        return receiver is None or not receiver.frozen
+
+    def transmit(self, message: Message, fate: str) -> list[Message]:
+        receiver = self.listener(message.address)
+        if receiver is None or (message.sender, receiver.info.instance) in self.cut:
+            return []
+        if fate == "lost":
+            COVERAGE.hit("heartbeat lost")
+            return []
+        if fate == "late" or receiver.frozen:
+            COVERAGE.hit("heartbeat late")
+            self.late.append(message)
+            return []
+        if fate == "doubled":
+            COVERAGE.hit("heartbeat doubled")
+            return [message, message]
+        return [message]
+
+    def deliver(self, message: Message) -> None:
+        receiver = self.listener(message.address)
+        if receiver is not None and not receiver.frozen:
+            self.note(receiver, receiver.view.received(message.heartbeat, self.now_s))
+
+    def note(self, node: Node, changes: list[PeerChange]) -> None:
+        for change in changes:
+            COVERAGE.hit(f"peer {change.kind.value}")
+            if change.kind is PeerChangeKind.SELF_REPLACED:
+                assert node in self.old, "the latest run was told that it is replaced"
+                COVERAGE.hit("old run woke after it was replaced")
+
+    def do_link_is_cut(self, draw: Draw) -> None:
+        sender, receiver = draw(NAMES), draw(NAMES)
+        if sender == receiver:
+            return
+        self.cut.add((sender, receiver))
+        if draw([True, False]):
+            self.cut.add((receiver, sender))
+        both = (receiver, sender) in self.cut
+        COVERAGE.hit("link cut both ways" if both else "link cut one way")
+
+    def do_links_heal(self, draw: Draw) -> None:
+        self.cut.clear()
+
+    def do_node_dies(self, draw: Draw) -> None:
+        self.nodes[draw(NAMES)].ended = True
+        COVERAGE.hit("node killed")
+
+    def do_node_restarts(self, draw: Draw) -> None:
+        """A run that ended, or stands still, is replaced; its clock may be behind."""
+        name = draw(NAMES)
+        before = self.nodes[name]
+        if not before.ended and not before.frozen:
+            return
+        generation = before.view.info.generation + draw([1, 5, 0, -3])
+        if generation <= before.view.info.generation:
+            COVERAGE.hit("restarted with an earlier clock")
+        COVERAGE.hit("node restarted under its name")
+        if not before.ended:
+            self.old.append(before)
+        self.start(name, generation)
+
+    def do_node_freezes(self, draw: Draw) -> None:
+        node = self.nodes[draw(NAMES)]
+        if not node.frozen and not node.ended:
+            node.frozen = True
+            node.frozen_since_s = self.now_s
+
+    def do_node_wakes(self, draw: Draw) -> None:
+        frozen = [node for node in self.live() if node.frozen]
+        if not frozen:
+            return
+        node = draw(frozen)
+        slept_s = self.now_s - node.frozen_since_s
+        node.frozen = False
+        if slept_s <= SETTINGS.pause_limit_s:
+            return
+        COVERAGE.hit("node frozen past every timeout")
+        self.take_stale(node)
+        alive = [info for info in node.view.alive(self.now_s) if info != node.view.info]
+        assert node.view.is_unconfirmed
+        assert alive == [], "a woken node believes its stale view"
+
+    def take_stale(self, node: Node) -> None:
+        """Heartbeats that waited in its sockets come first, and must not confirm anyone."""
+        waiting = [message for message in self.late if self.listener(message.address) is node]
+        for message in waiting:
+            COVERAGE.hit("node woke to heartbeats from before")
+            self.late.remove(message)
+            self.note(node, node.view.received(message.heartbeat, self.now_s))
+
+    def do_node_leaves(self, draw: Draw) -> None:
+        node = self.nodes[draw(NAMES)]
+        if node.ended or node.frozen:
+            return
+        COVERAGE.hit("planned stop")
+        node.view.leave(self.now_s)
+        for _ in range(2):
+            self.do_beat(draw)
+        node.ended = True
+
+    # The oracle.
+
+    def teardown(self) -> None:
+        """Heal all links: within the detection time all nodes that run agree on who is alive."""
+        self.cut.clear()
+        self.late.clear()
+        for node in self.live():
+            node.frozen = False
+        for name in NAMES:
+            if self.nodes[name].ended:
+                self.start(name, self.nodes[name].view.info.generation + 1)
+        rounds = int((DETECTED_S + 2 * SETTINGS.suspect_after_s) / INTERVAL_S) + 1
+        for _ in range(rounds):
+            self.beat(lambda: "arrives")
+        for node in self.old:
+            assert node.ended or node.view.is_replaced, "an old run does not know it is replaced"
+        self.check_agreement(set(NAMES))
+        victim = self.nodes[NAMES[0]]
+        victim.ended = True
+        for _ in range(int(DETECTED_S / INTERVAL_S)):
+            self.beat(lambda: "arrives")
+        self.check_agreement(set(NAMES[1:]))
+
+    def check_agreement(self, expected: set[InstanceId]) -> None:
+        orders = set()
+        for name in expected:
+            view = self.nodes[name].view
+            alive = view.alive(self.now_s)
+            assert {info.instance for info in alive} == expected, "nodes disagree on who is alive"
+            runs = {self.nodes[info.instance].info.incarnation for info in alive}
+            assert {info.incarnation for info in alive} == runs, "an old run counts as alive"
+            orders.add(view.scheduler_order(SHARD, self.now_s))
+        assert len(orders) == 1, "nodes disagree on the scheduler"
+
+
+def test_membership_under_faults() -> None:
+    run_steps(MembershipMachine, max_examples=60, runs=12)
+    COVERAGE.check()
+
+
+class Group:
+    """Nodes that know one seed, without faults but those that a test makes."""
+
+    def __init__(self, count: int) -> None:
+        names = [f"entry-{number}" for number in range(count)]
+        seed = PeerAddress(InstanceId(names[0]), peer_info(names[0]).address)
+        self.now_s = 0.0
+        self.nodes = {
+            peer_info(name).address: Membership(
+                peer_info(name), SETTINGS, random.Random(name), 0.0, [seed]
+            )
+            for name in names
+        }
+        self.sent = 0
+        self.states = 0
+        self.largest = 0
+
+    def beat(self, cut: frozenset[tuple[str, str]] = frozenset()) -> None:
+        self.now_s += INTERVAL_S
+        for address, node in list(self.nodes.items()):
+            node.tick(self.now_s)
+            for outgoing in node.heartbeat(self.now_s):
+                self.sent += 1
+                self.states += len(outgoing.heartbeat.states)
+                self.largest = max(self.largest, len(outgoing.heartbeat.states))
+                receiver = self.nodes.get(outgoing.address)
+                if receiver is not None and (address, outgoing.address) not in cut:
+                    receiver.received(outgoing.heartbeat, self.now_s)
+
+
+def test_nodes_that_know_one_seed_find_each_other_and_agree_on_the_scheduler() -> None:
+    group = Group(9)
     for _ in range(12):
-        now_s += SETTINGS.heartbeat_interval_s
-        for node in nodes.values():
-            node.tick(now_s)
-            for outgoing in node.heartbeat(now_s):
-                nodes[outgoing.instance].received(outgoing.heartbeat, now_s)
-    orders = {node.scheduler_order(ShardId("fleet/0"), now_s) for node in nodes.values()}
+        group.beat()
+    orders = {node.scheduler_order(SHARD, group.now_s) for node in group.nodes.values()}
     assert len(orders) == 1
-    assert sorted(orders.pop()) == names
+    assert len(orders.pop()) == 9
+
+
+def test_a_node_that_one_peer_cannot_hear_stays_alive_but_comes_last_there() -> None:
+    group = Group(5)
+    for _ in range(8):
+        group.beat()
+    addresses = list(group.nodes)
+    deaf = group.nodes[addresses[1]]
+    first = deaf.scheduler_order(SHARD, group.now_s)[0]
+    mute = next(address for address, node in group.nodes.items() if node.info.instance == first)
+    if mute == addresses[1]:
+        deaf = group.nodes[addresses[2]]
+    hearing = next(address for address, node in group.nodes.items() if node is deaf)
+    for _ in range(20):
+        group.beat(frozenset({(mute, hearing)}))
+        names = {info.instance for info in deaf.alive(group.now_s)}
+        assert first in names
+    assert deaf.scheduler_order(SHARD, group.now_s)[-1] == first
+
+
+@pytest.mark.parametrize("count", [40, 120])
+def test_heartbeats_of_a_large_group_stay_bounded_and_a_death_is_known_to_all(count: int) -> None:
+    group = Group(count)
+    for _ in range(40):
+        group.beat()
+    assert {len(node.alive(group.now_s)) for node in group.nodes.values()} == {count}
+    group.sent = group.states = group.largest = 0
+    for _ in range(10):
+        group.beat()
+    assert group.sent <= 10 * count * SETTINGS.fanout
+    assert group.largest <= SETTINGS.change_states + SETTINGS.rotation_states
+    group.nodes.pop(list(group.nodes)[3])
+    for _ in range(16):
+        group.beat()
+    assert {len(node.alive(group.now_s)) for node in group.nodes.values()} == {count - 1}
