Report an upstream's crash at once

Cause: a stream whose connection was reset was resumed three times over 0.8 s before its crash was reported.

Change: a reset followed by a refused connection ends the request at once as a crash, since the process that held the stream is gone.

Ruled out: reporting the reset itself as a crash, since a stream whose connection alone broke is resumed and its engine lives.

--- a/lentilchute/answer_relay.py
+++ b/lentilchute/answer_relay.py
@@ -29,8 +29,9 @@
     book: RequestBook, held: HeldRequest, fault: UpstreamFault, now_s: float
 ) -> list[EntryAction]:
     """Resume a dispatched request's broken stream, or end it where that cannot work."""
+    is_crash = _is_crash(held.first_fault, fault)
     held.first_fault = held.first_fault or fault
-    if not _can_resume(held, fault):
+    if is_crash or not _can_resume(held, fault):
         return fail(book, held, RefusalReason.UPSTREAM_FAILED, _end_state(held))
     held.state = RequestState.RESUMING
     held.resumes += 1
@@ -47,6 +48,15 @@
     return [ResumeUpstream(held.grant.upstream, held.request_id, held.last_event)]
 
 
+def _is_crash(first: UpstreamFault | None, fault: UpstreamFault) -> bool:
+    """Tell whether a stream is lost with its upstream's process.
+
+    A connection that was reset and then refused means that nothing listens there any more. Trying
+    again would only delay the report, while the same content may be on its way to other upstreams.
+    """
+    return first is UpstreamFault.RESET and fault is UpstreamFault.NOT_SENT
+
+
 def _can_resume(held: HeldRequest, fault: UpstreamFault) -> bool:
     if fault is UpstreamFault.NOT_SUPPORTED or held.parts_without_event > 0:
         return False
--- a/test/test_answer_relay.py
+++ b/test/test_answer_relay.py
@@ -19,6 +19,7 @@
     KeepAnswer,
     RecordGoodput,
     RecordWastedPrefill,
+    ReportEnded,
     ReportProgress,
     ResumeUpstream,
     SendEnd,
@@ -26,6 +27,7 @@
     SendRefusal,
     SendUpstream,
 )
+from lentilchute.tickets import EndState
 from lentilchute.upstreams import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
 
 
@@ -86,6 +88,14 @@
     assert not has(actions, SendEnd)
 
 
+def test_a_crash_is_reported_at_once() -> None:
+    requests = new_entry()
+    request_id = dispatched(requests)
+    requests.answer_item(request_id, UpstreamFault.RESET, 1.0)
+    actions = requests.answer_item(request_id, UpstreamFault.NOT_SENT, 1.0)
+    assert only(actions, ReportEnded).end is EndState.UPSTREAM_CRASHED
+
+
 def test_a_later_resume_waits_for_its_time() -> None:
     requests = new_entry()
     request_id = dispatched(requests)
