--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -13,19 +13,19 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from .decline import DeclineDetector
+from .decline import mark_declined
 from .document import ServiceDocument, UpstreamGroup
 from .forecast import OutputForecast
 from .granting import Granter
 from .ids import Attempt, InstanceId, RequestId, ShardId, Tier, UpstreamId
 from .placements import Placement, PlacementBook, PlacementState
-from .placing import UpstreamPool
+from .placing import DEADLINE_MARGIN, UpstreamPool
 from .policy import FULL_POLICY, Policy
 from .prefix_index import PrefixIndex
 from .retry_after import DrainRate, RetryAfter
 from .settings import SchedulerSettings
 from .shard_status import ShardStatus
-from .suspects import PoisonVerdict
+from .suspects import SAME_CRASH_S, Crash, PoisonVerdict, SuspectBook
 from .tickets import (
     CacheEvent,
     Decision,
@@ -46,6 +46,12 @@
 REFRESH_GUARD_S = 0.5
 """A refresh says nothing about what this scheduler learned or decided in the last moment."""
 
+COMPARE_INTERVAL_S = 0.5
+"""Upstreams are compared with each other at most this often."""
+
+WAIT_MARGIN = 1.3
+"""Factor on the expected wait of a new ticket, which has to end in time for its deadline."""
+
 _FINAL = Attempt(2**31)
 
 
@@ -65,19 +71,20 @@
         self._settings = settings
         self._policy = policy
         self._forecast = OutputForecast()
+        self._suspects = SuspectBook()
         self._prefixes = PrefixIndex(settings.prefix_block_tokens)
-        self._pool = UpstreamPool(policy, self._forecast, self._prefixes)
-        self._decline = DeclineDetector()
+        self._pool = UpstreamPool(policy, self._forecast, self._prefixes, self._suspects)
+        self._next_compare_s = now_s
         self._waiting = WaitingList(policy)
         self._placements = PlacementBook()
         self._ended: OrderedDict[RequestId, Attempt] = OrderedDict()
         self._drain = DrainRate(now_s)
         self._retry_after = RetryAfter(settings, rng, policy.retry_spread)
-        self._verdicts: list[PoisonVerdict] = []
         self._granter = Granter(
             self._pool,
             self._prefixes,
             self._forecast,
+            self._suspects,
             self._waiting,
             self._placements,
             settings,
@@ -106,6 +113,7 @@
         """Add an upstream, or take its group's bounds anew; a leaving one stays leaving."""
         target_s = self._document.limits.first_token_target_s
         self._pool.known(upstream.upstream).configure(group, target_s)
+        self._pool.update_rates()
         self._prefixes.add_upstream(upstream.upstream, group.cache_tokens)
         return self._decide(now_s)
 
@@ -175,13 +183,34 @@
     def _admit(self, ticket: Ticket, now_s: float) -> list[Decision]:
         if ticket.deadline_s <= now_s:
             return [self._refuse(ticket, RefusalReason.EXPIRED)]
+        if self._suspects.is_condemned(ticket.fingerprint):
+            return [self._refuse(ticket, RefusalReason.POISON)]
         if not self._pool.has_open(ticket):
             return [self._refuse(ticket, RefusalReason.NO_UPSTREAM)]
-        self._waiting.add(Waiting(ticket, now_s, self._start_by_s(ticket)))
+        start_by_s = self._start_by_s(ticket)
+        if self._is_hopeless(ticket, start_by_s, now_s):
+            return [self._refuse(ticket, RefusalReason.DEADLINE)]
+        self._waiting.add(Waiting(ticket, now_s, start_by_s))
         return []
 
     def _start_by_s(self, ticket: Ticket) -> float:
-        return ticket.deadline_s
+        if not self._policy.deadline_refusal:
+            return ticket.deadline_s
+        return ticket.deadline_s - DEADLINE_MARGIN * self._pool.quickest_s(ticket)
+
+    def _is_hopeless(self, ticket: Ticket, start_by_s: float, now_s: float) -> bool:
+        """Tell whether a new ticket would wait until it is too late."""
+        if not self._policy.deadline_refusal:
+            return False
+        since_s = self._waiting.oldest_since_s(ticket.tier)
+        wait_s = self._granter.flow.wait_s(
+            ticket.tier,
+            self._waiting.ahead_of(ticket),
+            self._waiting.count_up_to(ticket.tier),
+            now_s if since_s is None else since_s,
+            now_s,
+        )
+        return now_s + WAIT_MARGIN * wait_s > start_by_s
 
     def withdraw(self, request_id: RequestId, now_s: float) -> list[Decision]:
         """Drop a request that its entry gave up before dispatch."""
@@ -240,6 +269,8 @@
     def _first_token(self, placement: Placement, load: UpstreamLoad, now_s: float) -> None:
         placement.first_token_s = now_s
         load.decoding += 1
+        if load.suspect == placement.ticket.request_id:
+            load.suspect_answers = True
         self._release_prompt(placement)
         if placement.state is PlacementState.DISPATCHED and placement.expected_first_token_s:
             load.first_token(
@@ -258,18 +289,23 @@
     ) -> list[Decision]:
         """Note that a dispatched request is over, and give its room back."""
         self._waiting.remove(request_id)
-        placement = self._release(request_id)
+        placement = self._placements.get(request_id)
+        if placement is not None and end is EndState.UPSTREAM_CRASHED:
+            self._judge_crash(placement, now_s)
+        self._release(request_id)
         if placement is not None:
             self._learn_end(placement, end, cached_prompt_tokens)
         self._remember_end(request_id, _FINAL)
         self._drain.record(now_s)
-        return self._decide(now_s)
+        condemned = self._refuse_condemned() if end is EndState.UPSTREAM_CRASHED else []
+        return condemned + self._decide(now_s)
 
     def _learn_end(self, placement: Placement, end: EndState, cached_prompt_tokens: int) -> None:
         ticket = placement.ticket
         if end is EndState.UPSTREAM_CRASHED:
             self._prefixes.clear(placement.upstream)
         elif end is EndState.COMPLETE:
+            self._suspects.completed(ticket.fingerprint)
             self._forecast.learn(ticket, placement.output_tokens)
             expected_tokens = ticket.prompt_tokens - placement.uncached_tokens
             self._prefixes.confirm(placement.upstream, expected_tokens, cached_prompt_tokens)
@@ -292,6 +328,8 @@
         load = self._pool.known(placement.upstream)
         load.release_prompt(placement.prompt_tokens)
         load.release_stream(placement.ticket.tier)
+        if load.suspect == request_id:
+            load.suspect = None
         load.decoding -= placement.first_token_s is not None
         self._discard_idle(placement.upstream)
         return placement
@@ -365,13 +403,40 @@
 
     def learn_verdict(self, verdict: PoisonVerdict, now_s: float) -> list[Decision]:
         """Take a peer's verdict on a fingerprint."""
-        return self._decide(now_s)
+        self._suspects.learn(verdict)
+        return self._refuse_condemned() + self._decide(now_s)
 
     def take_verdicts(self) -> list[PoisonVerdict]:
         """Return the verdicts found since the last call."""
-        verdicts = self._verdicts
-        self._verdicts = []
-        return verdicts
+        return self._suspects.take_news()
+
+    def _refuse_condemned(self) -> list[Decision]:
+        refusals: list[Decision] = []
+        for waiting in self._waiting.all():
+            if self._suspects.is_condemned(waiting.ticket.fingerprint):
+                self._waiting.remove(waiting.ticket.request_id)
+                refusals.append(self._refuse(waiting.ticket, RefusalReason.POISON))
+        return refusals
+
+    def _judge_crash(self, placement: Placement, now_s: float) -> None:
+        """Count a crash against the content of a request that it cut."""
+        if not self._policy.suspects:
+            return
+        load = self._pool.known(placement.upstream)
+        if load.last_crash is None or now_s - load.last_crash.at_s > SAME_CRASH_S:
+            load.last_crash = Crash(now_s, self._newcomers(placement.upstream))
+        request_id = placement.ticket.request_id
+        has_doubt = load.last_crash.has_doubt(request_id)
+        self._suspects.crashed(placement.ticket.fingerprint, has_doubt)
+
+    def _newcomers(self, upstream: UpstreamId) -> frozenset[RequestId]:
+        return frozenset(
+            placement.ticket.request_id
+            for placement in self._placements.of_upstream(upstream)
+            if placement.first_token_s is None
+            and placement.state is PlacementState.DISPATCHED
+            and not self._suspects.is_suspect(placement.ticket.fingerprint)
+        )
 
     # Decisions
 
@@ -393,15 +458,23 @@
         self._placements.expire(now_s)
         for request_id in self._placements.take_over(now_s):
             self._release(request_id)
-        if self._policy.decline_detection:
-            self._decline.compare(self._pool.all(), now_s)
+        if now_s >= self._next_compare_s:
+            self._compare_upstreams(now_s)
         decisions: list[Decision] = []
         for waiting in self._waiting.take_late(now_s):
-            decisions.append(self._refuse(waiting.ticket, RefusalReason.EXPIRED))
+            is_over = waiting.ticket.deadline_s <= now_s
+            reason = RefusalReason.EXPIRED if is_over else RefusalReason.DEADLINE
+            decisions.append(self._refuse(waiting.ticket, reason))
         decisions += self._granter.grant_all(now_s)
         decisions += self._displace()
         return decisions
 
+    def _compare_upstreams(self, now_s: float) -> None:
+        self._next_compare_s = now_s + COMPARE_INTERVAL_S
+        self._pool.update_rates()
+        if self._policy.decline_detection:
+            mark_declined(self._pool.all())
+
     def _displace(self) -> list[Decision]:
         refusals: list[Decision] = []
         while (tier := self._tier_over_bound()) is not None:
