--- a/lentilchute/caller_interface.py
+++ b/lentilchute/caller_interface.py
@@ -15,6 +15,8 @@
 from .http_requests import RequestHead as HttpRequestHead
 from .http_responder import Responder
 from .http_server import HttpServer, open_listeners
+from .ids import ServiceName
+from .metrics import UNKNOWN
 from .node_context import NodeContext
 from .peers import PeerInfo
 from .refusal_answers import RefusalAnswer, refusal_answer
@@ -78,7 +80,7 @@
         own_head = RequestHead(head.method, head.path, head.headers)
         checked = run_head_filters(own_head, self._filter_context())
         if isinstance(checked, Err):
-            refusal = self._refusal(checked.err_value)
+            refusal = self._refusal(head.path, checked.err_value)
             return HeadRefusal(refusal.status, refusal.headers, refusal.body)
         draft: RequestDraft = checked.ok_value
         return draft.max_body_bytes
@@ -94,12 +96,16 @@
             lambda draft: run_body_filters(draft, request.body, context)
         )
         if isinstance(accepted, Err):
-            refusal = self._refusal(accepted.err_value)
+            refusal = self._refusal(request.path, accepted.err_value)
             await responder.answer(refusal.status, refusal.headers, refusal.body)
             return
         await self._server.serve_request(accepted.ok_value, request.caller_gone, responder)
 
-    def _refusal(self, refusal: FilterRefusal) -> RefusalAnswer:
+    def _refusal(self, path: str, refusal: FilterRefusal) -> RefusalAnswer:
+        service = _service_in(path)
+        if service not in self._context.configuration.documents():
+            service = ServiceName(UNKNOWN)
+        self._context.metrics.refused(service, None, refusal.reason)
         return refusal_answer(
             refusal.reason,
             Outcome.NOT_RUN,
@@ -121,6 +127,12 @@
         return json.dumps(body).encode()
 
 
+def _service_in(path: str) -> ServiceName:
+    """Return the service that a path names, which may be none that exists."""
+    parts = path.split("/", 3)
+    return ServiceName(parts[2] if len(parts) > 2 else "")
+
+
 def _entry(info: PeerInfo) -> dict[str, str]:
     return {
         "instance": info.instance,
--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry_controller.py
@@ -79,6 +79,7 @@
         self._callers = CallerInterface(context, self)
         self._answers: dict[RequestId, CallerAnswer] = {}
         self._accepted: dict[RequestId, AcceptedRequest] = {}
+        self._accepted_s: dict[RequestId, float] = {}
         self._sends: dict[RequestId, trio.CancelScope] = {}
         self._progress: dict[tuple[InstanceId, ServiceName], dict[RequestId, int]] = {}
         self._nursery: trio.Nursery | None = None
@@ -124,6 +125,7 @@
         request_id, actions = self._requests.accept(request, self._context.now_s())
         self._answers[request_id] = answer
         self._accepted[request_id] = request
+        self._accepted_s[request_id] = self._context.now_s()
         log_event(
             Event.REQUEST_ACCEPTED,
             request_id=request_id,
@@ -142,6 +144,7 @@
             answer.close()
             self._answers.pop(request_id, None)
             self._accepted.pop(request_id, None)
+            self._accepted_s.pop(request_id, None)
 
     async def _watch_caller(self, request_id: RequestId, caller_gone: trio.Event) -> None:
         await caller_gone.wait()
@@ -342,11 +345,18 @@
             if not self._requests.may_send(request_id, action.attempt, now_s):
                 return False
             log_event(Event.REQUEST_DISPATCHED, request_id=request_id, upstream=action.upstream)
+            self._record_dispatch(request_id, now_s)
             self._execute(self._requests.take_actions())
             return True
 
         await self._relay(request_id, adapter.send(action.request, may_send))
 
+    def _record_dispatch(self, request_id: RequestId, now_s: float) -> None:
+        request = self._accepted.get(request_id)
+        if request is not None:
+            added_s = now_s - self._accepted_s[request_id]
+            self._context.metrics.dispatched(request.service, request.tier, added_s)
+
     def _start_resume(self, action: ResumeUpstream) -> None:
         self._stop_reading(action.request_id)
         if self._nursery is not None:
--- a/lentilchute/metrics_catalogue.py
+++ b/lentilchute/metrics_catalogue.py
@@ -54,7 +54,7 @@
     Label.TIER: "Rank of the tier, `0` for the highest; `lentilchute_tier_info` gives its name.",
     Label.REASON: "A refusal's reason, or why prefill was wasted.",
     Label.UPSTREAM: "Name of an upstream, as in the document or the platform's list.",
-    Label.OPERATION: "Kind of operation on the platform's table.",
+    Label.OPERATION: "`get`, `get_many`, `scan` or `commit` on the platform's table.",
     Label.RESULT: "`ok`, `conflict`, `unavailable` or `unknown-outcome`.",
     Label.NAME: "Name of the tier in the document in force.",
 }
--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -26,6 +26,7 @@
 from .events import Event, log_event
 from .ids import IncarnationId, InstanceId
 from .membership import Membership
+from .metered_table import MeteredTable
 from .metrics import Gauges, Metrics
 from .node_context import (
     Controller,
@@ -124,11 +125,14 @@
         incarnation = _new_incarnation(settings.instance_id, self._rng)
         now_s = trio.current_time()
         identity = LinkIdentity(settings.instance_id, incarnation, settings.shared_key)
+        metrics = Metrics(settings.instance_id, settings.zone, self._read_gauges)
+        platform = platform_for(settings.platform)
+        platform.table = MeteredTable(platform.table, metrics)
         return NodeContext(
             settings=settings,
             incarnation=incarnation,
             rng=self._rng,
-            platform=platform_for(settings.platform),
+            platform=platform,
             links=PeerLinks(identity, _drop, self._rng.randbytes),
             membership=Membership(
                 _peer_info(settings, incarnation),
@@ -139,7 +143,7 @@
             ),
             configuration=ConfigBook(check_document_text, settings.membership, now_s),
             directory=UpstreamDirectory(),
-            metrics=Metrics(settings.instance_id, settings.zone, self._read_gauges),
+            metrics=metrics,
             wall_offset_s=time.time() - now_s,
         )
 
--- a/lentilchute/operator_cluster.py
+++ b/lentilchute/operator_cluster.py
@@ -101,13 +101,14 @@
     """Repeat a change under its id, at one node after another, until its fate is certain.
 
     A lost answer says nothing about the write, and the next node looks the id up before it writes.
-    Ends with ``UNRESOLVED`` or ``NOT_APPLIED`` when no node has settled it within ``timeout_s``,
-    and with an error when a node refuses the request itself.
+    No try begins after ``timeout_s``; one that runs is not cut short, since its outcome would then
+    be unknown. Ends with ``UNRESOLVED`` or ``NOT_APPLIED`` when no node has settled the change, and
+    with an error when a node refuses the request itself.
     """
     may_be_written = False
     deadline_s = trio.current_time() + timeout_s
     for client in itertools.cycle(clients):
-        result = await _change_until(client, service, change, deadline_s)
+        result = await client.change(service, change)
         if isinstance(result, Err):
             fault = result.err_value
             if fault.kind is FaultKind.REFUSED and not may_be_written:
@@ -121,20 +122,11 @@
             may_be_written |= state is ChangeState.UNRESOLVED
             report(f"{client.address}: {state.value}; trying again under the same id")
         await trio.sleep(RETRY_INTERVAL_S)
-        # A call begun after the deadline would be cancelled and count as one with a lost answer.
         if trio.current_time() >= deadline_s:
             break
     return Ok(ChangeAnswer(state=_state_without_answer(may_be_written)))
 
 
-async def _change_until(
-    client: OperatorClient, service: ServiceName, change: ChangeRequest, deadline_s: float
-) -> Result[ChangeAnswer, OperatorFault]:
-    with trio.move_on_at(deadline_s):
-        return await client.change(service, change)
-    return Err(OperatorFault(FaultKind.LOST, "timed out"))
-
-
 def _state_without_answer(may_be_written: bool) -> ChangeState:
     return ChangeState.UNRESOLVED if may_be_written else ChangeState.NOT_APPLIED
 
--- a/lentilchute/ui/apply.py
+++ b/lentilchute/ui/apply.py
@@ -71,7 +71,7 @@
     ] = None
     author: Annotated[str | None, cappa.Arg(long=True, help="Who makes the change.")] = None
     timeout_s: Annotated[
-        float, cappa.Arg(long=True, help="How long to try until the outcome is known.")
+        float, cappa.Arg(long=True, help="How long to begin new tries until the outcome is known.")
     ] = 30.0
     wait_s: Annotated[
         float, cappa.Arg(long=True, help="How long to wait until it is in force everywhere.")
--- a/lentilchute/ui/status.py
+++ b/lentilchute/ui/status.py
@@ -104,7 +104,8 @@
 
 def _service_text(name: str, summary: ServiceSummary) -> str:
     lines = [f"service {name}: {_versions_text(summary.versions)}"]
-    tiers = sorted(summary.waiting.keys() | summary.in_flight.keys())
+    # Nodes list tiers from the highest to the lowest.
+    tiers = list(dict.fromkeys([*summary.waiting, *summary.in_flight]))
     if tiers:
         rows = [("tier", "waiting", "in flight")]
         for tier in tiers:
--- a/test/test_whole_path.py
+++ b/test/test_whole_path.py
@@ -19,6 +19,7 @@
 from lentilchute.http_client import HttpAnswer
 from lentilchute.http_messages import header_value
 from lentilchute.node_context import wait_until
+from lentilchute.operator_api import operator_key
 
 ZONES = {"entry-1": "tunis-a", "entry-2": "tunis-b", "entry-3": "bizerte"}
 ENGINES = [f"engine-{number}" for number in range(1, 5)]
@@ -176,3 +177,24 @@
 def log_text(running: Deployment) -> str:
     """Return the logs of all nodes."""
     return "".join((running.directory / f"{entry}.log").read_text() for entry in ZONES)
+
+
+def test_the_metrics_pages_tell_goodput_added_latency_and_table_operations(
+    deployment: Deployment,
+) -> None:
+    async def pages() -> str:
+        key = operator_key(SHARED_KEY)
+        text = ""
+        for address in deployment.operators.values():
+            text += (await call(address, "/metrics", method="GET", bearer=key)).body.decode()
+        return text
+
+    page = trio.run(pages)
+    assert 'lentilchute_goodput_requests_total{service="drafters",tier="0"}' in page
+    assert 'lentilchute_added_latency_seconds_count{service="drafters",tier="0"}' in page
+    assert 'lentilchute_table_operations_total{operation="commit",result="ok"}' in page
+    assert 'lentilchute_config_version{service="agenda"} 1.0' in page
+    assert 'lentilchute_tier_info{name="signing",service="drafters",tier="0"} 1.0' in page
+    refused = "lentilchute_refusals_total{reason="
+    assert refused + '"unknown-client-account",service="drafters",tier=""}' in page
+    assert refused + '"unknown-service",service="unknown",tier=""}' in page
