--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry_controller.py
@@ -78,8 +78,7 @@
         self._claims = ClaimsController(context, self._on_claim_resolved)
         self._callers = CallerInterface(context, self)
         self._answers: dict[RequestId, CallerAnswer] = {}
-        self._accepted: dict[RequestId, AcceptedRequest] = {}
-        self._accepted_s: dict[RequestId, float] = {}
+        self._accepted: dict[RequestId, tuple[AcceptedRequest, float]] = {}
         self._sends: dict[RequestId, trio.CancelScope] = {}
         self._progress: dict[tuple[InstanceId, ServiceName], dict[RequestId, int]] = {}
         self._nursery: trio.Nursery | None = None
@@ -124,8 +123,7 @@
         answer = CallerAnswer()
         request_id, actions = self._requests.accept(request, self._context.now_s())
         self._answers[request_id] = answer
-        self._accepted[request_id] = request
-        self._accepted_s[request_id] = self._context.now_s()
+        self._accepted[request_id] = request, self._context.now_s()
         log_event(
             Event.REQUEST_ACCEPTED,
             request_id=request_id,
@@ -144,7 +142,6 @@
             answer.close()
             self._answers.pop(request_id, None)
             self._accepted.pop(request_id, None)
-            self._accepted_s.pop(request_id, None)
 
     async def _watch_caller(self, request_id: RequestId, caller_gone: trio.Event) -> None:
         await caller_gone.wait()
@@ -301,8 +298,9 @@
             outcome=action.outcome,
             retry_after_s=round(action.retry_after_s, 2),
         )
-        request = self._accepted.get(action.request_id)
-        if request is not None:
+        accepted = self._accepted.get(action.request_id)
+        if accepted is not None:
+            request, _ = accepted
             self._context.metrics.refused(request.service, request.tier, action.reason)
         answer = self._answers.get(action.request_id)
         if answer is not None:
@@ -345,17 +343,17 @@
             if not self._requests.may_send(request_id, action.attempt, now_s):
                 return False
             log_event(Event.REQUEST_DISPATCHED, request_id=request_id, upstream=action.upstream)
-            self._record_dispatch(request_id, now_s)
             self._execute(self._requests.take_actions())
+            self._measure_dispatch(request_id, now_s)
             return True
 
         await self._relay(request_id, adapter.send(action.request, may_send))
 
-    def _record_dispatch(self, request_id: RequestId, now_s: float) -> None:
-        request = self._accepted.get(request_id)
-        if request is not None:
-            added_s = now_s - self._accepted_s[request_id]
-            self._context.metrics.dispatched(request.service, request.tier, added_s)
+    def _measure_dispatch(self, request_id: RequestId, now_s: float) -> None:
+        accepted = self._accepted.get(request_id)
+        if accepted is not None:
+            request, accepted_s = accepted
+            self._context.metrics.dispatched(request.service, request.tier, now_s - accepted_s)
 
     def _start_resume(self, action: ResumeUpstream) -> None:
         self._stop_reading(action.request_id)
--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -26,7 +26,7 @@
 from .events import Event, log_event
 from .ids import IncarnationId, InstanceId
 from .membership import Membership
-from .metered_table import MeteredTable
+from .metered_platform import MeteredPlatform
 from .metrics import Gauges, Metrics
 from .node_context import (
     Controller,
@@ -126,13 +126,11 @@
         now_s = trio.current_time()
         identity = LinkIdentity(settings.instance_id, incarnation, settings.shared_key)
         metrics = Metrics(settings.instance_id, settings.zone, self._read_gauges)
-        platform = platform_for(settings.platform)
-        platform.table = MeteredTable(platform.table, metrics)
         return NodeContext(
             settings=settings,
             incarnation=incarnation,
             rng=self._rng,
-            platform=platform,
+            platform=MeteredPlatform(platform_for(settings.platform), metrics),
             links=PeerLinks(identity, _drop, self._rng.randbytes),
             membership=Membership(
                 _peer_info(settings, incarnation),
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -13,18 +13,21 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from .decline import DeclineDetector
+from .admission import Admission
+from .decline import mark_declined
 from .document import ServiceDocument, UpstreamGroup
 from .forecast import OutputForecast
 from .granting import Granter
 from .ids import Attempt, InstanceId, RequestId, ShardId, Tier, UpstreamId
-from .placements import Placement, PlacementBook, PlacementState
+from .outcomes import Outcomes
+from .placements import PlacementBook, PlacementState
 from .placing import UpstreamPool
 from .policy import FULL_POLICY, Policy
+from .prefix_index import PrefixIndex
 from .retry_after import DrainRate, RetryAfter
 from .settings import SchedulerSettings
 from .shard_status import ShardStatus
-from .suspects import PoisonVerdict
+from .suspects import PoisonVerdict, SuspectBook
 from .tickets import (
     CacheEvent,
     Decision,
@@ -35,7 +38,6 @@
     RefusalReason,
     Ticket,
 )
-from .upstream_load import UpstreamLoad
 from .upstreams import Upstream
 from .waiting import Waiting, WaitingList
 
@@ -45,6 +47,9 @@
 REFRESH_GUARD_S = 0.5
 """A refresh says nothing about what this scheduler learned or decided in the last moment."""
 
+COMPARE_INTERVAL_S = 0.5
+"""Upstreams are compared with each other at most this often."""
+
 _FINAL = Attempt(2**31)
 
 
@@ -64,20 +69,37 @@
         self._settings = settings
         self._policy = policy
         self._forecast = OutputForecast()
-        self._pool = UpstreamPool(policy, self._forecast)
-        self._decline = DeclineDetector()
-        self._waiting = WaitingList(policy.tiers)
+        self._suspects = SuspectBook()
+        self._prefixes = PrefixIndex(settings.prefix_block_tokens)
+        self._pool = UpstreamPool(policy, self._forecast, self._prefixes, self._suspects)
+        self._next_compare_s = now_s
+        self._waiting = WaitingList(policy)
         self._placements = PlacementBook()
         self._ended: OrderedDict[RequestId, Attempt] = OrderedDict()
         self._drain = DrainRate(now_s)
         self._retry_after = RetryAfter(settings, rng, policy.retry_spread)
-        self._verdicts: list[PoisonVerdict] = []
-        self._granter = Granter(self._pool, self._waiting, self._placements, settings, policy)
+        self._granter = Granter(
+            self._pool,
+            self._prefixes,
+            self._forecast,
+            self._suspects,
+            self._waiting,
+            self._placements,
+            settings,
+            policy,
+        )
+        self._admission = Admission(
+            self._pool, self._waiting, self._suspects, self._granter.flow, settings, policy
+        )
+        self._outcomes = Outcomes(
+            self._pool, self._placements, self._prefixes, self._forecast, self._suspects, policy
+        )
         self._take_document(document)
 
     def _take_document(self, document: ServiceDocument) -> None:
         self._document = document
         self._granter.configure(document)
+        self._admission.configure(document)
 
     # Upstreams
 
@@ -96,6 +118,8 @@
         """Add an upstream, or take its group's bounds anew; a leaving one stays leaving."""
         target_s = self._document.limits.first_token_target_s
         self._pool.known(upstream.upstream).configure(group, target_s)
+        self._pool.update_rates()
+        self._prefixes.add_upstream(upstream.upstream, group.cache_tokens)
         return self._decide(now_s)
 
     def remove_upstream(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
@@ -103,27 +127,32 @@
         load = self._pool.get(upstream_id)
         if load is not None:
             load.group = None
-            self._discard_idle(upstream_id)
+            self._prefixes.remove_upstream(upstream_id)
+            self._outcomes.discard_idle(upstream_id)
         return self._decide(now_s)
 
     def mark_leaving(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
-        """Grant nothing more to an upstream until it is removed and added again."""
+        """Grant nothing more to an upstream until ``mark_live``."""
         load = self._pool.get(upstream_id)
         if load is not None:
             load.leaving = True
         return self._decide(now_s)
 
-    def _discard_idle(self, upstream_id: UpstreamId) -> None:
+    def mark_live(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
+        """An upstream that was leaving takes work again."""
         load = self._pool.get(upstream_id)
-        if load is not None and load.group is None and load.streams == 0:
-            self._pool.discard(upstream_id)
+        if load is not None:
+            load.leaving = False
+        return self._decide(now_s)
 
     def load_report(self, report: LoadReport, now_s: float) -> list[Decision]:
         """Take an upstream's lagging word on its load."""
         return self._decide(now_s)
 
     def cache_events(self, events: Iterable[CacheEvent], now_s: float) -> None:
-        """Take entries of upstreams' prefix cache logs."""
+        """Take entries of upstreams' prefix cache logs, which may have gaps."""
+        for event in events:
+            self._prefixes.learn(event)
 
     # Tickets
 
@@ -149,25 +178,21 @@
 
     def _forget(self, request_id: RequestId) -> None:
         self._waiting.remove(request_id)
-        self._release(request_id)
+        self._outcomes.release(request_id)
 
     def _admit(self, ticket: Ticket, now_s: float) -> list[Decision]:
-        if ticket.deadline_s <= now_s:
-            return [self._refuse(ticket, RefusalReason.EXPIRED)]
-        if not self._pool.has_open(ticket):
-            return [self._refuse(ticket, RefusalReason.NO_UPSTREAM)]
-        self._waiting.add(Waiting(ticket, now_s, self._start_by_s(ticket)))
+        reason = self._admission.reason_to_refuse(ticket, now_s)
+        if reason is not None:
+            return [self._refuse(ticket, reason)]
+        self._waiting.add(Waiting(ticket, now_s, self._admission.start_by_s(ticket)))
         return []
 
-    def _start_by_s(self, ticket: Ticket) -> float:
-        return ticket.deadline_s
-
     def withdraw(self, request_id: RequestId, now_s: float) -> list[Decision]:
         """Drop a request that its entry gave up before dispatch."""
         waiting = self._waiting.remove(request_id)
         if waiting is not None:
             self._remember_end(request_id, waiting.ticket.attempt)
-        placement = self._release(request_id)
+        placement = self._outcomes.release(request_id)
         if placement is not None:
             self._remember_end(request_id, placement.ticket.attempt)
         return self._decide(now_s)
@@ -194,7 +219,7 @@
         if placement is None or placement.ticket.attempt != attempt:
             return []
         if placement.upstream != upstream_id:
-            self._release(request_id)
+            self._outcomes.release(request_id)
             tokens = placement.prompt_tokens
             placement = self._granter.reserve(placement.ticket, upstream_id, tokens, now_s)
         if placement.state is not PlacementState.DISPATCHED:
@@ -207,41 +232,23 @@
         placement = self._placements.get(request_id)
         if placement is None or output_tokens <= placement.output_tokens:
             return
-        load = self._pool.known(placement.upstream)
-        if placement.first_token_s is None:
-            self._first_token(placement, load, now_s)
-        else:
-            tokens = output_tokens - placement.output_tokens
-            load.decoded(tokens, now_s - placement.progress_s, now_s)
-        placement.output_tokens = output_tokens
-        placement.progress_s = now_s
-
-    def _first_token(self, placement: Placement, load: UpstreamLoad, now_s: float) -> None:
-        placement.first_token_s = now_s
-        self._release_prompt(placement)
-        if placement.state is PlacementState.DISPATCHED and placement.expected_first_token_s:
-            load.first_token(
-                placement.dispatched_s,
-                placement.uncached_tokens,
-                placement.expected_first_token_s,
-                now_s,
-            )
-
-    def _release_prompt(self, placement: Placement) -> None:
-        self._pool.known(placement.upstream).release_prompt(placement.prompt_tokens)
-        placement.prompt_tokens = 0
+        self._outcomes.progress(placement, output_tokens, now_s)
 
     def ended(
         self, request_id: RequestId, end: EndState, cached_prompt_tokens: int, now_s: float
     ) -> list[Decision]:
         """Note that a dispatched request is over, and give its room back."""
         self._waiting.remove(request_id)
-        placement = self._release(request_id)
-        if placement is not None and end is EndState.COMPLETE:
-            self._forecast.learn(placement.ticket, placement.output_tokens)
+        placement = self._placements.get(request_id)
+        if placement is not None and end is EndState.UPSTREAM_CRASHED:
+            self._outcomes.judge_crash(placement, now_s)
+        self._outcomes.release(request_id)
+        if placement is not None:
+            self._outcomes.learn_end(placement, end, cached_prompt_tokens)
         self._remember_end(request_id, _FINAL)
         self._drain.record(now_s)
-        return self._decide(now_s)
+        condemned = self._refuse_condemned() if end is EndState.UPSTREAM_CRASHED else []
+        return condemned + self._decide(now_s)
 
     def declined(self, request_id: RequestId, attempt: Attempt, now_s: float) -> list[Decision]:
         """Give back the room of a grant that was not used; the entry submits a newer attempt."""
@@ -250,20 +257,10 @@
             return []
         if placement.state is PlacementState.DISPATCHED:
             return []
-        self._release(request_id)
+        self._outcomes.release(request_id)
         self._remember_end(request_id, attempt)
         return self._decide(now_s)
 
-    def _release(self, request_id: RequestId) -> Placement | None:
-        placement = self._placements.remove(request_id)
-        if placement is None:
-            return None
-        load = self._pool.known(placement.upstream)
-        load.release_prompt(placement.prompt_tokens)
-        load.release_stream(placement.ticket.tier)
-        self._discard_idle(placement.upstream)
-        return placement
-
     # What entries say about all of their requests
 
     def refresh(
@@ -289,7 +286,7 @@
             if placement.state is PlacementState.GRANTED:
                 continue
             if self._is_settled(placement.ticket, listed, since_s, now_s):
-                self._release(placement.ticket.request_id)
+                self._outcomes.release(placement.ticket.request_id)
 
     @staticmethod
     def _is_settled(ticket: Ticket, listed: set[RequestId], since_s: float, now_s: float) -> bool:
@@ -311,7 +308,7 @@
         placement = self._placements.get(ticket.request_id)
         if placement is not None and placement.state is PlacementState.UNCONFIRMED:
             # The entry still waits after the grant expired, so it did not use the grant.
-            self._release(ticket.request_id)
+            self._outcomes.release(ticket.request_id)
         if self._ended.get(ticket.request_id) == ticket.attempt:
             # The entry has not heard the refusal of this attempt: it is decided anew, so that its
             # caller does not wait in vain and no lower tier's ticket stays in its place.
@@ -326,20 +323,27 @@
         for waiting in self._waiting.of_entry(entry):
             self._waiting.remove(waiting.ticket.request_id)
         for placement in self._placements.of_entry(entry):
-            self._release(placement.ticket.request_id)
+            self._outcomes.release(placement.ticket.request_id)
         return self._decide(now_s)
 
     # Suspects
 
     def learn_verdict(self, verdict: PoisonVerdict, now_s: float) -> list[Decision]:
         """Take a peer's verdict on a fingerprint."""
-        return self._decide(now_s)
+        self._suspects.learn(verdict)
+        return self._refuse_condemned() + self._decide(now_s)
 
     def take_verdicts(self) -> list[PoisonVerdict]:
         """Return the verdicts found since the last call."""
-        verdicts = self._verdicts
-        self._verdicts = []
-        return verdicts
+        return self._suspects.take_news()
+
+    def _refuse_condemned(self) -> list[Decision]:
+        refusals: list[Decision] = []
+        for waiting in self._waiting.all():
+            if self._suspects.is_condemned(waiting.ticket.fingerprint):
+                self._waiting.remove(waiting.ticket.request_id)
+                refusals.append(self._refuse(waiting.ticket, RefusalReason.POISON))
+        return refusals
 
     # Decisions
 
@@ -351,47 +355,41 @@
         """Return when ``tick`` has work; infinity for never."""
         placements = self._placements
         return min(
-            self._waiting.next_late_s(), placements.next_expiry_s(), placements.next_over_s()
+            self._waiting.next_late_s(),
+            placements.next_expiry_s(),
+            placements.next_over_s(),
+            self._granter.next_hold_end_s,
         )
 
     def _decide(self, now_s: float) -> list[Decision]:
         self._placements.expire(now_s)
         for request_id in self._placements.take_over(now_s):
-            self._release(request_id)
-        if self._policy.decline_detection:
-            self._decline.compare(self._pool.all(), now_s)
+            self._outcomes.release(request_id)
+        if now_s >= self._next_compare_s:
+            self._compare_upstreams(now_s)
         decisions: list[Decision] = []
         for waiting in self._waiting.take_late(now_s):
-            decisions.append(self._refuse(waiting.ticket, RefusalReason.EXPIRED))
+            is_over = waiting.ticket.deadline_s <= now_s
+            reason = RefusalReason.EXPIRED if is_over else RefusalReason.DEADLINE
+            decisions.append(self._refuse(waiting.ticket, reason))
         decisions += self._granter.grant_all(now_s)
-        decisions += self._displace()
+        decisions += self._shed()
         return decisions
 
-    def _displace(self) -> list[Decision]:
+    def _compare_upstreams(self, now_s: float) -> None:
+        self._next_compare_s = now_s + COMPARE_INTERVAL_S
+        self._pool.update_rates()
+        if self._policy.decline_detection:
+            mark_declined(self._pool.all())
+
+    def _shed(self) -> list[Decision]:
         refusals: list[Decision] = []
-        while (tier := self._tier_over_bound()) is not None:
-            lowest = self._waiting.tiers()[-1]
-            victim = self._waiting.newest(lowest).ticket
-            self._waiting.remove(victim.request_id)
-            reason = RefusalReason.OVERLOADED if lowest == tier else RefusalReason.DISPLACED
-            refusals.append(self._refuse(victim, reason))
+        while (shed := self._admission.next_to_shed()) is not None:
+            ticket, reason = shed
+            self._waiting.remove(ticket.request_id)
+            refusals.append(self._refuse(ticket, reason))
         return refusals
 
-    def _tier_over_bound(self) -> Tier | None:
-        """Return the tier whose waiting bound is passed, or ``None``.
-
-        A tier may use the places of the tiers below it, so its bound is the sum of its own places
-        and of theirs.
-        """
-        waiting = 0
-        places = 0
-        for rank in reversed(range(len(self._document.tiers))):
-            waiting += self._waiting.count(Tier(rank))
-            places += self._document.tiers[rank].max_waiting
-            if waiting > min(places, self._settings.max_tickets):
-                return Tier(rank)
-        return None
-
     def status(self, now_s: float) -> ShardStatus:
         """Describe the shard for operators and metrics."""
         tiers = [Tier(rank) for rank in range(len(self._document.tiers))]
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/upstream_load.py
@@ -1,11 +1,12 @@
 """What a scheduler knows of one upstream: its room, its work in flight and its rates."""
 
 from .document import UpstreamGroup
-from .ids import Tier, UpstreamId
+from .ids import RequestId, Tier, UpstreamId
 from .limits import AdaptiveLimits
 from .policy import Policy
 from .rates import UpstreamRates
 from .shard_status import UpstreamStatus
+from .suspects import Crash
 
 PROBE_STREAMS = 2
 """Streams of lower tiers that a declined upstream gets, to see whether it has recovered."""
@@ -33,9 +34,15 @@
         self.streams = 0
         self.streams_by_tier: dict[Tier, int] = {}
         self.prompt_tokens = 0
+        self.decoding = 0
+        """Streams that have begun to answer."""
+        self.suspect: RequestId | None = None
+        """A suspect of an earlier crash that is in flight here; at most one."""
+        self.suspect_answers = False
+        self.last_crash: Crash | None = None
         self._policy = policy
         self.rates = UpstreamRates(1.0, 1.0)
-        self._limits = AdaptiveLimits(0, 0, 1.0)
+        self.limits = AdaptiveLimits(0, 0, 1.0)
         self._taken: tuple[UpstreamGroup, float] | None = None
 
     def configure(self, group: UpstreamGroup, first_token_target_s: float) -> None:
@@ -47,7 +54,7 @@
         self.rates = UpstreamRates(
             group.initial_prefill_tokens_per_s, group.initial_decode_tokens_per_s
         )
-        self._limits = AdaptiveLimits(
+        self.limits = AdaptiveLimits(
             group.max_streams, group.max_prompt_tokens, first_token_target_s
         )
 
@@ -61,7 +68,7 @@
         """Streams that may be outstanding now."""
         if self.group is not None and not self._policy.adaptive_limits:
             return self.group.max_streams
-        return self._limits.streams
+        return self.limits.streams
 
     @property
     def prefill_tokens_per_s(self) -> float:
@@ -81,7 +88,7 @@
         """Return the prompt tokens that may be outstanding ahead of a ticket of a tier."""
         if self.group is not None and not self._policy.adaptive_limits:
             return self.group.max_prompt_tokens
-        return self._limits.prompt_tokens(tier == 0, self.prefill_tokens_per_s)
+        return self.limits.prompt_tokens(tier == 0, self.prefill_tokens_per_s)
 
     def reserve(self, tier: Tier, prompt_tokens: int) -> None:
         """Take a stream and prompt tokens."""
@@ -102,9 +109,10 @@
         self, dispatched_s: float, uncached_tokens: int, expected_s: float, now_s: float
     ) -> None:
         """Learn from a first token."""
+        self.limits.started(self.decoding, now_s)
         self.rates.first_token(dispatched_s, uncached_tokens, now_s)
         took_s = now_s - dispatched_s
-        self._limits.first_token(took_s, expected_s, self.streams, dispatched_s, now_s)
+        self.limits.first_token(took_s, expected_s, self.streams, dispatched_s, now_s)
 
     def decoded(self, tokens: int, seconds: float, now_s: float) -> None:
         """Learn from the progress of one stream."""
@@ -116,6 +124,8 @@
         Rates are learned from placed work only, so one that seems slow would stay without work.
         """
         interval_s = TOP_TIER_PROBE_INTERVAL_S if tier == 0 else PROBE_INTERVAL_S
+        if self.suspect is not None:
+            return False
         return self.streams == 0 and now_s - self.granted_s >= interval_s
 
     def has_room(self, tier: Tier, reserved_shares: tuple[float, ...]) -> bool:
@@ -128,6 +138,9 @@
             return False
         if self.is_declined and (tier == 0 or self.streams >= PROBE_STREAMS):
             return False
+        if self.suspect is not None and not self.suspect_answers:
+            # Nothing new comes beside a suspect, so that a crash shows its cause.
+            return False
         kept = self._kept_streams(tier, reserved_shares)
         return self.streams + kept < self.stream_limit
 
--- a/test/test_whole_path.py
+++ b/test/test_whole_path.py
@@ -16,6 +16,8 @@
     wait_ready,
 )
 
+from lentilchute import ui
+from lentilchute.errors import ExitCode
 from lentilchute.http_client import HttpAnswer
 from lentilchute.http_messages import header_value
 from lentilchute.node_context import wait_until
@@ -149,6 +151,20 @@
     assert int(header_value(answer.headers, "retry-after") or 0) >= 1
 
 
+def test_the_call_command_prints_the_whole_answer(
+    deployment: Deployment,
+    monkeypatch: pytest.MonkeyPatch,
+    capfdbinary: pytest.CaptureFixture[bytes],
+) -> None:
+    monkeypatch.setenv("LENTILCHUTE_KEY", ACCOUNT_KEY)
+    body = prompt("called from the command line", stream=True)
+    entry = deployment.addresses["entry-3"]
+    argv = ["call", "drafters", "--entry", entry, "--data", json.dumps(body), "--text"]
+    assert ui.run(argv) == ExitCode.OK
+    expected = trio.run(direct, deployment, body)
+    assert capfdbinary.readouterr().out == expected + b"\n"
+
+
 def test_keys_prompts_and_bodies_are_not_in_any_log(deployment: Deployment) -> None:
     marker = "marker-5b1e-of-a-deed"
 
