--- a/lentilchute/membership.py
+++ b/lentilchute/membership.py
@@ -30,7 +30,8 @@
 from .settings import MembershipSettings, Role
 
 JOIN_WINDOW_S = 10.0
-"""A node may raise its own generation above an earlier run's for this long after its start."""
+"""A node may raise its own generation above an earlier run's until this long after a peer first
+answered it; never after a pause, in which it may itself have been replaced."""
 VIEW_REQUESTS = 2
 """A node that needs the whole view asks this many peers for it with each round of heartbeats."""
 
@@ -52,7 +53,7 @@
         self._info = self_info
         self._settings = settings
         self._rng = rng
-        self._started_s = now_s
+        self._joined_s: float | None = None
         self._last_run_s = now_s
         self._status = PeerStatus.ALIVE
         self._sequence = 0
@@ -170,6 +171,7 @@
             changes += self._merge(state, now_s, direct=False)
         self._note_sender(heartbeat, now_s)
         if self.is_fresh(heartbeat):
+            self._joined_s = now_s if self._joined_s is None else self._joined_s
             self._confirm(heartbeat)
         return changes
 
@@ -229,9 +231,10 @@
         names = list(self._view.peers)
         if receiver not in self._view_wanted_by:
             names = self._view.gossip.take([name for name in names if name != receiver])
-        if receiver in self._reply_to and receiver not in names:
-            names.append(receiver)
         states = [self._view.reported_state(name) for name in names]
+        if receiver in self._reply_to and receiver in self._view.peers:
+            # That there is another run under its name holds whatever became of that run.
+            states.append(self._view.peers[receiver].state)
         return tuple(state for state in states if state is not None)
 
     def _note_sender(self, heartbeat: Heartbeat, now_s: float) -> None:
@@ -267,7 +270,7 @@
             return []
         if run_order(state.info) < run_order(self._info):
             return self._view.bury_earlier_run(state, now_s)
-        if self._may_raise_generation and now_s - self._started_s <= JOIN_WINDOW_S:
+        if self._is_joining(now_s):
             later = state.info.generation + 1
             self._info = dataclasses.replace(self._info, generation=later)
             return self._view.bury_earlier_run(state, now_s)
@@ -276,6 +279,11 @@
         self._is_replaced = True
         return [PeerChange(PeerChangeKind.SELF_REPLACED, state.info)]
 
+    def _is_joining(self, now_s: float) -> bool:
+        if not self._may_raise_generation:
+            return False
+        return self._joined_s is None or now_s - self._joined_s <= JOIN_WINDOW_S
+
     def _notice_pause(self, now_s: float) -> None:
         gap_s = now_s - self._last_run_s
         self._last_run_s = max(now_s, self._last_run_s)
