Leave out of unchanged peers' reports what receivers know

Reports on unchanged peers carry names and numbers only; a receiver that does not know the run asks for the whole view. Measured with peer_codec on decision code in one process, bytes sent a second per node, before and after: 3 nodes 1752, 1420; 9 nodes 10112, 7456; 40 nodes 3767, 2774; 120 nodes 3843, 2830.

--- a/lentilchute/gossip.py
+++ b/lentilchute/gossip.py
@@ -24,16 +24,16 @@
         """Note that the peer's state changed and has to reach all others."""
         self._remaining[instance] = CHANGE_REPEATS * (peer_count + 1).bit_length()
 
-    def take(self, names: list[InstanceId]) -> list[InstanceId]:
-        """Return the peers whose states go into one heartbeat; ``names`` are all of them."""
-        chosen = self._take_changes()
+    def take_turn(self, names: list[InstanceId]) -> list[InstanceId]:
+        """Return the next unchanged peers in turn; ``names`` are all of them."""
+        chosen: list[InstanceId] = []
         for _ in range(min(self._rotation_limit, len(names))):
             self._position = (self._position + 1) % len(names)
-            if names[self._position] not in chosen:
-                chosen.append(names[self._position])
+            chosen.append(names[self._position])
         return chosen
 
-    def _take_changes(self) -> list[InstanceId]:
+    def take_changes(self) -> list[InstanceId]:
+        """Return the peers whose changes go into one heartbeat, the least told first."""
         by_need = sorted(self._remaining, key=lambda name: -self._remaining[name])
         chosen = by_need[: self._change_limit]
         for name in chosen:
--- a/lentilchute/membership.py
+++ b/lentilchute/membership.py
@@ -150,7 +150,7 @@
         self._sequence += 1
         targets = self._targets()
         asked: set[InstanceId] = set()
-        if self._wants_view:
+        if self._wants_view or self._view.misses_peer:
             asked.update(self._rng.sample(sorted(targets), min(VIEW_REQUESTS, len(targets))))
         outgoing = [
             OutgoingHeartbeat(name, address, self._heartbeat_to(name, wants_view=name in asked))
@@ -228,13 +228,20 @@
         )
 
     def _states_for(self, receiver: InstanceId) -> tuple[PeerState, ...]:
-        names = list(self._view.peers)
-        if receiver not in self._view_wanted_by:
-            names = self._view.gossip.take([name for name in names if name != receiver])
-        states = [self._view.reported_state(name) for name in names]
+        if receiver in self._view_wanted_by:
+            return self._reported(list(self._view.peers))
+        others = [name for name in self._view.peers if name != receiver]
+        changed = [name for name in self._view.gossip.take_changes() if name != receiver]
+        in_turn = [name for name in self._view.gossip.take_turn(others) if name not in changed]
+        states = [*self._reported(changed)]
+        states += [state.brief() for state in self._reported(in_turn)]
         if receiver in self._reply_to and receiver in self._view.peers:
             # That there is another run under its name holds whatever became of that run.
             states.append(self._view.peers[receiver].state)
+        return tuple(states)
+
+    def _reported(self, names: list[InstanceId]) -> tuple[PeerState, ...]:
+        states = [self._view.reported_state(name) for name in names]
         return tuple(state for state in states if state is not None)
 
     def _note_sender(self, heartbeat: Heartbeat, now_s: float) -> None:
@@ -254,6 +261,7 @@
     def _confirm(self, heartbeat: Heartbeat) -> None:
         if heartbeat.is_view:
             self._wants_view = False
+            self._view.misses_peer = False
         alive = [state for state in heartbeat.states if state.status is PeerStatus.ALIVE]
         for state in [heartbeat.sender, *alive]:
             peer = self._view.peers.get(state.info.instance)
--- a/lentilchute/peer_view.py
+++ b/lentilchute/peer_view.py
@@ -4,6 +4,7 @@
 incarnation that is gone is remembered for a while, so that an old report does not bring it back.
 """
 
+import dataclasses
 from dataclasses import dataclass
 
 from .gossip import GossipQueue
@@ -84,6 +85,8 @@
         self.gossip = GossipQueue(settings.change_states, settings.rotation_states)
         self.peers: dict[InstanceId, PeerRecord] = {}
         self.tombstones: dict[IncarnationId, Tombstone] = {}
+        self.misses_peer = False
+        """Set when a brief report names a run that is not known here."""
         self.revision = 0
         """Grows whenever a peer appears, disappears or changes its status."""
 
@@ -97,6 +100,9 @@
     ) -> list[PeerChange]:
         """Take in one report; ``direct`` when it is the sender's word on itself."""
         known = self.peers.get(state.info.instance)
+        if state.is_brief and self._misses(known, state):
+            self.misses_peer = True
+            return []
         if known is None:
             return self._add(state, now_s, direct=direct, confirmed=confirmed)
         if known.info.incarnation == state.info.incarnation:
@@ -132,6 +138,14 @@
         gone = [state for state in stones if state.info.instance == name]
         return gone[-1] if gone else None
 
+    def _misses(self, known: PeerRecord | None, state: PeerState) -> bool:
+        if known is not None:
+            return run_order(state.info) > run_order(known.info) and (
+                state.info.incarnation != known.info.incarnation
+            )
+        stone = self.tombstones.get(state.info.incarnation)
+        return stone is None or state.sequence > stone.state.sequence
+
     def _add(
         self, state: PeerState, now_s: float, *, direct: bool, confirmed: bool
     ) -> list[PeerChange]:
@@ -160,7 +174,7 @@
         self, peer: PeerRecord, state: PeerState, now_s: float, *, direct: bool
     ) -> list[PeerChange]:
         if state.info.generation > peer.info.generation:
-            peer.info = state.info
+            peer.info = dataclasses.replace(peer.info, generation=state.info.generation)
         if not self._is_news(peer, state, now_s):
             return []
         if state.sequence > peer.sequence:
--- a/lentilchute/peers.py
+++ b/lentilchute/peers.py
@@ -1,5 +1,6 @@
 """What nodes tell each other about themselves and their peers: the content of heartbeats."""
 
+import dataclasses
 from dataclasses import dataclass
 from enum import Enum
 
@@ -50,6 +51,16 @@
     status: PeerStatus
     sequence: int
 
+    @property
+    def is_brief(self) -> bool:
+        """Whether the report leaves out what a receiver that knows the run has already."""
+        return not self.info.address
+
+    def brief(self) -> "PeerState":
+        """Return the report with the run's names and numbers only."""
+        info = dataclasses.replace(self.info, address="", callers_address="", region="", roles=())
+        return dataclasses.replace(self, info=info)
+
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
