Free overdue room through the scheduler's outcomes

Change: call the method where it is now. Observed: mypy is clean, the scheduler and system tests that were run pass.

--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -364,7 +364,7 @@
     def _decide(self, now_s: float) -> list[Decision]:
         self._placements.expire(now_s)
         for request_id in self._placements.take_over(now_s):
-            self._release(request_id)
+            self._outcomes.release(request_id)
         if now_s >= self._next_compare_s:
             self._compare_upstreams(now_s)
         decisions: list[Decision] = []
