--- a/lentilchute/membership.py
+++ b/lentilchute/membership.py
@@ -30,7 +30,8 @@
 from .settings import MembershipSettings, Role
 
 JOIN_WINDOW_S = 10.0
-"""A node may raise its own generation above an earlier run's for this long after its start."""
+"""A node may raise its own generation above an earlier run's until this long after a peer first
+answered it; never after a pause, in which it may itself have been replaced."""
 VIEW_REQUESTS = 2
 """A node that needs the whole view asks this many peers for it with each round of heartbeats."""
 
@@ -52,7 +53,7 @@
         self._info = self_info
         self._settings = settings
         self._rng = rng
-        self._started_s = now_s
+        self._joined_s: float | None = None
         self._last_run_s = now_s
         self._status = PeerStatus.ALIVE
         self._sequence = 0
@@ -144,14 +145,16 @@
     def heartbeat(self, now_s: float) -> list[OutgoingHeartbeat]:
         """Return the heartbeats to send now, to a bounded number of peers."""
         self._notice_pause(now_s)
+        if self._is_replaced:
+            return []
         self._sequence += 1
         targets = self._targets()
         asked: set[InstanceId] = set()
-        if self._wants_view:
+        if self._wants_view or self._view.misses_peer:
             asked.update(self._rng.sample(sorted(targets), min(VIEW_REQUESTS, len(targets))))
         outgoing = [
             OutgoingHeartbeat(name, address, self._heartbeat_to(name, wants_view=name in asked))
-            for name, address in targets.items()
+            for name, address in [*targets.items(), *self._replies(targets)]
         ]
         self._view_wanted_by.clear()
         self._reply_to.clear()
@@ -168,6 +171,7 @@
             changes += self._merge(state, now_s, direct=False)
         self._note_sender(heartbeat, now_s)
         if self.is_fresh(heartbeat):
+            self._joined_s = now_s if self._joined_s is None else self._joined_s
             self._confirm(heartbeat)
         return changes
 
@@ -184,7 +188,7 @@
         return self._view.judge_silence(now_s)
 
     def _targets(self) -> dict[InstanceId, str]:
-        targets = dict(self._reply_to)
+        targets: dict[InstanceId, str] = {}
         for name in [*self._regular_targets(), *sorted(self._view_wanted_by)]:
             if name in self._view.peers:
                 targets[name] = self._view.peers[name].info.address
@@ -192,6 +196,10 @@
             targets.setdefault(name, address)
         return targets
 
+    def _replies(self, targets: dict[InstanceId, str]) -> list[tuple[InstanceId, str]]:
+        """Return the runs to answer that do not know of another one under their name."""
+        return [item for item in self._reply_to.items() if targets.get(item[0]) != item[1]]
+
     def _regular_targets(self) -> list[InstanceId]:
         known = list(self._view.peers)
         if self._view.is_full_mesh:
@@ -220,11 +228,19 @@
         )
 
     def _states_for(self, receiver: InstanceId) -> tuple[PeerState, ...]:
-        names = list(self._view.peers)
-        if receiver not in self._view_wanted_by:
-            names = self._view.gossip.take([name for name in names if name != receiver])
-        if receiver in self._reply_to and receiver not in names:
-            names.append(receiver)
+        if receiver in self._view_wanted_by:
+            return self._reported(list(self._view.peers))
+        others = [name for name in self._view.peers if name != receiver]
+        changed = [name for name in self._view.gossip.take_changes() if name != receiver]
+        in_turn = [name for name in self._view.gossip.take_turn(others) if name not in changed]
+        states = [*self._reported(changed)]
+        states += [state.brief() for state in self._reported(in_turn)]
+        if receiver in self._reply_to and receiver in self._view.peers:
+            # That there is another run under its name holds whatever became of that run.
+            states.append(self._view.peers[receiver].state)
+        return tuple(states)
+
+    def _reported(self, names: list[InstanceId]) -> tuple[PeerState, ...]:
         states = [self._view.reported_state(name) for name in names]
         return tuple(state for state in states if state is not None)
 
@@ -237,13 +253,15 @@
             return
         if heartbeat.wants_view:
             self._view_wanted_by.add(sender.instance)
-        if heartbeat.heard > peer.echoed:
+        # A higher number than this run has sent speaks of an earlier run under this name.
+        if peer.echoed < heartbeat.heard <= self._sequence:
             peer.echoed = heartbeat.heard
             peer.echo_s = now_s
 
     def _confirm(self, heartbeat: Heartbeat) -> None:
         if heartbeat.is_view:
             self._wants_view = False
+            self._view.misses_peer = False
         alive = [state for state in heartbeat.states if state.status is PeerStatus.ALIVE]
         for state in [heartbeat.sender, *alive]:
             peer = self._view.peers.get(state.info.instance)
@@ -260,7 +278,7 @@
             return []
         if run_order(state.info) < run_order(self._info):
             return self._view.bury_earlier_run(state, now_s)
-        if self._may_raise_generation and now_s - self._started_s <= JOIN_WINDOW_S:
+        if self._is_joining(now_s):
             later = state.info.generation + 1
             self._info = dataclasses.replace(self._info, generation=later)
             return self._view.bury_earlier_run(state, now_s)
@@ -269,6 +287,11 @@
         self._is_replaced = True
         return [PeerChange(PeerChangeKind.SELF_REPLACED, state.info)]
 
+    def _is_joining(self, now_s: float) -> bool:
+        if not self._may_raise_generation:
+            return False
+        return self._joined_s is None or now_s - self._joined_s <= JOIN_WINDOW_S
+
     def _notice_pause(self, now_s: float) -> None:
         gap_s = now_s - self._last_run_s
         self._last_run_s = max(now_s, self._last_run_s)
