--- /dev/null
+++ b/lentilchute/claim_holders.py
@@ -0,0 +1,23 @@
+"""Answers for a key that a request of this very process holds or is claiming."""
+
+from .claim_actions import ClaimAction, ClaimResolved
+from .claim_answers import ClaimAnswer, ClaimRequest, ClaimState
+from .key_claim import Intent, KeyClaim
+
+
+def answer_again(claim: KeyClaim) -> list[ClaimAction]:
+    """Answer a request that asks once more for the key that it holds."""
+    if claim.intent is not Intent.HOLD:
+        return []
+    return [ClaimResolved(claim.request.request_id, ClaimAnswer(ClaimState.GRANTED))]
+
+
+def answer_of_holder(holder: KeyClaim, request: ClaimRequest) -> ClaimAnswer:
+    """Answer for a key that another request of this process holds or is claiming."""
+    if holder.intent is Intent.CLAIM:
+        return ClaimAnswer(ClaimState.RUNNING_ELSEWHERE)
+    if holder.request.fingerprint != request.fingerprint:
+        return ClaimAnswer(ClaimState.OTHER_BODY)
+    if holder.intent is Intent.FINISH:
+        return ClaimAnswer(ClaimState.FINISHED, holder.kept)
+    return ClaimAnswer(ClaimState.RUNNING_ELSEWHERE)
--- a/lentilchute/claims.py
+++ b/lentilchute/claims.py
@@ -27,6 +27,7 @@
     ReadTable,
 )
 from .claim_answers import ClaimAnswer, ClaimRequest, ClaimState, KeptAnswer
+from .claim_holders import answer_again, answer_of_holder
 from .claim_index import ClaimIndex
 from .claim_records import answer_object_key, claim_key, decode_answer, encode_answer
 from .claim_writes import build_batch
@@ -88,10 +89,10 @@
         key = claim_key(request)
         known = self._index.by_request(request.request_id)
         if known is not None:
-            return _answer_again(known)
+            return answer_again(known)
         holder = self._index.by_key(key)
         if holder is not None:
-            return [ClaimResolved(request.request_id, _answer_of_holder(holder, request))]
+            return [ClaimResolved(request.request_id, answer_of_holder(holder, request))]
         if self._index.unresolved() >= self._settings.max_unresolved:
             refused = ClaimAnswer(ClaimState.TABLE_UNAVAILABLE)
             return [ClaimResolved(request.request_id, refused)]
@@ -403,20 +404,3 @@
     def _new_id(self) -> int:
         self._last_id += 1
         return self._last_id
-
-
-def _answer_again(claim: KeyClaim) -> list[ClaimAction]:
-    if claim.intent is not Intent.HOLD:
-        return []
-    return [ClaimResolved(claim.request.request_id, ClaimAnswer(ClaimState.GRANTED))]
-
-
-def _answer_of_holder(holder: KeyClaim, request: ClaimRequest) -> ClaimAnswer:
-    """Answer for a key that another request of this process holds or is claiming."""
-    if holder.intent is Intent.CLAIM:
-        return ClaimAnswer(ClaimState.RUNNING_ELSEWHERE)
-    if holder.request.fingerprint != request.fingerprint:
-        return ClaimAnswer(ClaimState.OTHER_BODY)
-    if holder.intent is Intent.FINISH:
-        return ClaimAnswer(ClaimState.FINISHED, holder.kept)
-    return ClaimAnswer(ClaimState.RUNNING_ELSEWHERE)
