--- a/lentilchute/admission.py
+++ b/lentilchute/admission.py
@@ -2,7 +2,7 @@
 
 from .document import ServiceDocument
 from .ids import Tier
-from .placing import DEADLINE_MARGIN, UpstreamPool
+from .placing import UpstreamPool, deadline_margin
 from .policy import Policy
 from .settings import SchedulerSettings
 from .suspects import SuspectBook
@@ -54,7 +54,7 @@
         """Return the latest time at which a ticket may start."""
         if not self._policy.deadline_refusal:
             return ticket.deadline_s
-        return ticket.deadline_s - DEADLINE_MARGIN * self._pool.quickest_s(ticket)
+        return ticket.deadline_s - deadline_margin(ticket.tier) * self._pool.quickest_s(ticket)
 
     def _is_hopeless(self, ticket: Ticket, now_s: float) -> bool:
         """Tell whether a new ticket would wait until it is too late."""
--- a/lentilchute/placing.py
+++ b/lentilchute/placing.py
@@ -25,6 +25,9 @@
 DEADLINE_MARGIN = 1.15
 """Factor on the expected time of an answer that has to fit before the deadline."""
 
+TOP_TIER_DEADLINE_MARGIN = 0.8
+"""The same for the highest tier, which is refused only when there is hardly any hope."""
+
 HOLD_FACTOR = 3.0
 """A ticket may wait this many times the prefill time that it saves by waiting."""
 
@@ -34,6 +37,9 @@
 MIN_HOLD_TOKENS = 512
 """Prompt tokens that such an upstream has to save."""
 
+MIN_AFFINITY_TOKENS = 256
+"""Fewer cached tokens do not count: they would gather an account's requests on few upstreams."""
+
 PREFILL_WEIGHT = 2.0
 """How much the time of a prompt counts against an upstream besides the wait for it."""
 
@@ -185,7 +191,7 @@
     def _is_too_late(self, choice: Choice, ticket: Ticket, now_s: float) -> bool:
         if not self._policy.deadline_refusal:
             return False
-        return now_s + DEADLINE_MARGIN * choice.finish_s > ticket.deadline_s
+        return now_s + deadline_margin(ticket.tier) * choice.finish_s > ticket.deadline_s
 
     def quickest_s(self, ticket: Ticket) -> float:
         """Return the least time in which an idle upstream is expected to answer a ticket.
@@ -227,7 +233,8 @@
     def _cached_tokens(self, load: UpstreamLoad, ticket: Ticket) -> int:
         if not self._policy.prefix_affinity:
             return 0
-        return self._prefixes.cached_tokens(load.upstream, ticket.prefix_hashes)
+        cached_tokens = self._prefixes.cached_tokens(load.upstream, ticket.prefix_hashes)
+        return cached_tokens if cached_tokens >= MIN_AFFINITY_TOKENS else 0
 
     def _must_stay_free(self, choice: Choice, ticket: Ticket) -> bool:
         """Tell whether a lower tier's long prompt would take an upstream kept for short ones."""
@@ -241,6 +248,11 @@
         return free <= math.ceil(KEPT_UPSTREAMS_SHARE * len(is_open)) and len(is_open) > 1
 
 
+def deadline_margin(tier: Tier) -> float:
+    """Return the factor on expected times that are compared with a tier's deadlines."""
+    return TOP_TIER_DEADLINE_MARGIN if tier == 0 else DEADLINE_MARGIN
+
+
 def _rank(choice: Choice) -> tuple[float, float]:
     load = choice.load
     # A prompt also takes time from the streams beside it.
