--- a/lentilchute/http_requests.py
+++ b/lentilchute/http_requests.py
@@ -37,6 +37,12 @@
     linger_s: float = 2.0
     """How long a closing connection is still read, so that the last answer is not lost."""
 
+    @property
+    def told_keep_alive_s(self) -> int:
+        """What callers are told: whole seconds, a linger time before the server would close."""
+        kept_s = min(self.advertised_keep_alive_s, self.keep_alive_timeout_s - self.linger_s)
+        return max(0, int(kept_s))
+
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
@@ -86,7 +92,6 @@
 
 def input_error(status: int, reason: str, message: str) -> InputError:
     """Return the error for input that the server itself refuses; the request did not run."""
-    headers: Headers = (JSON_HEADER, (OUTCOME_HEADER, "not-run"))
-    if status == 503:
-        headers += ((RETRY_AFTER_HEADER, "1"),)
-    return InputError(HeadRefusal(status, headers, error_body(reason, message)), message)
+    headers = (JSON_HEADER, (OUTCOME_HEADER, "not-run"), (RETRY_AFTER_HEADER, "1"))
+    body = error_body(reason, message, "not-run")
+    return InputError(HeadRefusal(status, headers, body), message)
--- a/lentilchute/messages.py
+++ b/lentilchute/messages.py
@@ -5,7 +5,9 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
+from .claim_actions import ClaimQuery, ClaimReplyState
 from .ids import (
     Attempt,
     DocumentVersion,
@@ -168,28 +170,39 @@
     verdicts: tuple[PoisonVerdict, ...]
 
 
+class UpstreamNews(Enum):
+    """What a node learned about an upstream."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    """The upstream itself says that it is leaving."""
+    DRAINED = "drained"
+    """An operator took it out."""
+    UNDRAINED = "undrained"
+
+
 @peer_message("upstream_notice")
 @dataclass(frozen=True, slots=True)
 class UpstreamNotice:
-    """An upstream's new state as the sender learned it: ``leaving`` or ``live``."""
+    """News of an upstream, from the upstream itself or an operator."""
 
     upstream: UpstreamId
-    state: str
+    news: UpstreamNews
 
 
-@peer_message("status_request")
+@peer_message("claim_question")
 @dataclass(frozen=True, slots=True)
-class StatusRequest:
-    """Asks a node for its part of the status that operators see."""
+class ClaimQuestion:
+    """A node that met another's claim asks the claimant about it."""
 
     query_id: int
-    asker: InstanceId
+    query: ClaimQuery
 
 
-@peer_message("status_reply")
+@peer_message("claim_reply")
 @dataclass(frozen=True, slots=True)
-class StatusReply:
-    """A node's status as JSON text, the same as its operators' port gives."""
+class ClaimReply:
+    """The claimant's answer."""
 
     query_id: int
-    body: str
+    state: ClaimReplyState
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -118,6 +118,7 @@
   6: string zone
   7: string region
   8: list<string> roles
+  9: string operators_address
 }
 
 struct PeerState {
@@ -162,19 +163,25 @@
   2: list<PoisonVerdict> verdicts
 }
 
-struct UpstreamNotice {
-  1: string upstream
-  2: string state
+struct ClaimQuery {
+  1: string claimant
+  2: string key
+  3: string token
 }
 
-struct StatusRequest {
+struct ClaimQuestion {
   1: i64 query_id
-  2: string asker
+  2: ClaimQuery query
 }
 
-struct StatusReply {
+struct ClaimReply {
   1: i64 query_id
-  2: string body
+  2: string state
+}
+
+struct UpstreamNotice {
+  1: string upstream
+  2: string news
 }
 
 struct PeerMessage {
@@ -194,8 +201,8 @@
   14: optional PoisonNotice poison_notice
   15: optional SchedulerAck scheduler_ack
   16: optional UpstreamNotice upstream_notice
-  17: optional StatusRequest status_request
-  18: optional StatusReply status_reply
+  17: optional ClaimQuestion claim_question
+  18: optional ClaimReply claim_reply
 }
 
 struct Hello {
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -134,13 +134,20 @@
         return self._decide(now_s)
 
     def mark_leaving(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
-        """Grant nothing more to an upstream until it is removed and added again."""
+        """Grant nothing more to an upstream until ``mark_live``."""
         load = self._pool.get(upstream_id)
         if load is not None:
             load.leaving = True
             self._pool.touch(load)
         return self._decide(now_s)
 
+    def mark_live(self, upstream_id: UpstreamId, now_s: float) -> list[Decision]:
+        """An upstream that was leaving takes work again."""
+        load = self._pool.get(upstream_id)
+        if load is not None:
+            load.leaving = False
+        return self._decide(now_s)
+
     def load_report(self, report: LoadReport, now_s: float) -> list[Decision]:
         """Take an upstream's lagging word on its load."""
         return self._decide(now_s)
@@ -305,6 +312,10 @@
         if placement is not None and placement.state is PlacementState.UNCONFIRMED:
             # The entry still waits after the grant expired, so it did not use the grant.
             self._outcomes.release(ticket.request_id)
+        if self._ended.get(ticket.request_id) == ticket.attempt:
+            # The entry has not heard the refusal of this attempt: it is decided anew, so that its
+            # caller does not wait in vain and no lower tier's ticket stays in its place.
+            del self._ended[ticket.request_id]
         if not self._is_news(ticket):
             return []
         self._forget(ticket.request_id)
@@ -345,14 +356,18 @@
 
     def next_tick_s(self) -> float:
         """Return when ``tick`` has work; infinity for never."""
+        placements = self._placements
         return min(
             self._waiting.next_late_s(),
-            self._placements.next_expiry_s(),
+            placements.next_expiry_s(),
+            placements.next_over_s(),
             self._granter.next_hold_end_s,
         )
 
     def _decide(self, now_s: float) -> list[Decision]:
         self._placements.expire(now_s)
+        for request_id in self._placements.take_over(now_s):
+            self._outcomes.release(request_id)
         if now_s >= self._next_compare_s:
             self._compare_upstreams(now_s)
         decisions: list[Decision] = []
--- a/test/test_answer_relay.py
+++ b/test/test_answer_relay.py
@@ -1,18 +1,33 @@
 """Tests of passing an answer on: whole, without gaps or repeats, never a clean short one."""
 
-from entry_fixtures import BOOKING, dispatched, has, new_entry, only
+from dataclasses import replace
+
+from entry_fixtures import (
+    BOOKING,
+    FIRST,
+    REQUEST,
+    SHARD,
+    dispatched,
+    grant,
+    has,
+    new_entry,
+    only,
+)
 
 from lentilchute.entry_actions import (
     BreakAnswer,
     KeepAnswer,
     RecordGoodput,
     RecordWastedPrefill,
+    ReportEnded,
     ReportProgress,
     ResumeUpstream,
     SendEnd,
     SendPart,
     SendRefusal,
+    SendUpstream,
 )
+from lentilchute.tickets import EndState
 from lentilchute.upstreams import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
 
 
@@ -28,6 +43,13 @@
     assert only(actions, RecordGoodput).first_token_s == 1.0
 
 
+def test_an_upstream_is_given_the_services_idle_timeout() -> None:
+    requests = new_entry()
+    request_id, _ = requests.accept(replace(REQUEST, stream_idle_timeout_s=3.0), 0.0)
+    actions = requests.granted(SHARD, grant(request_id), FIRST, 0.0)
+    assert only(actions, SendUpstream).request.idle_timeout_s == 3.0
+
+
 def test_a_broken_stream_is_resumed_without_repeats() -> None:
     requests = new_entry()
     request_id = dispatched(requests)
@@ -66,6 +88,14 @@
     assert not has(actions, SendEnd)
 
 
+def test_a_crash_is_reported_at_once() -> None:
+    requests = new_entry()
+    request_id = dispatched(requests)
+    requests.answer_item(request_id, UpstreamFault.RESET, 1.0)
+    actions = requests.answer_item(request_id, UpstreamFault.NOT_SENT, 1.0)
+    assert only(actions, ReportEnded).end is EndState.UPSTREAM_CRASHED
+
+
 def test_a_later_resume_waits_for_its_time() -> None:
     requests = new_entry()
     request_id = dispatched(requests)
