Split the exchanges with upstreams from the entry controller, and survive an adapter's error

Change: UpstreamExchanges runs the sends, resumes and cancels; an error is logged and ends its own request, as not sent before the first byte and as reset after it. Claim expiry is swept by one node; readiness and upstream crashes are logged. Observed: the new tests pass; without the try the node's run ends by the adapter's RuntimeError.

--- a/lentilchute/configuration_controller.py
+++ b/lentilchute/configuration_controller.py
@@ -32,6 +32,7 @@
         self._context = context
         self._book = context.configuration
         self._nursery: trio.Nursery | None = None
+        self._was_ready = False
         context.peer_listeners.append(self._on_peer_change)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
@@ -47,9 +48,17 @@
             while True:
                 now_s = self._context.now_s()
                 self._execute(self._book.tick(now_s))
+                self._log_readiness(now_s)
                 pause_s = self._book.next_tick_s() - now_s
                 await trio.sleep(min(max(pause_s, 0.01), MAX_SLEEP_S))
 
+    def _log_readiness(self, now_s: float) -> None:
+        is_ready = self._book.is_ready(now_s)
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            event = Event.NODE_READY if is_ready else Event.NODE_NOT_READY
+            log_event(event, instance=self._context.instance)
+
     def learn(self, service: ServiceName, version: int, text: str) -> None:
         """Put an accepted change in force here at once."""
         number = DocumentVersion(version)
--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry_controller.py
@@ -1,7 +1,6 @@
 """Controller that serves callers: it drives ``EntryRequests`` and carries out its actions."""
 
 from collections.abc import Callable, Iterable, Mapping
-from contextlib import aclosing
 from typing import Any
 
 import trio
@@ -38,7 +37,7 @@
 from .entry_requests import EntryRequests
 from .events import Event, log_event
 from .http_responder import Responder
-from .ids import InstanceId, RequestId, ServiceName, UpstreamId, service_of, shard_id
+from .ids import Attempt, InstanceId, RequestId, ServiceName, UpstreamId, service_of, shard_id
 from .local_share import LocalUpstream
 from .messages import (
     Declined,
@@ -57,7 +56,8 @@
 from .node_context import MessageHandler, NodeContext, node_controller, repeat, wait_until
 from .peers import PeerChange
 from .settings import Role
-from .upstreams import AnswerItem, UpstreamFault
+from .upstream_exchanges import ExchangeHooks, UpstreamExchanges
+from .upstreams import AnswerItem
 
 PROGRESS_INTERVAL_S = 0.1
 ORDER_INTERVAL_S = 0.5
@@ -79,9 +79,9 @@
         self._callers = CallerInterface(context, self)
         self._answers: dict[RequestId, CallerAnswer] = {}
         self._accepted: dict[RequestId, tuple[AcceptedRequest, float]] = {}
-        self._sends: dict[RequestId, trio.CancelScope] = {}
         self._progress: dict[tuple[InstanceId, ServiceName], dict[RequestId, int]] = {}
-        self._nursery: trio.Nursery | None = None
+        hooks = ExchangeHooks(self._may_send, self._on_item, self._wait_for_room)
+        self._exchanges = UpstreamExchanges(context.directory, hooks)
         self._wake = trio.Event()
         self._carry_out = self._action_table()
         context.document_listeners.append(self._on_document)
@@ -99,8 +99,8 @@
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             nursery.start_soon(self._claims.run)
+            nursery.start_soon(self._exchanges.run)
             nursery.start_soon(repeat, PROGRESS_INTERVAL_S, self._send_progress)
             nursery.start_soon(repeat, ORDER_INTERVAL_S, self._update_orders)
             nursery.start_soon(self._run_timer)
@@ -235,9 +235,9 @@
             ReleaseKey: lambda one: self._claims.release(one.request_id),
             KeepAnswer: lambda one: self._claims.finished(one.request_id, one.kept),
             LeaveKey: lambda one: self._claims.left(one.request_id),
-            SendUpstream: self._start_send,
-            ResumeUpstream: self._start_resume,
-            CancelUpstream: self._cancel_upstream,
+            SendUpstream: self._exchanges.send,
+            ResumeUpstream: self._exchanges.resume,
+            CancelUpstream: self._exchanges.cancel,
             SendHead: self._answer_caller,
             SendPart: self._answer_caller,
             SendEnd: self._answer_caller,
@@ -327,78 +327,24 @@
 
     # Upstreams.
 
-    def _start_send(self, action: SendUpstream) -> None:
-        if self._nursery is not None:
-            self._nursery.start_soon(self._send, action)
-
-    async def _send(self, action: SendUpstream) -> None:
-        request_id = action.request.request_id
-        adapter = self._context.directory.adapter(action.upstream)
-        if adapter is None:
-            self._on_item(request_id, UpstreamFault.NOT_SENT)
-            return
-
-        def may_send() -> bool:
-            now_s = self._context.now_s()
-            if not self._requests.may_send(request_id, action.attempt, now_s):
-                return False
-            log_event(Event.REQUEST_DISPATCHED, request_id=request_id, upstream=action.upstream)
-            self._execute(self._requests.take_actions())
-            self._measure_dispatch(request_id, now_s)
-            return True
-
-        await self._relay(request_id, adapter.send(action.request, may_send))
-
-    def _measure_dispatch(self, request_id: RequestId, now_s: float) -> None:
+    def _may_send(self, request_id: RequestId, attempt: Attempt) -> bool:
+        now_s = self._context.now_s()
+        if not self._requests.may_send(request_id, attempt, now_s):
+            return False
+        self._execute(self._requests.take_actions())
         accepted = self._accepted.get(request_id)
         if accepted is not None:
             request, accepted_s = accepted
             self._context.metrics.dispatched(request.service, request.tier, now_s - accepted_s)
-
-    def _start_resume(self, action: ResumeUpstream) -> None:
-        self._stop_reading(action.request_id)
-        if self._nursery is not None:
-            self._nursery.start_soon(self._resume, action)
-
-    async def _resume(self, action: ResumeUpstream) -> None:
-        adapter = self._context.directory.adapter(action.upstream)
-        if adapter is None:
-            self._on_item(action.request_id, UpstreamFault.NOT_SENT)
-            return
-        log_event(
-            Event.STREAM_RESUMED, request_id=action.request_id, after_event=action.after_event
-        )
-        await self._relay(action.request_id, adapter.resume(action.request_id, action.after_event))
-
-    async def _relay(self, request_id: RequestId, items: Any) -> None:
-        """Feed an upstream's answer to the decisions, no faster than the caller takes it."""
-        with trio.CancelScope() as scope:
-            self._sends[request_id] = scope
-            async with aclosing(items):
-                async for item in items:
-                    if self._sends.get(request_id) is not scope:
-                        # The stream was resumed or cancelled; what this one still holds is stale.
-                        break
-                    self._on_item(request_id, item)
-                    answer = self._answers.get(request_id)
-                    if answer is not None:
-                        await answer.wait_for_room()
-        if self._sends.get(request_id) is scope:
-            del self._sends[request_id]
+        return True
 
     def _on_item(self, request_id: RequestId, item: AnswerItem) -> None:
         self._execute(self._requests.answer_item(request_id, item, self._context.now_s()))
 
-    def _stop_reading(self, request_id: RequestId) -> None:
-        scope = self._sends.pop(request_id, None)
-        if scope is not None:
-            scope.cancel()
-
-    def _cancel_upstream(self, action: CancelUpstream) -> None:
-        self._stop_reading(action.request_id)
-        adapter = self._context.directory.adapter(action.upstream)
-        if adapter is not None and self._nursery is not None:
-            self._nursery.start_soon(adapter.cancel, action.request_id)
+    async def _wait_for_room(self, request_id: RequestId) -> None:
+        answer = self._answers.get(request_id)
+        if answer is not None:
+            await answer.wait_for_room()
 
     # Time.
 
--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -35,6 +35,7 @@
     STREAM_RESUMED = EventInfo(205, "A broken stream was taken up again after its last event.")
     CALLER_GONE = EventInfo(206, "A caller left before its answer was complete.")
     BAD_INPUT = EventInfo(207, "A connection sent input that the protocol does not allow.")
+    ADAPTER_FAILED = EventInfo(208, "An upstream adapter raised an error; the node goes on.")
     ROUTE_GRANTED = EventInfo(300, "A scheduler chose an upstream for a ticket, with its reasons.")
     ROUTE_REFUSED = EventInfo(301, "A scheduler refused a waiting ticket, with its reason.")
     ROUTE_SCHEDULER = EventInfo(302, "An entry chose the scheduler of a shard.")
--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -11,6 +11,7 @@
 import trio
 
 from . import (
+    claim_expiry_controller,
     configuration_controller,
     entry_controller,
     membership_controller,
@@ -43,6 +44,7 @@
 from .upstream_directory import UpstreamDirectory
 
 REGISTERED = (
+    claim_expiry_controller,
     configuration_controller,
     entry_controller,
     membership_controller,
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -28,7 +28,7 @@
 from .scheduler import ShardScheduler
 from .settings import Role
 from .shard_status import ShardStatus
-from .tickets import Decision, Grant, Refusal
+from .tickets import Decision, EndState, Grant, Refusal
 from .upstream_controller import UpstreamController
 from .upstream_directory import KnownUpstream
 from .upstreams import UpstreamAdapter
@@ -143,6 +143,10 @@
             self._deliver(hosted, hosted.scheduler.tick(now_s))
 
     def _on_ended(self, sender: InstanceId, message: Ended) -> None:
+        if message.end is EndState.UPSTREAM_CRASHED:
+            log_event(
+                Event.UPSTREAM_CRASHED, service=message.service, request_id=message.request_id
+            )
         hosted = self._shards.get(message.service)
         if hosted is not None:
             decisions = hosted.scheduler.ended(
--- /dev/null
+++ b/test/test_upstream_exchanges.py
@@ -0,0 +1,104 @@
+"""Tests of the tasks between an entry's decisions and the upstream adapters."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from lentilchute.entry_actions import ResumeUpstream, SendUpstream
+from lentilchute.ids import Attempt, RequestId, UpstreamId
+from lentilchute.upstream_exchanges import ExchangeHooks, UpstreamExchanges
+from lentilchute.upstreams import AnswerItem, AnswerPart, UpstreamFault, UpstreamRequest
+
+REQUEST = RequestId("entry-1.a/1")
+ENGINE = UpstreamId("engine-1")
+
+
+class FakeAdapter:
+    """Sends one part for ever from where it is asked to, or raises."""
+
+    def __init__(self, raises_after_first_byte: bool | None = None) -> None:
+        self._raises_after_first_byte = raises_after_first_byte
+
+    async def send(
+        self, request: UpstreamRequest, before_first_byte: Callable[[], bool]
+    ) -> AsyncIterator[AnswerItem]:
+        if self._raises_after_first_byte is False:
+            raise RuntimeError("a bug")
+        assert before_first_byte()
+        if self._raises_after_first_byte:
+            raise RuntimeError("a bug")
+        while True:
+            yield AnswerPart(b"first")
+            await trio.sleep(1)
+
+    async def resume(self, request_id: RequestId, after_event: int) -> AsyncIterator[AnswerItem]:
+        while True:
+            yield AnswerPart(b"resumed")
+            await trio.sleep(1)
+
+
+class FakeDirectory:
+    """Knows one adapter."""
+
+    def __init__(self, adapter: FakeAdapter) -> None:
+        self._adapter = adapter
+
+    def adapter(self, upstream: UpstreamId) -> FakeAdapter:
+        return self._adapter
+
+
+def run(adapter: FakeAdapter, script: Callable[[UpstreamExchanges], Any]) -> list[AnswerItem]:
+    """Run ``script`` with exchanges over ``adapter`` and return the items that came."""
+    items: list[AnswerItem] = []
+
+    async def no_wait(request_id: RequestId) -> None:
+        await trio.lowlevel.checkpoint()
+
+    hooks = ExchangeHooks(
+        lambda request_id, attempt: True, lambda request_id, item: items.append(item), no_wait
+    )
+    directory: Any = FakeDirectory(adapter)
+
+    async def main() -> None:
+        exchanges = UpstreamExchanges(directory, hooks)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(exchanges.run)
+            await trio.testing.wait_all_tasks_blocked()
+            await script(exchanges)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return items
+
+
+def send_action() -> SendUpstream:
+    request = UpstreamRequest(REQUEST, "POST", "/v1/chat/completions", (), b"{}", True)
+    return SendUpstream(ENGINE, Attempt(1), request)
+
+
+@pytest.mark.parametrize(
+    ("after_first_byte", "fault"),
+    [(False, UpstreamFault.NOT_SENT), (True, UpstreamFault.RESET)],
+)
+def test_an_adapters_error_ends_its_request_truthfully_and_nothing_else(
+    after_first_byte: bool, fault: UpstreamFault
+) -> None:
+    async def script(exchanges: UpstreamExchanges) -> None:
+        exchanges.send(send_action())
+        await trio.sleep(5)
+
+    assert run(FakeAdapter(after_first_byte), script) == [fault]
+
+
+def test_a_resume_takes_the_place_of_the_first_reading() -> None:
+    async def script(exchanges: UpstreamExchanges) -> None:
+        exchanges.send(send_action())
+        await trio.sleep(2.5)
+        exchanges.resume(ResumeUpstream(ENGINE, REQUEST, 1))
+        await trio.sleep(2.5)
+
+    items = run(FakeAdapter(), script)
+    assert items == [AnswerPart(b"first")] * 3 + [AnswerPart(b"resumed")] * 3
