End drains by command, and print coverage in the test summary

Cause: a drained upstream could be used again only by stopping every node; the state machines' counts were captured and shown only on a failure. Also the comparison of full membership with iterative resolution.

--- a/lentilchute/operator_api.py
+++ b/lentilchute/operator_api.py
@@ -152,7 +152,7 @@
 
 
 class DrainAnswer(WireModel):
-    """Answer to ``POST /upstreams/{id}/drain``."""
+    """Answer to ``POST /upstreams/{id}/drain`` and to ``undrain``."""
 
     upstream: UpstreamId
     known: bool
@@ -224,3 +224,7 @@
     async def drain(self, upstream: UpstreamId) -> DrainAnswer:
         """Give an upstream no new work from this node, and tell the other nodes."""
         ...
+
+    async def undrain(self, upstream: UpstreamId) -> DrainAnswer:
+        """End a drain on this node, and tell the other nodes."""
+        ...
--- a/lentilchute/operator_client.py
+++ b/lentilchute/operator_client.py
@@ -81,6 +81,12 @@
         request = self._request("POST", f"/services/{service}/document", body)
         return await self._call(request, ChangeAnswer)
 
+    async def undrain(self, upstream: UpstreamId) -> Result[DrainAnswer, OperatorFault]:
+        """End a drain on the node, which tells the others."""
+        return await self._call(
+            self._request("POST", f"/upstreams/{upstream}/undrain"), DrainAnswer
+        )
+
     async def drain(self, upstream: UpstreamId) -> Result[DrainAnswer, OperatorFault]:
         """Ask the node to give an upstream no new work."""
         return await self._call(self._request("POST", f"/upstreams/{upstream}/drain"), DrainAnswer)
--- a/lentilchute/operator_controller.py
+++ b/lentilchute/operator_controller.py
@@ -130,6 +130,11 @@
         known = self._context.controller(UpstreamController).drain(upstream)
         return DrainAnswer(upstream=upstream, known=known)
 
+    async def undrain(self, upstream: UpstreamId) -> DrainAnswer:
+        """End a drain on this node, and tell the other nodes."""
+        known = self._context.controller(UpstreamController).undrain(upstream)
+        return DrainAnswer(upstream=upstream, known=known)
+
     def _accepted(self, change: DocumentChange, operation: ApplyOperation) -> ChangeAnswer:
         version = operation.accepted_version
         log_event(
--- a/lentilchute/operator_routes.py
+++ b/lentilchute/operator_routes.py
@@ -153,6 +153,11 @@
     return _json(STATUS_OF_CHANGE[answer.state], answer)
 
 
+@_route("POST", "/upstreams/{}/undrain")
+async def _undrain(api: OperatorApi, name: str, body: bytes) -> Reply:
+    return _json(HTTPStatus.OK, await api.node.undrain(UpstreamId(name)))
+
+
 @_route("POST", "/upstreams/{}/drain")
 async def _drain(api: OperatorApi, name: str, body: bytes) -> Reply:
     answer = await api.node.drain(UpstreamId(name))
--- a/lentilchute/ui/drain.py
+++ b/lentilchute/ui/drain.py
@@ -26,6 +26,7 @@
     told: tuple[str, ...]
     silent: tuple[str, ...]
     in_flight: int
+    undone: bool = False
 
 
 @register_command("drain", help="Give an upstream no new work and wait until it is idle.")
@@ -37,6 +38,7 @@
     wait_s: Annotated[
         float, cappa.Arg(long=True, help="How long to wait until nothing is in flight there.")
     ] = 300.0
+    undo: Annotated[bool, cappa.Arg(long=True, help="End the drain instead.")] = False
     json: Annotated[bool, cappa.Arg(long=True, help="Print the result as JSON.")] = False
 
     def __call__(self) -> ExitCode:
@@ -54,20 +56,24 @@
         upstream = UpstreamId(self.upstream)
         addresses, key = self.addresses_and_key()
         async with open_cluster(self) as cluster:
-            told, failed = await _tell(upstream, cluster)
+            told, failed = await _tell(upstream, cluster, undo=self.undo)
         if not told:
             raise UserError(f"no node knows an upstream {upstream}")
         silent = {node.name for node in cluster.status.silent} | set(failed)
+        if self.undo:
+            return Drained(upstream, tuple(told), tuple(sorted(silent)), 0, undone=True)
         left = await _wait_idle(upstream, addresses, key, self.wait_s, progress)
         return Drained(upstream, tuple(told), tuple(sorted(silent)), left)
 
 
-async def _tell(upstream: UpstreamId, cluster: Cluster) -> tuple[list[str], list[str]]:
+async def _tell(
+    upstream: UpstreamId, cluster: Cluster, *, undo: bool
+) -> tuple[list[str], list[str]]:
     """Return the nodes that know the upstream and were told, and those that failed."""
     told: list[str] = []
     failed: list[str] = []
     for instance, client in sorted(cluster.clients.items()):
-        result = await client.drain(upstream)
+        result = await (client.undrain(upstream) if undo else client.drain(upstream))
         if isinstance(result, Err):
             failed.append(instance)
         elif result.ok_value.known:
@@ -114,6 +120,8 @@
 
 def as_text(drained: Drained) -> str:
     """Return the result in words."""
+    if drained.undone:
+        return f"{drained.upstream} may get new work again from {len(drained.told)} nodes"
     lines = [f"{drained.upstream} gets no new work from {len(drained.told)} nodes"]
     if drained.silent:
         lines.append(f"no answer from: {', '.join(drained.silent)}")
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -1,5 +1,7 @@
 """Settings shared by all tests: hypothesis draws the same examples in every run."""
 
+import pytest
+from coverage_counter import REPORTS
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
@@ -10,3 +12,9 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile("ci")
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print how often each state machine reached its faults and situations."""
+    for line in REPORTS:
+        terminalreporter.write_line(line)
--- a/test/coverage_counter.py
+++ b/test/coverage_counter.py
@@ -2,6 +2,9 @@
 
 from collections import Counter
 
+REPORTS: list[str] = []
+"""Lines for the end of the test run."""
+
 
 class CoverageCounter:
     """Counts over all examples of one test; ``check`` fails for what was never reached."""
@@ -17,8 +20,8 @@
         self._counts[situation] += 1
 
     def check(self) -> None:
-        """Print the counts, and fail when an expected situation never occurred."""
+        """Report the counts, and fail when an expected situation never occurred."""
         counts = ", ".join(f"{name} {self._counts[name]}" for name in self._expected)
-        print(f"\ncoverage {self._name}: {counts}")
+        REPORTS.append(f"coverage {self._name}: {counts}")
         never = [name for name in self._expected if not self._counts[name]]
         assert not never, f"{self._name}: never reached: {', '.join(never)}"
--- a/test/test_process_failures.py
+++ b/test/test_process_failures.py
@@ -244,7 +244,7 @@
     assert {result.outcome for result in broken} == {Outcome.MAY_HAVE_RUN}
 
 
-def test_a_leaving_or_drained_engine_gets_nothing_new_and_a_returning_one_does(
+def test_a_leaving_or_drained_engine_gets_nothing_new_until_it_returns(
     deployment: Deployment,
 ) -> None:
     async def ran_on() -> set[str]:
@@ -269,8 +269,10 @@
             assert answer.status == 200
             assert await ran_on() == {"engine-3"}
             await call(deployment.addresses["engine-1"], "/control", {"leaving": False})
+            answer = await call(operators, "/upstreams/engine-2/undrain", {}, bearer=bearer)
+            assert answer.status == 200
             while True:
-                if await ran_on() == {"engine-1", "engine-3"}:
+                if await ran_on() == set(ENGINES):
                     return
 
     trio.run(main)
--- a/test/test_system.py
+++ b/test/test_system.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 
+from coverage_counter import REPORTS
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -372,7 +373,7 @@
             report_multiple_bugs=False,
         ),
     )
-    for name, count in sorted(COVERAGE.items()):
-        print(f"{count:6d}  {name}")
+    counts = ", ".join(f"{name} {count}" for name, count in sorted(COVERAGE.items()))
+    REPORTS.append(f"coverage system: {counts}")
     missing = [name for name in SITUATIONS if not COVERAGE[name]]
     assert not missing, f"never reached: {missing}"
--- /dev/null
+++ b/tools/compare_resolution.py
@@ -0,0 +1,128 @@
+"""Compares full membership with iterative name resolution for finding a shard's scheduler.
+
+    .venv/bin/python tools/compare_resolution.py [--seed 1]
+
+The second way keeps, as in the Peer Name Resolution Protocol, a cache in levels: the lowest covers
+all ids, each further one a tenth of the level before around the node's own id, with at most 20
+entries a level. A look-up asks the entry closest to the wanted id, then the closest that this one
+names, until none is closer. Some nodes were replaced since the caches were filled, so that asking
+one of their entries costs a timeout.
+"""
+
+import argparse
+import bisect
+import json
+import random
+import statistics
+from dataclasses import dataclass
+
+ID_BITS = 128
+ENTRIES_PER_LEVEL = 20
+LEVEL_RATIO = 10
+LOOKUPS = 4_000
+MESSAGE_BYTES = 150
+"""One question or answer with an id and one peer's address, with TCP/IP headers."""
+SIZES = (9, 34, 100, 340)
+REPLACED_SHARES = (0.0, 0.05)
+
+
+@dataclass(frozen=True)
+class Cost:
+    nodes: int
+    replaced_share: float
+    entries: float
+    hops_mean: float
+    hops_p95: float
+    timeouts_mean: float
+    bytes_mean: float
+    found_share: float
+
+
+def distance(left: int, right: int) -> int:
+    around = abs(left - right)
+    return min(around, (1 << ID_BITS) - around)
+
+
+def fill_cache(own: int, ids: list[int], rng: random.Random) -> list[int]:
+    """Return a node's cache, as many levels as it takes to hold all of its neighbourhood."""
+    cache: set[int] = set()
+    reach = 1 << (ID_BITS - 1)
+    while True:
+        inside = [one for one in ids if one != own and distance(one, own) <= reach]
+        cache.update(rng.sample(inside, min(ENTRIES_PER_LEVEL, len(inside))))
+        if len(inside) <= ENTRIES_PER_LEVEL:
+            return sorted(cache)
+        reach //= LEVEL_RATIO
+
+
+def closest(cache: list[int], wanted: int, avoided: set[int]) -> int | None:
+    known = [one for one in cache if one not in avoided]
+    return min(known, key=lambda one: distance(one, wanted), default=None)
+
+
+def look_up(
+    start: int, wanted: int, caches: dict[int, list[int]], dead: set[int]
+) -> tuple[int, int, int]:
+    """Return the node found, the hops and the timeouts on the way."""
+    best, hops, timeouts = start, 0, 0
+    failed: set[int] = set()
+    while True:
+        following = closest(caches[best], wanted, failed)
+        if following is None or distance(following, wanted) >= distance(best, wanted):
+            return best, hops, timeouts
+        if following in dead:
+            failed.add(following)
+            timeouts += 1
+            continue
+        best = following
+        hops += 1
+
+
+def measure(nodes: int, replaced_share: float, seed: int) -> Cost:
+    rng = random.Random(seed)
+    ids = sorted(rng.getrandbits(ID_BITS) for _ in range(nodes))
+    caches = {one: fill_cache(one, ids, rng) for one in ids}
+    dead = set(rng.sample(ids, round(replaced_share * nodes)))
+    alive = [one for one in ids if one not in dead]
+    hops, timeouts, found = [], [], 0
+    for _ in range(LOOKUPS):
+        wanted = rng.getrandbits(ID_BITS)
+        at = bisect.bisect(alive, wanted)
+        nearby = [alive[at % len(alive)], alive[at - 1]]
+        right = min(nearby, key=lambda one: distance(one, wanted))
+        node, hop_count, timeout_count = look_up(rng.choice(alive), wanted, caches, dead)
+        hops.append(hop_count)
+        timeouts.append(timeout_count)
+        found += node == right
+    return Cost(
+        nodes,
+        replaced_share,
+        statistics.mean(len(cache) for cache in caches.values()),
+        statistics.mean(hops),
+        statistics.quantiles(hops, n=100)[94],
+        statistics.mean(timeouts),
+        2 * MESSAGE_BYTES * (statistics.mean(hops) + statistics.mean(timeouts) / 2),
+        found / LOOKUPS,
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    arguments = parser.parse_args()
+    costs = [measure(nodes, share, arguments.seed) for nodes in SIZES for share in REPLACED_SHARES]
+    if arguments.json:
+        print(json.dumps([vars(cost) for cost in costs]))
+        return
+    for cost in costs:
+        print(
+            f"{cost.nodes:4} nodes, {cost.replaced_share:4.0%} replaced: {cost.entries:5.1f} "
+            f"entries, {cost.hops_mean:4.2f} hops (p95 {cost.hops_p95:.0f}), "
+            f"{cost.timeouts_mean:4.2f} timeouts, {cost.bytes_mean:4.0f} B a look-up, "
+            f"right node {cost.found_share:6.1%}"
+        )
+
+
+if __name__ == "__main__":
+    main()
