--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -11,7 +11,8 @@
 from coverage_counter import CoverageCounter
 from fakes import CallFate, FakeTable, TableCall
 from result import Err, Ok, Result
-from step_machine import Draw, StepMachine, run_steps
+from step_machine import Draw, run_steps
+from table_machine import TableMachine
 
 from lentilchute.configuration import (
     ConfigAction,
@@ -112,7 +113,8 @@
     deliver: Callable[[Node, bool], None]
 
 
-class ConfigurationMachine(StepMachine):
+class ConfigurationMachine(TableMachine):
+    COVERAGE = COVERAGE
     WEIGHTS: ClassVar = {
         "operator_applies": 3,
         "operator_tries_again": 2,
@@ -296,41 +298,6 @@
         learned = node.book.learn(change.service, apply.accepted_version, change.text, self.now_s)
         self.take(node, learned)
 
-    # The platform.
-
-    def do_table_executes(self, draw: Draw) -> None:
-        open_calls = [call for call in self.calls if call.answer is None]
-        if not open_calls:
-            return
-        call = draw(open_calls)
-        fate = draw([CallFate.ANSWERED, CallFate.ANSWERED, *CallFate])
-        if call.transaction is not None:
-            COVERAGE.hit(f"write {fate.value}")
-        self.table.execute(call, fate)
-
-    def do_table_answers(self, draw: Draw) -> None:
-        ready = [call for call in self.calls if call.answer is not None]
-        if ready:
-            self.deliver(draw(ready))
-
-    def do_platform_works(self, draw: Draw) -> None:
-        for call in list(self.calls):
-            if call.answer is None:
-                self.table.execute(call, CallFate.ANSWERED)
-            self.deliver(call)
-
-    def deliver(self, call: TableCall) -> None:
-        if self.nodes[call.node].frozen:
-            return
-        self.calls.remove(call)
-        call.deliver(call.answer)
-
-    def do_late_write_arrives(self, draw: Draw) -> None:
-        if not self.table.late:
-            return
-        applied = self.table.apply_late(draw(range(len(self.table.late))))
-        COVERAGE.hit("late write took effect" if applied == Ok(None) else "late write barred")
-
     # Links, time and processes.
 
     def do_heartbeat(self, draw: Draw) -> None:
--- a/test/test_leases.py
+++ b/test/test_leases.py
@@ -11,7 +11,8 @@
 from coverage_counter import CoverageCounter
 from fakes import CallFate, FakeTable, TableCall
 from result import Ok
-from step_machine import Draw, StepMachine, run_steps
+from step_machine import Draw, run_steps
+from table_machine import TableMachine
 
 from lentilchute.ids import FencingNumber, IncarnationId, ServiceName
 from lentilchute.lease_records import lease_key
@@ -59,7 +60,8 @@
     uses: list[FencingNumber] = field(default_factory=list)
 
 
-class LeasesMachine(StepMachine):
+class LeasesMachine(TableMachine):
+    COVERAGE = COVERAGE
     WEIGHTS: ClassVar = {
         "table_executes": 5,
         "table_answers": 5,
@@ -126,39 +128,6 @@
         else:
             self.calls.append(TableCall(node.name, deliver, transaction=action.transaction))
 
-    def do_table_executes(self, draw: Draw) -> None:
-        open_calls = [call for call in self.calls if call.answer is None]
-        if not open_calls:
-            return
-        call = draw(open_calls)
-        fate = draw([CallFate.ANSWERED, CallFate.ANSWERED, *CallFate])
-        if call.transaction is not None:
-            COVERAGE.hit(f"write {fate.value}")
-        self.table.execute(call, fate)
-
-    def do_table_answers(self, draw: Draw) -> None:
-        ready = [call for call in self.calls if call.answer is not None]
-        if ready:
-            self.deliver(draw(ready))
-
-    def do_platform_works(self, draw: Draw) -> None:
-        for call in list(self.calls):
-            if call.answer is None:
-                self.table.execute(call, CallFate.ANSWERED)
-            self.deliver(call)
-
-    def deliver(self, call: TableCall) -> None:
-        if self.nodes[call.node].frozen:
-            return
-        self.calls.remove(call)
-        call.deliver(call.answer)
-
-    def do_late_write_arrives(self, draw: Draw) -> None:
-        if not self.table.late:
-            return
-        applied = self.table.apply_late(draw(range(len(self.table.late))))
-        COVERAGE.hit("late write took effect" if applied == Ok(None) else "late write barred")
-
     def do_time_passes(self, draw: Draw) -> None:
         self.pass_time(draw([0.2, 1.0, 1.0, 2.0, 4.0]))
 
