Keep a node alive when a message handler or a poll raises

Change: the error is logged with its place, without its text, and the node goes on; the same for the poll of one upstream. Observed: the new test fails by the KeyError without the guard's clause in place and passes with it.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -5,8 +5,10 @@
 catalogue.
 """
 
+import traceback
 from dataclasses import dataclass
 from enum import Enum
+from pathlib import Path
 
 import eliot
 
@@ -27,6 +29,7 @@
     NODE_NOT_READY = EventInfo(102, "A node stopped admitting requests until it knows its version.")
     NODE_STOPPING = EventInfo(103, "A planned stop began.")
     NODE_STOPPED = EventInfo(104, "A planned stop ended; the fields say whether work was cut.")
+    HANDLER_FAILED = EventInfo(105, "A message's handler raised an error; the node goes on.")
     REQUEST_ACCEPTED = EventInfo(200, "An entry accepted a request and submitted its ticket.")
     REQUEST_REFUSED = EventInfo(201, "A request got a refusal, with its outcome and reason.")
     REQUEST_DISPATCHED = EventInfo(202, "The first byte of a request went to an upstream.")
@@ -68,6 +71,12 @@
     PLATFORM_BACK = EventInfo(801, "A platform service answers again.")
 
 
+def error_place(error: Exception) -> str:
+    """Return the file and line that raised an error; its text may quote input and is left out."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
+
+
 def log_event(event: Event, **fields: object) -> None:
     """Write one log line for ``event``.
 
--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -24,7 +24,7 @@
 )
 from .configuration import ConfigBook
 from .entry_controller import EntryController
-from .events import Event, log_event
+from .events import Event, error_place, log_event
 from .ids import IncarnationId, InstanceId
 from .membership import Membership
 from .metered_platform import MeteredPlatform
@@ -83,7 +83,7 @@
         controllers = controllers_for(context)
         context.controllers += controllers
         handlers = _handlers(controllers)
-        context.links.receiver = lambda sender, message: _dispatch(handlers, sender, message)
+        context.links.receiver = lambda sender, message: dispatch(handlers, sender, message)
         try:
             async with trio.open_nursery() as nursery:
                 await nursery.start(context.links.run, self.settings.listen.peers)
@@ -182,15 +182,25 @@
     return found
 
 
-def _dispatch(handlers: Handlers, sender: InstanceId, message: Any) -> None:
+def dispatch(handlers: Handlers, sender: InstanceId, message: Any) -> None:
+    """Give a message to its handlers; one that raises stops neither the others nor the node."""
     for handler in handlers.get(type(message), []):
-        handler(sender, message)
+        try:
+            handler(sender, message)
+        except Exception as error:
+            log_event(
+                Event.HANDLER_FAILED,
+                sender=sender,
+                message_class=type(message).__name__,
+                error=type(error).__name__,
+                place=error_place(error),
+            )
 
 
 async def _deliver_local(context: NodeContext, handlers: Handlers) -> None:
     while True:
         for message in await context.take_local():
-            _dispatch(handlers, context.instance, message)
+            dispatch(handlers, context.instance, message)
 
 
 def _drop(sender: InstanceId, message: Any) -> None:
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -7,7 +7,7 @@
 import trio
 
 from .document import ServiceDocument
-from .events import Event, log_event
+from .events import Event, error_place, log_event
 from .ids import InstanceId, ServiceName, UpstreamId, shard_id
 from .messages import (
     Declined,
@@ -252,7 +252,19 @@
             async with trio.open_nursery() as nursery:
                 for hosted in list(self._shards.values()):
                     for known in self._context.directory.of_service(hosted.service):
-                        nursery.start_soon(self._poll_one, hosted, known)
+                        nursery.start_soon(self._poll_safely, hosted, known)
+
+    async def _poll_safely(self, hosted: HostedShard, known: KnownUpstream) -> None:
+        try:
+            await self._poll_one(hosted, known)
+        except Exception as error:
+            # One upstream's adapter must not end the polling of the others.
+            log_event(
+                Event.UPSTREAM_REPORT_FAILED,
+                upstream=known.upstream.upstream,
+                reason=type(error).__name__,
+                place=error_place(error),
+            )
 
     async def _poll_one(self, hosted: HostedShard, known: KnownUpstream) -> None:
         upstream = known.upstream.upstream
--- a/lentilchute/upstream_exchanges.py
+++ b/lentilchute/upstream_exchanges.py
@@ -8,7 +8,7 @@
 import trio
 
 from .entry_actions import CancelUpstream, ResumeUpstream, SendUpstream
-from .events import Event, log_event
+from .events import Event, error_place, log_event
 from .ids import Attempt, RequestId
 from .upstream_directory import UpstreamDirectory
 from .upstreams import AnswerItem, UpstreamFault
@@ -99,9 +99,7 @@
         try:
             await adapter.cancel(action.request_id)
         except Exception as error:
-            log_event(
-                Event.ADAPTER_FAILED, request_id=action.request_id, error=type(error).__name__
-            )
+            _log_failure(action.request_id, error)
 
     async def _relay(self, request_id: RequestId, items: AsyncIterator[AnswerItem]) -> None:
         """Feed an upstream's answer to the decisions, no faster than the caller takes it."""
@@ -118,7 +116,7 @@
         self._forget(request_id, scope)
 
     def _fail(self, request_id: RequestId, error: Exception, fault: UpstreamFault) -> None:
-        log_event(Event.ADAPTER_FAILED, request_id=request_id, error=type(error).__name__)
+        _log_failure(request_id, error)
         self._scopes.pop(request_id, None)
         self._hooks.take_item(request_id, fault)
 
@@ -130,3 +128,12 @@
         scope = self._scopes.pop(request_id, None)
         if scope is not None:
             scope.cancel()
+
+
+def _log_failure(request_id: RequestId, error: Exception) -> None:
+    log_event(
+        Event.ADAPTER_FAILED,
+        request_id=request_id,
+        error=type(error).__name__,
+        place=error_place(error),
+    )
--- /dev/null
+++ b/test/test_node.py
@@ -0,0 +1,30 @@
+"""Tests of how a node gives messages to its controllers."""
+
+from typing import Any
+
+import eliot
+
+from lentilchute.events import Event
+from lentilchute.ids import InstanceId, ServiceName
+from lentilchute.messages import SchedulerAck
+from lentilchute.node import dispatch
+
+
+def test_a_handler_that_raises_is_logged_and_stops_neither_the_others_nor_the_node() -> None:
+    logged: list[dict[str, Any]] = []
+    destination = logged.append
+    eliot.add_destinations(destination)
+    taken: list[object] = []
+
+    def fails(sender: InstanceId, message: object) -> None:
+        raise KeyError("secret words of a caller")
+
+    message = SchedulerAck(ServiceName("drafts"))
+    handlers = {SchedulerAck: [fails, lambda sender, one: taken.append(one)]}
+    dispatch(handlers, InstanceId("entry-2"), message)
+    eliot.remove_destination(destination)
+    assert taken == [message]
+    failures = [line for line in logged if line.get("number") == Event.HANDLER_FAILED.value.number]
+    assert failures[0]["error"] == "KeyError"
+    assert failures[0]["place"].startswith("test_node.py:")
+    assert "secret" not in str(failures)
