Log the choice of a scheduler and declined upstreams; list only events that are logged

Cause: read as a newcomer: seven events of the catalogue were never logged, and status did not show a declined upstream. Change: entries log a change of scheduler, schedulers log declines, status shows them; five events whose code is not wired into the node left the catalogue, and their numbers stay free.

--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry_controller.py
@@ -82,6 +82,7 @@
         self._progress: dict[tuple[InstanceId, ServiceName], dict[RequestId, int]] = {}
         hooks = ExchangeHooks(self._may_send, self._on_item, self._wait_for_room)
         self._exchanges = UpstreamExchanges(context.directory, hooks)
+        self._schedulers: dict[ServiceName, InstanceId | None] = {}
         self._wake = trio.Event()
         self._carry_out = self._action_table()
         context.document_listeners.append(self._on_document)
@@ -181,6 +182,14 @@
     def _update_orders(self) -> None:
         for service in self._context.directory.services():
             self._update_order(service)
+            self._log_scheduler(service)
+
+    def _log_scheduler(self, service: ServiceName) -> None:
+        """Log a change of the scheduler, whether by membership or because it fell silent."""
+        scheduler = self._requests.scheduler_of(service)
+        if self._schedulers.get(service, "") != scheduler:
+            self._schedulers[service] = scheduler
+            log_event(Event.ROUTE_SCHEDULER, service=service, scheduler=scheduler)
 
     def _update_order(self, service: ServiceName) -> None:
         actions = self._requests.set_scheduler_order(
--- a/lentilchute/entry_requests.py
+++ b/lentilchute/entry_requests.py
@@ -132,6 +132,10 @@
             return []
         return self._refresh_all(shard, now_s)
 
+    def scheduler_of(self, service: ServiceName) -> InstanceId | None:
+        """Return the scheduler in use; ``None`` while this entry schedules for itself."""
+        return self._book.choice(shard_id(service)).current
+
     def scheduler_heard(self, shard: ShardId, scheduler: InstanceId) -> None:
         """A scheduler acknowledged a message about this shard."""
         self._book.choice(shard).heard(scheduler)
--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -43,11 +43,12 @@
     ROUTE_REFUSED = EventInfo(301, "A scheduler refused a waiting ticket, with its reason.")
     ROUTE_SCHEDULER = EventInfo(302, "An entry chose the scheduler of a shard.")
     GRANT_DECLINED = EventInfo(303, "An entry did not use a grant.")
-    GRANT_EXPIRED = EventInfo(304, "A grant was not reported dispatched in time.")
     UPSTREAM_ADDED = EventInfo(400, "An upstream was added to a shard.")
     UPSTREAM_LEAVING = EventInfo(401, "An upstream is leaving and gets no new work.")
     UPSTREAM_REMOVED = EventInfo(402, "An upstream was removed from a shard.")
-    UPSTREAM_DECLINING = EventInfo(403, "An upstream's progress fell behind its past or its peers.")
+    UPSTREAM_DECLINING = EventInfo(
+        403, "An upstream fell behind its past or its peers, or has recovered."
+    )
     UPSTREAM_CRASHED = EventInfo(404, "An upstream failed with requests in flight.")
     POISON_VERDICT = EventInfo(405, "A request's content was suspected, cleared or condemned.")
     UPSTREAM_REPORT_FAILED = EventInfo(406, "An upstream's load report could not be read.")
@@ -63,10 +64,6 @@
     CLAIM_GRANTED = EventInfo(700, "An idempotency key was claimed for a request.")
     CLAIM_REFUSED = EventInfo(701, "An idempotency key could not be claimed.")
     CLAIM_RELEASED = EventInfo(702, "A claimant released a key whose request did not run.")
-    LEASE_TAKEN = EventInfo(710, "This node holds the lease for orders to a service's engines.")
-    LEASE_LOST = EventInfo(711, "This node no longer holds the lease.")
-    ORDER_SENT = EventInfo(712, "An order was sent to an engine, with the placement's reason.")
-    ORDER_REFUSED = EventInfo(713, "An engine refused an order.")
     PLATFORM_DOWN = EventInfo(800, "A platform service does not answer.")
     PLATFORM_BACK = EventInfo(801, "A platform service answers again.")
 
--- a/lentilchute/operator_api.py
+++ b/lentilchute/operator_api.py
@@ -45,6 +45,7 @@
     prompt_token_limit: int
     prefill_tokens_per_s: float
     decode_tokens_per_s: float
+    declined: bool = False
 
 
 class ShardAnswer(WireModel):
--- a/lentilchute/operator_controller.py
+++ b/lentilchute/operator_controller.py
@@ -163,6 +163,7 @@
                     prompt_token_limit=one.prompt_token_limit,
                     prefill_tokens_per_s=one.prefill_tokens_per_s,
                     decode_tokens_per_s=one.decode_tokens_per_s,
+                    declined=one.declined,
                 )
                 for one in status.upstreams
             ),
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -47,6 +47,7 @@
     scheduler: ShardScheduler
     used_s: float
     cache_sequence: dict[UpstreamId, int] = field(default_factory=dict)
+    declined: set[UpstreamId] = field(default_factory=set)
 
 
 @node_controller(Role.SCHEDULER)
@@ -251,9 +252,22 @@
             await trio.sleep(REPORT_INTERVAL_S)
             async with trio.open_nursery() as nursery:
                 for hosted in list(self._shards.values()):
+                    self._log_declines(hosted)
                     for known in self._context.directory.of_service(hosted.service):
                         nursery.start_soon(self._poll_safely, hosted, known)
 
+    def _log_declines(self, hosted: HostedShard) -> None:
+        status = hosted.scheduler.status(self._context.now_s())
+        declined = {one.upstream for one in status.upstreams if one.declined}
+        for upstream in sorted(declined ^ hosted.declined):
+            log_event(
+                Event.UPSTREAM_DECLINING,
+                service=hosted.service,
+                upstream=upstream,
+                declined=upstream in declined,
+            )
+        hosted.declined = declined
+
     async def _poll_safely(self, hosted: HostedShard, known: KnownUpstream) -> None:
         try:
             await self._poll_one(hosted, known)
--- a/lentilchute/shard_status.py
+++ b/lentilchute/shard_status.py
@@ -17,6 +17,8 @@
     prompt_token_limit: int
     prefill_tokens_per_s: float
     decode_tokens_per_s: float
+    declined: bool = False
+    """It fell behind its own past or its peers, and gets little work until it recovers."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/ui/status.py
+++ b/lentilchute/ui/status.py
@@ -125,10 +125,16 @@
     return "versions differ: " + "; ".join(parts)
 
 
+def _upstream_state(entry: UpstreamAnswer) -> str:
+    if entry.leaving:
+        return "leaving"
+    return "declined" if entry.declined else "in use"
+
+
 def _upstream_row(entry: UpstreamAnswer) -> tuple[str, str, str, str, str, str]:
     return (
         entry.upstream,
-        "leaving" if entry.leaving else "in use",
+        _upstream_state(entry),
         f"{entry.streams}/{entry.stream_limit}",
         f"{entry.outstanding_prompt_tokens}/{entry.prompt_token_limit}",
         f"{entry.prefill_tokens_per_s:.0f}",
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/upstream_load.py
@@ -166,4 +166,5 @@
             int(self.prompt_token_limit(Tier(0))),
             self.prefill_tokens_per_s,
             self.decode_tokens_per_s,
+            declined=self.is_declined,
         )
