Place model calls only on engines that hold the model

Ruled out: a refusal while an engine has not yet said what it holds, since every take-over of a shard would refuse its first tickets. Change: the scheduler's controller asks each engine's state, at once when a shard opens and then each second; a model call waits until its engine has answered, and is refused when nobody holds its model. Not done: nothing orders an engine to load a model yet.

--- a/lentilchute/placing.py
+++ b/lentilchute/placing.py
@@ -100,9 +100,7 @@
 
     def has_open(self, ticket: Ticket) -> bool:
         """Tell whether any upstream may get this ticket once it has room."""
-        return any(
-            load.is_open and load.upstream not in ticket.excluded for load in self._loads.values()
-        )
+        return any(load.is_open and load.may_serve(ticket) for load in self._loads.values())
 
     def touch(self, load: UpstreamLoad) -> None:
         """Note that an upstream's room may have changed.
@@ -148,7 +146,7 @@
         best: Choice | None = None
         is_suspect = self._suspects.is_suspect(ticket.fingerprint)
         for load in self._with_holders(candidates, ticket):
-            if load.upstream in ticket.excluded:
+            if not load.serves(ticket):
                 continue
             if is_suspect and load.suspect is not None:
                 continue
@@ -216,7 +214,7 @@
             return False
         for upstream in self._prefixes.holders(ticket.prefix_hashes):
             load = self._loads.get(upstream)
-            if load is None or not load.is_open or load.upstream in ticket.excluded:
+            if load is None or not load.is_open or not load.serves(ticket):
                 continue
             choice = self._choice(load, ticket, output_tokens)
             saved = best.uncached_tokens - choice.uncached_tokens
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -18,7 +18,7 @@
 from .document import ServiceDocument, UpstreamGroup
 from .forecast import OutputForecast
 from .granting import Granter
-from .ids import Attempt, InstanceId, RequestId, ShardId, Tier, UpstreamId
+from .ids import Attempt, InstanceId, ModelName, RequestId, ShardId, Tier, UpstreamId
 from .outcomes import Outcomes
 from .placements import PlacementBook, PlacementState
 from .placing import UpstreamPool
@@ -148,6 +148,21 @@
             load.leaving = False
         return self._decide(now_s)
 
+    def await_models(self, upstream_id: UpstreamId) -> None:
+        """Place no model call on an upstream until ``set_models``."""
+        self._pool.known(upstream_id).awaits_models = True
+
+    def set_models(
+        self, upstream_id: UpstreamId, models: frozenset[ModelName] | None, now_s: float
+    ) -> list[Decision]:
+        """Take what an upstream holds; ``None`` for one that does not say, which takes all."""
+        load = self._pool.get(upstream_id)
+        if load is None or (load.models == models and not load.awaits_models):
+            return []
+        load.models = models
+        load.awaits_models = False
+        return self._decide(now_s)
+
     def load_report(self, report: LoadReport, now_s: float) -> list[Decision]:
         """Take an upstream's lagging word on its load."""
         return self._decide(now_s)
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -6,9 +6,9 @@
 
 import trio
 
-from .document import ServiceDocument
+from .document import ServiceDocument, UpstreamKind
 from .events import Event, error_place, log_event
-from .ids import InstanceId, ServiceName, UpstreamId, shard_id
+from .ids import InstanceId, ModelName, ServiceName, UpstreamId, shard_id
 from .messages import (
     Declined,
     Dispatched,
@@ -31,7 +31,7 @@
 from .tickets import Decision, EndState, Grant, Refusal
 from .upstream_controller import UpstreamController
 from .upstream_directory import KnownUpstream
-from .upstreams import UpstreamAdapter
+from .upstreams import EngineState, UpstreamAdapter, UpstreamFault
 
 ACK_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 1.0
@@ -48,6 +48,8 @@
     used_s: float
     cache_sequence: dict[UpstreamId, int] = field(default_factory=dict)
     declined: set[UpstreamId] = field(default_factory=set)
+    told_models: set[UpstreamId] = field(default_factory=set)
+    """Engines that have been asked what they hold."""
 
 
 @node_controller(Role.SCHEDULER)
@@ -59,6 +61,7 @@
         self._shards: dict[ServiceName, HostedShard] = {}
         self._owed_acks: set[tuple[InstanceId, ServiceName]] = set()
         self._wake = trio.Event()
+        self._poll_now = trio.Event()
         context.document_listeners.append(self._on_document)
         context.upstream_listeners.append(self._on_upstream)
         context.peer_listeners.append(self._on_peer_change)
@@ -232,6 +235,9 @@
             self._deliver(hosted, hosted.scheduler.mark_leaving(upstream, now_s))
             log_event(Event.UPSTREAM_LEAVING, service=hosted.service, upstream=upstream)
             return
+        if known.upstream.kind is UpstreamKind.ENGINE and upstream not in hosted.told_models:
+            hosted.scheduler.await_models(upstream)
+            self._poll_now.set()
         decisions = hosted.scheduler.add_upstream(known.upstream, known.group, now_s)
         self._deliver(hosted, decisions + hosted.scheduler.mark_live(upstream, now_s))
         log_event(Event.UPSTREAM_ADDED, service=hosted.service, upstream=upstream)
@@ -249,7 +255,9 @@
 
     async def _poll_upstreams(self) -> None:
         while True:
-            await trio.sleep(REPORT_INTERVAL_S)
+            with trio.move_on_after(REPORT_INTERVAL_S):
+                await self._poll_now.wait()
+            self._poll_now = trio.Event()
             async with trio.open_nursery() as nursery:
                 for hosted in list(self._shards.values()):
                     self._log_declines(hosted)
@@ -285,7 +293,7 @@
         adapter = self._context.directory.adapter(upstream)
         if adapter is None:
             return
-        await self._ask_state(upstream, adapter)
+        await self._ask_state(hosted, known, adapter)
         if not known.group.reports_load:
             return
         report = await adapter.load()
@@ -300,12 +308,26 @@
             hosted.cache_sequence[upstream] = events[-1].sequence
             hosted.scheduler.cache_events(events, self._context.now_s())
 
-    async def _ask_state(self, upstream: UpstreamId, adapter: UpstreamAdapter) -> None:
+    async def _ask_state(
+        self, hosted: HostedShard, known: KnownUpstream, adapter: UpstreamAdapter
+    ) -> None:
+        upstream = known.upstream.upstream
         asked_s = self._context.now_s()
         state = await adapter.state()
         if state.is_ok():
             controller = self._context.controller(UpstreamController)
             controller.own_word(upstream, leaving=state.unwrap().leaving, asked_s=asked_s)
+        if known.upstream.kind is not UpstreamKind.ENGINE:
+            return
+        if state.is_ok():
+            models: frozenset[ModelName] | None = _models_of(state.unwrap())
+        elif upstream in hosted.told_models and state.err() is not UpstreamFault.NOT_SUPPORTED:
+            # An engine that does not answer for a while is taken to hold what it last held.
+            return
+        else:
+            models = None
+        hosted.told_models.add(upstream)
+        self._deliver(hosted, hosted.scheduler.set_models(upstream, models, self._context.now_s()))
 
     # Decisions.
 
@@ -350,3 +372,10 @@
             retry_after_s=round(refusal.retry_after_s, 2),
         )
         self._context.post(refusal.entry, RefusalNotice(hosted.service, refusal))
+
+
+def _models_of(state: EngineState) -> frozenset[ModelName]:
+    """Return the models that an engine answers for now, its adapters included."""
+    if not state.ready:
+        return frozenset()
+    return frozenset(ModelName(name) for name in (state.model, *state.adapters))
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/upstream_load.py
@@ -1,12 +1,13 @@
 """What a scheduler knows of one upstream: its room, its work in flight and its rates."""
 
 from .document import UpstreamGroup
-from .ids import RequestId, Tier, UpstreamId
+from .ids import ModelName, RequestId, Tier, UpstreamId
 from .limits import AdaptiveLimits
 from .policy import Policy
 from .rates import UpstreamRates
 from .shard_status import UpstreamStatus
 from .suspects import Crash
+from .tickets import Ticket
 
 PROBE_STREAMS = 2
 """Streams of lower tiers that a declined upstream gets, to see whether it has recovered."""
@@ -30,6 +31,10 @@
         self.group: UpstreamGroup | None = None
         self.leaving = False
         self.is_declined = False
+        self.models: frozenset[ModelName] | None = None
+        """What the upstream holds; ``None`` for one that takes every model."""
+        self.awaits_models = False
+        """It was asked what it holds and has not answered yet."""
         self.granted_s = 0.0
         self.streams = 0
         self.streams_by_tier: dict[Tier, int] = {}
@@ -118,6 +123,16 @@
         """Learn from the progress of one stream."""
         self.rates.decoded(tokens, seconds, now_s)
 
+    def may_serve(self, ticket: Ticket) -> bool:
+        """Tell whether a ticket could go here once the upstream has room, as far as is known."""
+        if self.upstream in ticket.excluded:
+            return False
+        return not ticket.model or self.models is None or ticket.model in self.models
+
+    def serves(self, ticket: Ticket) -> bool:
+        """Tell whether a ticket may go here now, room apart."""
+        return self.may_serve(ticket) and not (ticket.model and self.awaits_models)
+
     def needs_probe(self, tier: Tier, now_s: float) -> bool:
         """Tell whether a ticket shall find out how fast the upstream is by now.
 
--- a/test/test_whole_path.py
+++ b/test/test_whole_path.py
@@ -25,6 +25,7 @@
 
 ZONES = {"entry-1": "tunis-a", "entry-2": "tunis-b", "entry-3": "bizerte"}
 ENGINES = [f"engine-{number}" for number in range(1, 5)]
+OTHER_ENGINE = "engine-5"
 DIRECT_IDS = itertools.count()
 CHAT = "/services/drafters/v1/chat/completions"
 BOOK = "/services/agenda/bookings"
@@ -38,6 +39,7 @@
         for number, engine in enumerate(ENGINES):
             rate = str(400 + 400 * (number % 3))
             running.standin(engine, "engine", "--decode-tokens-per-s", rate, "--name", engine)
+        running.standin(OTHER_ENGINE, "engine", "--model", "other", "--name", OTHER_ENGINE)
         running.standin("agenda-1", "plain")
         trio.run(_accept_documents, running)
         running.nodes(ZONES)
@@ -46,7 +48,7 @@
 
 
 async def _accept_documents(running: Deployment) -> None:
-    engines = {engine: running.addresses[engine] for engine in ENGINES}
+    engines = {engine: running.addresses[engine] for engine in (*ENGINES, OTHER_ENGINE)}
     text = service_document("drafters", "engine", engines)
     await put_document(running.addresses["platform"], "drafters", text)
     agenda = {"agenda-1": running.addresses["agenda-1"]}
@@ -125,6 +127,18 @@
     assert len(json.loads(record.body)["received"]) == 1
 
 
+def test_a_call_goes_only_to_an_engine_that_holds_its_model(deployment: Deployment) -> None:
+    async def main() -> list[int]:
+        statuses = []
+        for number in range(6):
+            entry = deployment.addresses[f"entry-{number % 3 + 1}"]
+            body = prompt(f"deed {number}", stream=False) | {"model": "other"}
+            statuses.append((await call(entry, CHAT, body)).status)
+        return statuses
+
+    assert trio.run(main) == [200] * 6
+
+
 def test_callers_learn_which_entries_to_use(deployment: Deployment) -> None:
     answer = trio.run(lambda: call(deployment.addresses["entry-2"], "/entries", method="GET"))
     named = json.loads(answer.body)
