Open a node to callers only once it has read the list of instances

Cause: the system proof showed that a node which sends before it has read the list may send to an upstream that left long before; its machine's nodes read it first, the real node did not. Observed: the test's new case fails without the condition and passes with it.

--- a/lentilchute/caller_interface.py
+++ b/lentilchute/caller_interface.py
@@ -52,8 +52,8 @@
     async def run(self) -> None:
         """Serve until closed.
 
-        A node that starts is named to callers by its peers before it knows its configuration. They
-        then find its address closed and pass on to another entry, where they would be refused.
+        A node that starts is named to callers by its peers before it knows its configuration and
+        which upstreams are leaving. They then find its address closed and pass on to another entry, where they would be refused.
         After ``READY_WAIT_S`` it listens all the same, to tell callers why it admits nothing.
         """
         with trio.move_on_after(READY_WAIT_S):
@@ -63,7 +63,9 @@
         self._is_closed.set()
 
     def _is_ready(self) -> bool:
-        return self._context.configuration.is_ready(self._context.now_s())
+        # Without the list a request could be sent to an upstream that has long been leaving.
+        context = self._context
+        return context.configuration.is_ready(context.now_s()) and context.directory.has_read_list
 
     def begin_close(self) -> None:
         """Tell callers to connect anew, elsewhere; requests that still come are served."""
--- a/lentilchute/upstream_directory.py
+++ b/lentilchute/upstream_directory.py
@@ -29,6 +29,8 @@
         self._documents: dict[ServiceName, ServiceDocument] = {}
         self._listed: list[ListedInstance] = []
         self._known: dict[UpstreamId, KnownUpstream] = {}
+        self.has_read_list = False
+        """Whether the platform's list has been read since the start."""
         self.watch = InstanceWatch()
         """Which of the known upstreams take new work."""
         self._adapters: dict[UpstreamId, UpstreamAdapter] = {}
@@ -41,6 +43,7 @@
     def set_listed(self, listed: list[ListedInstance]) -> list[UpstreamId]:
         """Take the platform's list; return the upstreams added, changed or removed."""
         self._listed = listed
+        self.has_read_list = True
         return self._rebuild()
 
     def of_service(self, service: ServiceName) -> list[KnownUpstream]:
--- a/test/test_caller_interface.py
+++ b/test/test_caller_interface.py
@@ -26,6 +26,7 @@
         self.rng = SimpleNamespace(shuffle=lambda _entries: None)
         self.zone = settings.zone
         self.membership = SimpleNamespace(alive=lambda _now_s: ())
+        self.directory = SimpleNamespace(has_read_list=True)
         self.configuration = SimpleNamespace(is_ready=lambda _now_s: self.is_ready)
 
     def now_s(self) -> float:
@@ -50,9 +51,12 @@
             await trio.lowlevel.checkpoint()
 
 
-def test_a_node_opens_its_address_once_it_is_ready() -> None:
+@pytest.mark.parametrize("missing", ["configuration", "list of instances"])
+def test_a_node_opens_its_address_once_it_is_ready(missing: str) -> None:
     async def main() -> None:
         node = Starting(await free_address())
+        node.is_ready = missing != "configuration"
+        node.directory.has_read_list = missing != "list of instances"
         address = node.settings.listen.callers
         async with trio.open_nursery() as nursery:
             callers = CallerInterface(cast(NodeContext, node), cast(Any, None))
@@ -60,7 +64,7 @@
             await trio.testing.wait_all_tasks_blocked()
             closed = await HttpClient(address).call(ClientRequest("GET", "/entries"))
             assert closed == Err(HttpFault.NOT_SENT)
-            node.is_ready = True
+            node.is_ready = node.directory.has_read_list = True
             assert (await answer_once_open(address)).status == 200
             nursery.cancel_scope.cancel()
 
