--- a/lentilchute/caller_interface.py
+++ b/lentilchute/caller_interface.py
@@ -53,8 +53,9 @@
         """Serve until closed.
 
         A node that starts is named to callers by its peers before it knows its configuration and
-        which upstreams are leaving. They then find its address closed and pass on to another entry, where they would be refused.
-        After ``READY_WAIT_S`` it listens all the same, to tell callers why it admits nothing.
+        which upstreams are leaving. They then find its address closed and pass on to another entry,
+        where they would be refused. After ``READY_WAIT_S`` it listens all the same, to tell callers
+        why it admits nothing.
         """
         with trio.move_on_after(READY_WAIT_S):
             await wait_until(self._is_ready, READY_CHECK_S)
