--- /dev/null
+++ b/tools/measure_idle.py
@@ -0,0 +1,64 @@
+"""Measures what nodes spend on control: processor time and memory of a group that serves nothing.
+
+    .venv/bin/python tools/measure_idle.py [--nodes 9] [--seconds 15]
+
+Nodes, four stand-in engines and the platform run as processes on loopback; one call makes a node
+schedule the service, so that it asks the engines for their state each second.
+"""
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "test"))
+
+from measure_path import ENGINES, SERVICE_CHAT, cpu_s, rss_mb
+from processes import (
+    Deployment,
+    call,
+    put_document,
+    service_document,
+    wait_ready,
+)
+
+ONE_CALL = {"model": "model", "max_tokens": 2, "messages": [{"role": "user", "content": "deed"}]}
+
+
+def measure(running: Deployment, names: list[str], seconds: float) -> None:
+    before_s = {name: cpu_s(running.processes[name].pid) for name in names}
+    began_s = time.monotonic()
+    time.sleep(seconds)
+    passed_s = time.monotonic() - began_s
+    for name in names:
+        pid = running.processes[name].pid
+        share = (cpu_s(pid) - before_s[name]) / passed_s
+        print(f"{name}: {share:.1%} of a core, {rss_mb(pid):.0f} MB")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--nodes", type=int, default=9)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    arguments = parser.parse_args()
+    names = [f"entry-{number}" for number in range(1, arguments.nodes + 1)]
+    with tempfile.TemporaryDirectory() as directory, Deployment(Path(directory)) as running:
+        running.standin("platform", "platform")
+        for engine in ENGINES:
+            running.standin(engine, "engine", "--name", engine)
+        running.wait_for("platform", *ENGINES)
+        engines = {engine: running.addresses[engine] for engine in ENGINES}
+        text = service_document("drafters", "engine", engines)
+        trio.run(put_document, running.addresses["platform"], "drafters", text)
+        running.nodes(dict.fromkeys(names, "tunis-a"))
+        for name in names:
+            trio.run(wait_ready, running.addresses[name], SERVICE_CHAT)
+        trio.run(call, running.addresses[names[0]], SERVICE_CHAT, ONE_CALL)
+        measure(running, names, arguments.seconds)
+
+
+if __name__ == "__main__":
+    main()
