Spread the first tickets of a shard over all engines that say what they hold

When a shard opened, tickets waited for the engines' states and the first engine to answer got all of them (12 of 12 requests on engine-1). Ruled out: no waiting, which sends calls to engines without their model. Change: first answers are passed to the scheduler together, after all or after 0.5 s.

--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler.py
@@ -11,7 +11,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from .admission import Admission
 from .decline import mark_declined
@@ -153,14 +153,14 @@
         self._pool.known(upstream_id).awaits_models = True
 
     def set_models(
-        self, upstream_id: UpstreamId, models: frozenset[ModelName] | None, now_s: float
+        self, models: Mapping[UpstreamId, frozenset[ModelName] | None], now_s: float
     ) -> list[Decision]:
-        """Take what an upstream holds; ``None`` for one that does not say, which takes all."""
-        load = self._pool.get(upstream_id)
-        if load is None or (load.models == models and not load.awaits_models):
-            return []
-        load.models = models
-        load.awaits_models = False
+        """Take what upstreams hold; ``None`` for one that does not say, which takes all."""
+        for upstream_id, held in models.items():
+            load = self._pool.get(upstream_id)
+            if load is not None:
+                load.models = held
+                load.awaits_models = False
         return self._decide(now_s)
 
     def load_report(self, report: LoadReport, now_s: float) -> list[Decision]:
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -35,6 +35,8 @@
 
 ACK_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 1.0
+FIRST_MODELS_WAIT_S = 0.5
+"""When a shard opens, its engines' first answers are awaited together for this long."""
 UNUSED_LIMIT_S = 60.0
 """A shard that no entry has spoken of for this long is dropped."""
 
@@ -50,6 +52,8 @@
     declined: set[UpstreamId] = field(default_factory=set)
     told_models: set[UpstreamId] = field(default_factory=set)
     """Engines that have been asked what they hold."""
+    models_to_pass: dict[UpstreamId, frozenset[ModelName] | None] = field(default_factory=dict)
+    """Answers that the scheduler has not got yet."""
 
 
 @node_controller(Role.SCHEDULER)
@@ -261,6 +265,8 @@
             async with trio.open_nursery() as nursery:
                 for hosted in list(self._shards.values()):
                     self._log_declines(hosted)
+                    if self._untold(hosted):
+                        nursery.start_soon(self._pass_models_soon, hosted)
                     for known in self._context.directory.of_service(hosted.service):
                         nursery.start_soon(self._poll_safely, hosted, known)
 
@@ -326,8 +332,35 @@
             return
         else:
             models = None
+        self._take_models(hosted, upstream, models)
+
+    def _take_models(
+        self, hosted: HostedShard, upstream: UpstreamId, models: frozenset[ModelName] | None
+    ) -> None:
+        """Pass on what an engine holds; first answers go together, lest one engine gets all."""
+        hosted.models_to_pass[upstream] = models
+        is_first = upstream not in hosted.told_models
         hosted.told_models.add(upstream)
-        self._deliver(hosted, hosted.scheduler.set_models(upstream, models, self._context.now_s()))
+        if not is_first or not self._untold(hosted):
+            self._pass_models(hosted)
+
+    def _untold(self, hosted: HostedShard) -> list[UpstreamId]:
+        """Return the engines that have not said yet what they hold."""
+        return [
+            known.upstream.upstream
+            for known in self._context.directory.of_service(hosted.service)
+            if known.upstream.kind is UpstreamKind.ENGINE
+            and known.upstream.upstream not in hosted.told_models
+        ]
+
+    def _pass_models(self, hosted: HostedShard) -> None:
+        models, hosted.models_to_pass = hosted.models_to_pass, {}
+        if models:
+            self._deliver(hosted, hosted.scheduler.set_models(models, self._context.now_s()))
+
+    async def _pass_models_soon(self, hosted: HostedShard) -> None:
+        await trio.sleep(FIRST_MODELS_WAIT_S)
+        self._pass_models(hosted)
 
     # Decisions.
 
