Drop an unused look-up and two doubled constants

Read through once more: nothing called ServiceDocument.account_weight, since the granter keeps its own weights; the links' read size and the answer's outcome header stood beside the HTTP modules' own. Behaviour is unchanged; 116 tests of these parts, the linter and the types pass.

--- a/lentilchute/caller_answer.py
+++ b/lentilchute/caller_answer.py
@@ -5,8 +5,9 @@
 import trio
 
 from .entry_actions import BreakAnswer, CallerAction, SendEnd, SendHead, SendPart, SendRefusal
+from .http_messages import OUTCOME_HEADER
 from .http_responder import Responder
-from .refusal_answers import OUTCOME_HEADER, REQUEST_ID_HEADER, refusal_answer
+from .refusal_answers import REQUEST_ID_HEADER, refusal_answer
 
 MAX_WAITING_PARTS = 64
 """An upstream is not read while this many parts wait for the caller to take them."""
@@ -67,7 +68,7 @@
         await responder.send(action.data)
     elif isinstance(action, SendHead):
         own = (
-            (OUTCOME_HEADER.lower(), action.outcome.value),
+            (OUTCOME_HEADER, action.outcome.value),
             (REQUEST_ID_HEADER.lower(), action.request_id),
         )
         await responder.start(action.status, (*action.headers, *own))
--- a/lentilchute/document.py
+++ b/lentilchute/document.py
@@ -12,7 +12,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from .ids import ClientAccountId, ModelName, ServiceName, Tier, UpstreamId
+from .ids import ModelName, ServiceName, Tier, UpstreamId
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Seconds = Annotated[float, Field(gt=0, le=604_800)]
@@ -236,13 +236,6 @@
                 return account
         return None
 
-    def account_weight(self, account_id: ClientAccountId) -> float:
-        """Return a client account's weight; 1.0 for one the document does not name."""
-        for account in self.client_accounts:
-            if account.name == account_id:
-                return account.weight
-        return 1.0
-
     def is_idempotent(self, method: str, path: str) -> bool:
         """Tell whether a request may be repeated: the first matching rule, else the method."""
         for rule in self.paths:
--- a/lentilchute/peer_links.py
+++ b/lentilchute/peer_links.py
@@ -12,7 +12,7 @@
 import trio
 
 from .events import Event, log_event
-from .http_messages import split_address
+from .http_messages import READ_BYTES, split_address
 from .http_server import open_listeners
 from .ids import IncarnationId, InstanceId
 from .peer_codec import decode_message, encode_message, idl, read_struct, write_struct
@@ -35,7 +35,6 @@
 RETRY_INTERVAL_S = 0.2
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
 MAX_ACCEPTED_LINKS = 2_048
-READ_BYTES = 65_536
 
 _BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError)
 
