--- a/lentilchute/checked_yaml.py
+++ b/lentilchute/checked_yaml.py
@@ -48,16 +48,23 @@
 
 def load_settings_text(text: str, file: str) -> Result[NodeSettings, list[Finding]]:
     """Check the text of a node's settings, merged over the packaged defaults."""
+    return load_over_defaults(text, file, NodeSettings, default_settings())
+
+
+def load_over_defaults(
+    text: str, file: str, model: type[Model], defaults: dict[str, Plain]
+) -> Result[Model, list[Finding]]:
+    """Check ``text``, merged over ``defaults``, against ``model``."""
     tree = read_bounded(text, file)
     if isinstance(tree.value, dict):
-        tree.value = merge_over(default_settings(), tree.value)
-    return _check(tree, NodeSettings)
+        tree.value = merge_over(defaults, tree.value)
+    return _check(tree, model)
 
 
-def default_settings() -> dict[str, Plain]:
-    """Return the packaged defaults as plain values."""
-    text = resources.files(__package__).joinpath(DEFAULTS_FILE).read_text("utf-8")
-    value = read_yaml(text, DEFAULTS_FILE).value
+def default_settings(package: str = __package__, file: str = DEFAULTS_FILE) -> dict[str, Plain]:
+    """Return packaged defaults as plain values."""
+    text = resources.files(package).joinpath(file).read_text("utf-8")
+    value = read_yaml(text, file).value
     assert isinstance(value, dict)
     return value
 
--- a/lentilchute/claim_actions.py
+++ b/lentilchute/claim_actions.py
@@ -5,7 +5,7 @@
 
 from .claim_answers import ClaimAnswer
 from .ids import IncarnationId, RequestId
-from .platform import Transaction
+from .platform_services import Transaction
 
 
 class ClaimReplyState(Enum):
--- a/lentilchute/claim_expiry.py
+++ b/lentilchute/claim_expiry.py
@@ -19,7 +19,7 @@
     read_claim,
     read_expiry,
 )
-from .platform import Condition, Row, TableFault, Transaction, Write
+from .platform_services import Condition, Row, TableFault, Transaction, Write
 
 SWEEP_ROWS = 50
 """Expiry rows that one sweep looks at."""
--- a/lentilchute/claim_writes.py
+++ b/lentilchute/claim_writes.py
@@ -12,7 +12,7 @@
     expiry_key,
 )
 from .key_claim import Intent, KeyClaim
-from .platform import Condition, Transaction, Write
+from .platform_services import Condition, Transaction, Write
 from .settings import ClaimSettings
 
 _STATE_OF_INTENT = {
--- a/lentilchute/claims.py
+++ b/lentilchute/claims.py
@@ -33,7 +33,7 @@
 from .claim_writes import build_batch
 from .ids import IncarnationId, RequestId
 from .key_claim import Intent, KeyClaim, Need, Verdict, judge_row
-from .platform import Row, TableFault
+from .platform_services import Row, TableFault
 from .settings import ClaimSettings
 from .table_pace import TablePace
 
--- a/lentilchute/configuration.py
+++ b/lentilchute/configuration.py
@@ -20,7 +20,7 @@
 )
 from .document import ServiceDocument
 from .ids import DocumentVersion, InstanceId, ServiceName
-from .platform import Row, TableFault
+from .platform_services import Row, TableFault
 from .settings import MembershipSettings
 
 BEHIND_LIMIT_S = 5.0
--- a/lentilchute/configuration_apply.py
+++ b/lentilchute/configuration_apply.py
@@ -22,7 +22,7 @@
     read_index,
 )
 from .ids import DocumentVersion, ServiceName
-from .platform import Condition, Row, TableFault, Transaction, Write
+from .platform_services import Condition, Row, TableFault, Transaction, Write
 
 RETRY_DELAY_S = 0.25
 """Wait after a failed read or write before the next try."""
--- a/lentilchute/demo.py
+++ b/lentilchute/demo.py
@@ -24,7 +24,7 @@
 from .metrics_catalogue import Metric
 from .node import Node
 from .operator_api import operator_key
-from .platform import platform_for
+from .platform_services import platform_for
 from .settings import Listen, NodeSettings, PeerSeed, PlatformSettings
 from .standins import engine, plain, platform
 from .standins.engine_settings import EngineStandinSettings
--- a/lentilchute/document_changes.py
+++ b/lentilchute/document_changes.py
@@ -8,7 +8,7 @@
     DocumentChange,
     ReadRows,
 )
-from .platform import Table
+from .platform_services import Table
 
 
 async def apply_change(table: Table, change: DocumentChange, timeout_s: float) -> ApplyOperation:
--- a/lentilchute/engine_orders.py
+++ b/lentilchute/engine_orders.py
@@ -29,7 +29,7 @@
 from .document import Fencing
 from .ids import FencingNumber, ModelName, ServiceName, UpstreamId
 from .order_records import OrderRecord, order_fencing, order_key, order_prefix
-from .platform import Condition, Row, TableFault, Transaction, Write
+from .platform_services import Condition, Row, TableFault, Transaction, Write
 from .upstreams import EngineOrder, EngineState, UpstreamFault
 
 STATE_POLL_S = 2.0
--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -30,6 +30,10 @@
     NODE_STOPPING = EventInfo(103, "A planned stop began.")
     NODE_STOPPED = EventInfo(104, "A planned stop ended; the fields say whether work was cut.")
     HANDLER_FAILED = EventInfo(105, "A message's handler raised an error; the node goes on.")
+    NODE_PAUSED = EventInfo(
+        106, "The process did not run for a while; its knowledge counts as old."
+    )
+    SETTINGS_RELOADED = EventInfo(107, "The settings were read again, and taken or rejected.")
     REQUEST_ACCEPTED = EventInfo(200, "An entry accepted a request and submitted its ticket.")
     REQUEST_REFUSED = EventInfo(201, "A request got a refusal, with its outcome and reason.")
     REQUEST_DISPATCHED = EventInfo(202, "The first byte of a request went to an upstream.")
@@ -39,6 +43,8 @@
     CALLER_GONE = EventInfo(206, "A caller left before its answer was complete.")
     BAD_INPUT = EventInfo(207, "A connection sent input that the protocol does not allow.")
     ADAPTER_FAILED = EventInfo(208, "An upstream adapter raised an error; the node goes on.")
+    ATTEMPT_STARTED = EventInfo(209, "A gateway sent a request upstream, with what decided it.")
+    ATTEMPT_ENDED = EventInfo(210, "An attempt at an upstream failed, with what follows from it.")
     ROUTE_GRANTED = EventInfo(300, "A scheduler chose an upstream for a ticket, with its reasons.")
     ROUTE_REFUSED = EventInfo(301, "A scheduler refused a waiting ticket, with its reason.")
     ROUTE_SCHEDULER = EventInfo(302, "An entry chose the scheduler of a shard.")
@@ -61,6 +67,7 @@
     CONFIG_REJECTED = EventInfo(601, "A document was not taken into force.")
     CONFIG_APPLIED = EventInfo(602, "An operator's change was accepted.")
     CONFIG_CONFLICT = EventInfo(603, "An operator's change lost against another one.")
+    ROW_REJECTED = EventInfo(604, "A row of the store could not be read; it names nothing to use.")
     CLAIM_GRANTED = EventInfo(700, "An idempotency key was claimed for a request.")
     CLAIM_REFUSED = EventInfo(701, "An idempotency key could not be claimed.")
     CLAIM_RELEASED = EventInfo(702, "A claimant released a key whose request did not run.")
--- /dev/null
+++ b/lentilchute/gateway/admission.py
@@ -0,0 +1,97 @@
+"""The chain of filters that each request passes before an upstream is chosen for it."""
+
+from collections.abc import Callable
+
+from ..http_messages import header_value
+from ..platform.endpoints import path_of
+from .calls import Call, CallRefusal, RefusalCause
+from .context import GatewayContext
+from .crash_guard import fingerprint
+
+CONFIG_RETRY_S = 0.5
+"""A node that starts knows its configuration within about this time."""
+STOPPING_RETRY_S = 0.05
+"""Another node takes the request at once."""
+CONTENT_RETRY_S = 5.0
+"""A content that crashes upstreams is refused for much longer; this only slows its caller down."""
+
+Filter = Callable[[Call, GatewayContext, float], CallRefusal | None]
+
+_filters: list[Filter] = []
+
+
+def admission_filter(step: Filter) -> Filter:
+    """Register a filter; filters run in the order of their registration."""
+    _filters.append(step)
+    return step
+
+
+def admit(call: Call, context: GatewayContext, now_s: float) -> CallRefusal | None:
+    """Run the chain; the first refusal ends it."""
+    for step in _filters:
+        refusal = step(call, context, now_s)
+        if refusal is not None:
+            return refusal
+    return None
+
+
+@admission_filter
+def _check_stopping(_call: Call, context: GatewayContext, now_s: float) -> CallRefusal | None:
+    if context.refuses_after_s is not None and now_s >= context.refuses_after_s:
+        return CallRefusal(RefusalCause.STOPPING, STOPPING_RETRY_S)
+    return None
+
+
+@admission_filter
+def _find_configuration(call: Call, context: GatewayContext, _now_s: float) -> CallRefusal | None:
+    if context.config is None or not context.fleet.is_known:
+        return CallRefusal(RefusalCause.NO_CONFIGURATION, CONFIG_RETRY_S)
+    call.config = context.config
+    return None
+
+
+@admission_filter
+def _find_route(call: Call, context: GatewayContext, _now_s: float) -> CallRefusal | None:
+    assert call.config is not None
+    host = header_value(call.request.headers, "host") or ""
+    call.route = call.config.match(host, path_of(call.request.path))
+    if call.route is None:
+        return CallRefusal(RefusalCause.NO_ROUTE)
+    call.service = call.route.draw_service(context.rng)
+    return None
+
+
+@admission_filter
+def _find_account(call: Call, _context: GatewayContext, _now_s: float) -> CallRefusal | None:
+    assert call.config is not None and call.route is not None
+    call.account = call.config.account_of_key(call.headers.account_key)
+    if call.account is None and call.config.needs_key and not call.route.is_public:
+        return CallRefusal(RefusalCause.UNKNOWN_KEY)
+    if call.route.is_public:
+        call.account = None
+    return None
+
+
+@admission_filter
+def _check_content(call: Call, context: GatewayContext, now_s: float) -> CallRefusal | None:
+    request = call.request
+    key = call.headers.account_key or ""
+    call.content = fingerprint(request.method, request.path, key, request.body)
+    if context.crash_guard.is_refused(call.content, now_s):
+        return CallRefusal(RefusalCause.CRASHES_UPSTREAMS, CONTENT_RETRY_S)
+    return None
+
+
+@admission_filter
+def _take_quota(call: Call, context: GatewayContext, now_s: float) -> CallRefusal | None:
+    account = call.account
+    if account is None:
+        return None
+    headers = call.headers
+    tokens = headers.prompt_tokens + headers.max_output_tokens
+    cost = account.request_cost(tokens if headers.has_token_counts else None)
+    if not context.quotas.admit(account.name, cost, now_s):
+        retry_after_s = context.quotas.retry_after_s(account.name, cost, now_s)
+        return CallRefusal(RefusalCause.OVER_QUOTA, retry_after_s)
+    call.cost = cost
+    return None
--- /dev/null
+++ b/lentilchute/gateway/dispatcher.py
@@ -0,0 +1,184 @@
+"""The choice of an upstream for each request of one service; free of I/O.
+
+An upstream gets no more requests than it runs at once, so that the order in which requests start is
+decided here and not in the upstream's own queue. Tickets that find no room wait, by tier and then
+by arrival, for a part of their latency objective; after that they are refused with the time to
+return.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+
+from ..ids import AvailabilityZone, IncarnationId, ServiceName, UpstreamId
+from .estimates import DEFAULT_PACE_MS
+from .fleet import UpstreamListing
+from .messages import UpstreamLoad
+from .settings import DispatchSettings
+from .tickets import Decision, Placement, RefusalReason, Refused, Ticket
+from .upstream_model import UpstreamModel
+
+OTHER_ZONE_S = 0.004
+"""What an upstream in another zone must be better by: the way, and the price of bytes between
+zones."""
+JITTER = 0.05
+"""Part of the expected time that is drawn, so that nodes with one view do not all choose alike."""
+
+
+class Dispatcher:
+    """Waiting tickets and upstreams of one service, as one node sees them."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        zone: AvailabilityZone,
+        settings: DispatchSettings,
+        rng: random.Random,
+    ) -> None:
+        self.service = service
+        self._zone = zone
+        self._settings = settings
+        self._rng = rng
+        self._models: dict[UpstreamId, UpstreamModel] = {}
+        self._waiting: list[Ticket] = []
+
+    @property
+    def waiting(self) -> int:
+        """Number of tickets that wait."""
+        return len(self._waiting)
+
+    def model(self, upstream: UpstreamId) -> UpstreamModel | None:
+        """Return what is known about an upstream."""
+        return self._models.get(upstream)
+
+    def set_upstreams(self, listings: Iterable[UpstreamListing], slots: int | None) -> None:
+        """Set the upstreams that take new work; ``slots`` replaces what each says of itself."""
+        wanted = {listing.upstream: listing for listing in listings}
+        for upstream, listing in wanted.items():
+            known = self._models.get(upstream)
+            places = min(listing.slots, slots) if slots is not None else listing.slots
+            is_same_run = known is not None and (
+                known.listing.started_ms == listing.started_ms
+                and known.listing.address == listing.address
+            )
+            if known is None or not is_same_run:
+                self._models[upstream] = UpstreamModel(listing, places)
+            else:
+                known.listing = listing
+                known.slots = places
+        for upstream in [name for name in self._models if name not in wanted]:
+            del self._models[upstream]
+
+    def submit(self, ticket: Ticket, now_s: float) -> Decision | None:
+        """Return the decision about a new ticket, or ``None`` when it has to wait."""
+        if not self._has_candidate(ticket):
+            return self._refuse(RefusalReason.NO_UPSTREAM)
+        if not self._waiting_before(ticket):
+            placement = self._place(ticket, now_s)
+            if placement is not None:
+                return placement
+        self._waiting.append(ticket)
+        self._waiting.sort(key=_order)
+        return None
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Forget a waiting ticket."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+
+    def poll(self, now_s: float) -> list[tuple[Ticket, Decision]]:
+        """Return decisions about waiting tickets; call it after each change and at intervals."""
+        decided: list[tuple[Ticket, Decision]] = []
+        for ticket in list(self._waiting):
+            decision = self._decide_waiting(ticket, now_s)
+            if decision is not None:
+                self._waiting.remove(ticket)
+                decided.append((ticket, decision))
+        return decided
+
+    def learn_peer(
+        self, peer: IncarnationId, loads: dict[UpstreamId, UpstreamLoad], now_s: float
+    ) -> None:
+        """Take in a peer's digest."""
+        for upstream, model in self._models.items():
+            model.learn_peer(peer, loads.get(upstream), now_s)
+
+    def own_loads(self, now_s: float) -> list[UpstreamLoad]:
+        """Return this node's part of a digest."""
+        loads = (model.own_load(now_s) for model in self._models.values())
+        return [load for load in loads if load is not None]
+
+    def _decide_waiting(self, ticket: Ticket, now_s: float) -> Decision | None:
+        if now_s >= ticket.deadline_s:
+            return self._refuse(RefusalReason.DEADLINE)
+        if not self._has_candidate(ticket):
+            return self._refuse(RefusalReason.NO_UPSTREAM)
+        placement = self._place(ticket, now_s)
+        if placement is not None:
+            return placement
+        if now_s - ticket.arrived_s >= self._settings.hold_share * ticket.objective_s:
+            return self._refuse(RefusalReason.OVERLOADED)
+        return None
+
+    def _refuse(self, reason: RefusalReason) -> Refused:
+        settings = self._settings
+        rounds = 1 + len(self._waiting) / max(1, sum(m.slots for m in self._models.values()))
+        retry_after_s = min(settings.retry_after_min_s * rounds, settings.retry_after_max_s)
+        return Refused(reason, retry_after_s * (1 + self._rng.random()))
+
+    def _waiting_before(self, ticket: Ticket) -> bool:
+        return bool(self._waiting) and _order(self._waiting[0]) < _order(ticket)
+
+    def _has_candidate(self, ticket: Ticket) -> bool:
+        return any(upstream not in ticket.excluded for upstream in self._models)
+
+    def _place(self, ticket: Ticket, now_s: float) -> Placement | None:
+        common_ms = self._common_pace_ms(now_s)
+        best: tuple[float, UpstreamModel, Placement] | None = None
+        for model in self._models.values():
+            if model.listing.upstream in ticket.excluded or model.is_blocked(now_s):
+                continue
+            if model.running(now_s) >= model.slots:
+                continue
+            placement = self._expectation(model, ticket, common_ms, now_s)
+            cost_s = self._cost_s(placement, ticket)
+            if best is None or cost_s < best[0]:
+                best = cost_s, model, placement
+        if best is None:
+            return None
+        _, model, placement = best
+        model.start(ticket.number, ticket.prompt_tokens, placement.work_tokens, now_s)
+        return replace(placement, digest_age_s=model.oldest_digest_s(now_s))
+
+    def _expectation(
+        self, model: UpstreamModel, ticket: Ticket, common_ms: float, now_s: float
+    ) -> Placement:
+        pace_ms = model.pace_ms(common_ms, now_s)
+        work_tokens = model.work_tokens(ticket.prompt_tokens, now_s)
+        return Placement(
+            listing=model.listing,
+            expected_s=pace_ms * work_tokens / 1e6,
+            work_tokens=work_tokens,
+            running=model.running(now_s),
+            pace_ms=pace_ms,
+            failure_rate=model.failure_rate(now_s),
+            digest_age_s=0.0,
+        )
+
+    def _cost_s(self, placement: Placement, ticket: Ticket) -> float:
+        zone_s = 0.0 if placement.listing.zone == self._zone else OTHER_ZONE_S
+        # A failure costs a repeat, or the request itself where it may not be repeated.
+        failure_s = placement.failure_rate * ticket.objective_s * (1 if ticket.may_repeat else 3)
+        jitter = 1 + JITTER * self._rng.random()
+        return (placement.expected_s + failure_s) * jitter + zone_s
+
+    def _common_pace_ms(self, now_s: float) -> float:
+        parts = [part for model in self._models.values() for part in model.learned_parts(now_s)]
+        weight = sum(part.pace_weight for part in parts)
+        if weight < 1.0:
+            return DEFAULT_PACE_MS
+        return sum(part.pace_ms * part.pace_weight for part in parts) / weight
+
+
+def _order(ticket: Ticket) -> tuple[int, int]:
+    return ticket.tier, ticket.number
--- /dev/null
+++ b/lentilchute/gateway/estimates.py
@@ -0,0 +1,104 @@
+"""What is learned about one upstream: its pace and how often it fails; free of I/O.
+
+Every figure is a decaying sum, so that old results fade and an upstream that nobody uses drifts
+back to what its service's upstreams have in common, and is tried again.
+"""
+
+from dataclasses import dataclass
+
+PACE_HALF_LIFE_S = 8.0
+"""A slow-down or a recovery shows in the pace within a few seconds of traffic."""
+RESULT_HALF_LIFE_S = 4.0
+"""Failures come and go faster than pace; a recovered upstream is trusted again after seconds."""
+DEFAULT_PACE_MS = 12.0
+"""Milliseconds per thousand tokens before anything is learned: about 80 tokens a millisecond."""
+PRIOR_WEIGHT = 0.5
+"""Weight of the service's common pace against one result of the upstream itself."""
+
+
+@dataclass(slots=True)
+class DecayingSum:
+    """A sum whose parts lose half of their weight every ``half_life_s``."""
+
+    half_life_s: float
+    value: float = 0.0
+    at_s: float = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Add an amount with full weight."""
+        self.value = self.read(now_s) + amount
+        self.at_s = now_s
+
+    def read(self, now_s: float) -> float:
+        """Return the sum as it has decayed until now."""
+        passed_s = max(0.0, now_s - self.at_s)
+        return float(self.value * 0.5 ** (passed_s / self.half_life_s))
+
+
+class WeightedMean:
+    """A decaying mean and the weight behind it."""
+
+    def __init__(self, half_life_s: float) -> None:
+        self._total = DecayingSum(half_life_s)
+        self._weight = DecayingSum(half_life_s)
+
+    def add(self, value: float, now_s: float) -> None:
+        """Add one observation."""
+        self._total.add(value, now_s)
+        self._weight.add(1.0, now_s)
+
+    def read(self, now_s: float) -> tuple[float, float]:
+        """Return the mean and its weight; the mean is 0 where the weight is."""
+        weight = self._weight.read(now_s)
+        return (self._total.read(now_s) / weight if weight > 1e-9 else 0.0), weight
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What one node has learned about an upstream by itself."""
+
+    pace_ms: float
+    """Milliseconds to the first event per thousand tokens of work."""
+    pace_weight: float
+    failures: float
+    results: float
+
+
+NOTHING_LEARNED = Learned(0.0, 0.0, 0.0, 0.0)
+
+
+class UpstreamRecord:
+    """One node's own results with one run of an upstream."""
+
+    def __init__(self) -> None:
+        self._pace = WeightedMean(PACE_HALF_LIFE_S)
+        self._failures = DecayingSum(RESULT_HALF_LIFE_S)
+        self._results = DecayingSum(RESULT_HALF_LIFE_S)
+
+    def note_pace(self, pace_ms: float, now_s: float) -> None:
+        """Take in the pace that one request saw."""
+        self._pace.add(pace_ms, now_s)
+
+    def note_result(self, *, failed: bool, now_s: float) -> None:
+        """Take in how one request ended."""
+        self._results.add(1.0, now_s)
+        if failed:
+            self._failures.add(1.0, now_s)
+
+    def learned(self, now_s: float) -> Learned:
+        """Return what is known now."""
+        pace_ms, weight = self._pace.read(now_s)
+        return Learned(pace_ms, weight, self._failures.read(now_s), self._results.read(now_s))
+
+
+def merged_pace_ms(parts: list[Learned], common_pace_ms: float) -> float:
+    """Return the pace that several nodes' results give, pulled to ``common_pace_ms`` when few."""
+    weight = sum(part.pace_weight for part in parts)
+    total = sum(part.pace_ms * part.pace_weight for part in parts)
+    return (total + common_pace_ms * PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
+
+
+def merged_failure_rate(parts: list[Learned]) -> float:
+    """Return the part of recent requests that failed; one result alone proves little."""
+    results = sum(part.results for part in parts)
+    return sum(part.failures for part in parts) / (results + 1.0)
--- /dev/null
+++ b/lentilchute/gateway/fleet.py
@@ -0,0 +1,134 @@
+"""Which upstreams there are and which of them take new work; free of I/O.
+
+The platform's list may drop live upstreams while its store is away. Those are kept for a short
+while after the store's return, so that an empty list does not stop all service at once.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import AvailabilityZone, ServiceName, UpstreamId
+
+RELIST_GRACE_S = 2.0
+"""Live upstreams are listed again within about two seconds of the store's return (platform)."""
+
+
+class UpstreamState(Enum):
+    """What an upstream says about itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class UpstreamChangeKind(Enum):
+    """What changed about an upstream."""
+
+    ADDED = "added"
+    RESTARTED = "restarted"
+    LEAVING = "leaving"
+    REMOVED = "removed"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamListing:
+    """One upstream as the platform lists it."""
+
+    upstream: UpstreamId
+    service: ServiceName
+    address: str
+    zone: AvailabilityZone
+    slots: int
+    state: UpstreamState
+    slow_start_left_s: float
+    started_ms: int
+    """Names the run: the same id with another start is another run."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChange:
+    """One change for the log and for what is learned about an upstream."""
+
+    kind: UpstreamChangeKind
+    listing: UpstreamListing
+
+
+class Fleet:
+    """The upstreams of all services."""
+
+    def __init__(self) -> None:
+        self._listed: dict[UpstreamId, UpstreamListing] = {}
+        self._unlisted_until_s: dict[UpstreamId, float] = {}
+        self.is_known = False
+        """Whether a list has been read at all."""
+
+    def listing(self, upstream: UpstreamId) -> UpstreamListing | None:
+        """Return an upstream's listing, or ``None`` when it is gone."""
+        return self._listed.get(upstream)
+
+    def takes_work(self, upstream: UpstreamId, started_ms: int) -> bool:
+        """Tell whether this run of an upstream may be sent new requests."""
+        listing = self._listed.get(upstream)
+        if listing is None or listing.started_ms != started_ms:
+            return False
+        return listing.state is UpstreamState.READY
+
+    def of_service(self, service: ServiceName) -> list[UpstreamListing]:
+        """Return the upstreams of a service that take new work."""
+        return [
+            listing
+            for listing in self._listed.values()
+            if listing.service == service and listing.state is UpstreamState.READY
+        ]
+
+    def apply(
+        self,
+        listed: Iterable[UpstreamListing],
+        removed: Iterable[UpstreamId],
+        now_s: float,
+        *,
+        after_outage: bool,
+    ) -> list[UpstreamChange]:
+        """Take in changed listings. ``after_outage``: the store was away when they vanished."""
+        self.is_known = True
+        changes = [change for listing in listed for change in self._put(listing)]
+        for upstream in removed:
+            if after_outage and self._may_return(upstream):
+                self._unlisted_until_s.setdefault(upstream, now_s + RELIST_GRACE_S)
+            else:
+                changes += self._remove(upstream)
+        return changes
+
+    def replace(
+        self, listed: list[UpstreamListing], now_s: float, *, after_outage: bool
+    ) -> list[UpstreamChange]:
+        """Take in a whole list."""
+        names = {listing.upstream for listing in listed}
+        removed = [upstream for upstream in self._listed if upstream not in names]
+        return self.apply(listed, removed, now_s, after_outage=after_outage)
+
+    def expire(self, now_s: float) -> list[UpstreamChange]:
+        """Remove upstreams that were not listed again in time."""
+        due = [name for name, until_s in self._unlisted_until_s.items() if until_s <= now_s]
+        return [change for upstream in due for change in self._remove(upstream)]
+
+    def _put(self, listing: UpstreamListing) -> list[UpstreamChange]:
+        self._unlisted_until_s.pop(listing.upstream, None)
+        known = self._listed.get(listing.upstream)
+        self._listed[listing.upstream] = listing
+        if known is None:
+            return [UpstreamChange(UpstreamChangeKind.ADDED, listing)]
+        if known.started_ms != listing.started_ms or known.address != listing.address:
+            return [UpstreamChange(UpstreamChangeKind.RESTARTED, listing)]
+        if known.state is not listing.state and listing.state is UpstreamState.LEAVING:
+            return [UpstreamChange(UpstreamChangeKind.LEAVING, listing)]
+        return []
+
+    def _may_return(self, upstream: UpstreamId) -> bool:
+        listing = self._listed.get(upstream)
+        return listing is not None and listing.state is UpstreamState.READY
+
+    def _remove(self, upstream: UpstreamId) -> list[UpstreamChange]:
+        self._unlisted_until_s.pop(upstream, None)
+        listing = self._listed.pop(upstream, None)
+        return [] if listing is None else [UpstreamChange(UpstreamChangeKind.REMOVED, listing)]
--- /dev/null
+++ b/lentilchute/gateway/forwarder.py
@@ -0,0 +1,470 @@
+"""Forwards one request to an upstream and passes the answer on, with repeats where they are
+allowed."""
+
+from dataclasses import dataclass, field
+
+import trio
+from result import Err, Ok, Result
+
+from ..events import Event, log_event
+from ..http_client import (
+    ClientRequest,
+    HttpClient,
+    HttpClientSettings,
+    HttpExchange,
+    HttpFault,
+    HttpHead,
+    open_tcp,
+)
+from ..http_messages import Headers
+from ..http_requests import HttpRequest
+from ..http_responder import Responder
+from ..ids import Tier, UpstreamId
+from ..platform.headers import AnswerHeaders, decode_answer, decode_call, upstream_headers
+from .admission import admit
+from .attempts import AttemptBook, AttemptEnd, NextStep
+from .calls import Call, CallRefusal, RefusalCause
+from .context import GatewayContext
+from .desk import DispatchDesk
+from .digests import DigestController
+from .event_relay import EventRelay
+from .routes import RequestKind, Route
+from .tickets import Placement, RefusalReason, Refused, Ticket
+
+CONNECT_TIMEOUT_S = 0.4
+"""Upstreams are a few milliseconds away; with a packet lost, another upstream is faster."""
+CRASH_CHECK_TIMEOUT_S = 0.2
+"""A live upstream takes a connection in a few milliseconds; a crashed one refuses it as fast."""
+ANSWER_MARGIN_S = 0.03
+"""The final answer leaves this long before a request's deadline, to be there in time."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Bounds memory for an answer that is collected before it is passed on."""
+FIRST_EVENT_PATIENCE = 2.0
+"""A repeatable request without a first event for this many objectives is tried elsewhere."""
+PAUSE_PATIENCE = 2.5
+"""A resumable stream without an event for this many longest pauses is taken up elsewhere."""
+EXPECTED_PATIENCE = 3.0
+"""A request is not given up at an upstream before this many times what was expected there."""
+
+_PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request did not run."""
+
+
+@dataclass(slots=True)
+class _Run:
+    """The state of one request over its attempts."""
+
+    call: Call
+    route: Route
+    ticket: Ticket
+    book: AttemptBook
+    responder: Responder
+    relay: EventRelay
+    failure: tuple[int, Headers, bytes] | None = None
+    """The last whole failure that an upstream gave."""
+    tried: list[UpstreamId] = field(default_factory=list)
+
+    @property
+    def log_id(self) -> str:
+        return self.call.log_id
+
+
+class Forwarder:
+    """Handles all callers' requests of one node."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        self._desk = context.controller(DispatchDesk)
+        self._digests = context.controller(DigestController)
+        self._numbers = 0
+        self._client_settings = HttpClientSettings(
+            connect_timeout_s=CONNECT_TIMEOUT_S, accepts_unframed=True
+        )
+        self.in_progress = 0
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request; the work ends at once when its caller leaves."""
+        self._numbers += 1
+        call = Call(request, decode_call(request.headers), self._numbers, self._context.now_s())
+        refusal = admit(call, self._context, call.arrived_s)
+        if refusal is not None:
+            await self._refuse(call, refusal, responder)
+            return
+        self.in_progress += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_caller, call, nursery.cancel_scope)
+                await self._run(self._new_run(call, responder))
+                nursery.cancel_scope.cancel()
+        finally:
+            self.in_progress -= 1
+
+    async def _watch_caller(self, call: Call, scope: trio.CancelScope) -> None:
+        await call.request.caller_gone.wait()
+        log_event(Event.CALLER_GONE, request_id=call.log_id)
+        scope.cancel()
+
+    def _new_run(self, call: Call, responder: Responder) -> _Run:
+        route, service = call.route, call.service
+        assert route is not None and service is not None
+        headers = call.headers
+        wait_s = route.timeout_s
+        if headers.time_left_s is not None:
+            wait_s = min(wait_s, headers.time_left_s)
+        deadline_s = call.arrived_s + max(wait_s - ANSWER_MARGIN_S, 0.0)
+        ticket = Ticket(
+            number=call.number,
+            service=service,
+            tier=Tier(route.tier),
+            prompt_tokens=headers.prompt_tokens,
+            output_tokens=headers.expected_output_tokens or headers.max_output_tokens,
+            arrived_s=call.arrived_s,
+            objective_s=route.objective_s,
+            deadline_s=deadline_s,
+            may_repeat=route.is_repeatable,
+        )
+        self._context.budget.note_request(service, call.arrived_s)
+        book = AttemptBook(route, service, deadline_s)
+        return _Run(call, route, ticket, book, responder, EventRelay(headers.resume_after))
+
+    async def _run(self, run: _Run) -> None:
+        with trio.CancelScope(deadline=run.book.deadline_s) as scope:
+            await self._attempt_until_done(run)
+        if scope.cancelled_caught:
+            await self._time_out(run)
+
+    async def _attempt_until_done(self, run: _Run) -> None:
+        while True:
+            decision = await self._desk.place(run.ticket)
+            if isinstance(decision, Refused):
+                await self._give_up(run, decision)
+                return
+            end = await self._attempt(run, decision)
+            step = run.book.ended(end, self._context.budget, self._context.now_s())
+            if step is NextStep.FINISH:
+                self._log_finished(run, decision)
+                return
+            self._log_attempt_end(run, decision, end, step)
+            if step is not NextStep.RETRY:
+                await self._finish_failed(run, step)
+                return
+            run.ticket.excluded.add(decision.listing.upstream)
+
+    async def _attempt(self, run: _Run, placement: Placement) -> AttemptEnd:
+        """Send the request to the upstream of a placement and pass its answer on."""
+        self._log_attempt(run, placement)
+        dispatcher = self._context.dispatcher(run.ticket.service)
+        model = dispatcher.model(placement.listing.upstream)
+        end = AttemptEnd.NOT_SENT
+        is_known_end = False
+        try:
+            end = await self._exchange(run, placement)
+            is_known_end = True
+        finally:
+            if model is not None:
+                model.end(run.ticket.number)
+                if is_known_end and end is not AttemptEnd.NOT_SENT:
+                    is_failed = end is not AttemptEnd.DELIVERED
+                    model.record.note_result(failed=is_failed, now_s=self._context.now_s())
+            self._desk.poll(run.ticket.service)
+        return end
+
+    async def _exchange(self, run: _Run, placement: Placement) -> AttemptEnd:
+        client = HttpClient(placement.listing.address, self._client_settings)
+        request = self._upstream_request(run, placement)
+        was_asked = False
+
+        def may_send() -> bool:
+            nonlocal was_asked
+            was_asked = True
+            listing = placement.listing
+            if not self._context.fleet.takes_work(listing.upstream, listing.started_ms):
+                return False
+            run.book.sent()
+            return True
+
+        async with client.exchange(request, may_send) as exchange:
+            head = await exchange.head()
+            if isinstance(head, Err):
+                return await self._fault_end(run, placement, head.err_value, was_asked)
+            return await self._take_answer(run, placement, exchange, head.ok_value)
+
+    def _upstream_request(self, run: _Run, placement: Placement) -> ClientRequest:
+        request, call = run.call.request, run.call
+        resumed = run.relay.last_event_id if run.book.has_started_answer else None
+        silence_s = self._silence_limit_s(run, placement)
+        return ClientRequest(
+            method=request.method,
+            path=request.path,
+            headers=upstream_headers(
+                request.headers,
+                upstream=placement.listing.upstream,
+                account=None if call.account is None else call.account.name,
+                time_left_s=run.book.deadline_s - self._context.now_s(),
+                resume_after=resumed,
+            ),
+            body=request.body,
+            head_timeout_s=silence_s,
+            read_timeout_s=self._pause_limit_s(run),
+        )
+
+    def _silence_limit_s(self, run: _Run, placement: Placement) -> float:
+        """Return how long to wait for the beginning of an answer."""
+        left_s = run.book.deadline_s - self._context.now_s()
+        if not self._could_repeat(run):
+            return left_s
+        patience_s = FIRST_EVENT_PATIENCE * run.route.objective_s
+        return min(left_s, max(patience_s, EXPECTED_PATIENCE * placement.expected_s))
+
+    def _pause_limit_s(self, run: _Run) -> float:
+        """Return how long to wait for the next part of an answer."""
+        left_s = run.book.deadline_s - self._context.now_s()
+        if not self._could_repeat(run) or run.route.max_pause_s is None:
+            return left_s
+        return min(left_s, PAUSE_PATIENCE * run.route.max_pause_s)
+
+    def _could_repeat(self, run: _Run) -> bool:
+        budget_left = self._context.budget.left(run.ticket.service, self._context.now_s())
+        has_attempt = run.book.sends + 1 < run.route.max_attempts
+        return run.route.is_repeatable and has_attempt and budget_left >= 1.0
+
+    async def _fault_end(
+        self, run: _Run, placement: Placement, fault: HttpFault, was_asked: bool
+    ) -> AttemptEnd:
+        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
+        if fault is HttpFault.NOT_SENT:
+            if not was_asked and model is not None:
+                model.block(self._context.now_s())
+            return AttemptEnd.NOT_SENT
+        if fault is HttpFault.TIMED_OUT:
+            return AttemptEnd.SILENT
+        if fault is HttpFault.RESET:
+            await self._check_crash(run, placement)
+        return AttemptEnd.BROKEN
+
+    async def _check_crash(self, run: _Run, placement: Placement) -> None:
+        """Find out whether a broken connection means that the upstream has crashed."""
+        try:
+            with trio.fail_after(CRASH_CHECK_TIMEOUT_S):
+                stream = await open_tcp(placement.listing.address)
+        except trio.TooSlowError:
+            return
+        except OSError:
+            model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
+            if model is not None:
+                model.block(self._context.now_s())
+            log_event(
+                Event.UPSTREAM_CRASHED,
+                request_id=run.log_id,
+                upstream=placement.listing.upstream,
+            )
+            if run.call.content is not None:
+                self._digests.report_crash(placement.listing.upstream, (run.call.content,))
+            return
+        await trio.aclose_forcefully(stream)
+
+    async def _take_answer(
+        self, run: _Run, placement: Placement, exchange: HttpExchange, head: HttpHead
+    ) -> AttemptEnd:
+        answer = decode_answer(head.headers)
+        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
+        if model is not None:
+            model.unblock()
+        if answer.attempt_id is not None and answer.attempt_id != run.call.headers.attempt_id:
+            return AttemptEnd.BROKEN
+        if answer.is_not_executed or head.status == 421:
+            return AttemptEnd.NOT_EXECUTED
+        is_success = 200 <= head.status < 300
+        if is_success and (not answer.is_signed or answer.has_encoding):
+            return AttemptEnd.BROKEN
+        if is_success and run.route.kind is RequestKind.STREAM:
+            return await self._relay_events(run, placement, exchange, head)
+        return await self._relay_whole(run, placement, exchange, head, answer)
+
+    async def _relay_whole(
+        self,
+        run: _Run,
+        placement: Placement,
+        exchange: HttpExchange,
+        head: HttpHead,
+        answer: AnswerHeaders,
+    ) -> AttemptEnd:
+        """Collect the whole answer, then pass it on."""
+        body = await _collect(exchange)
+        if isinstance(body, Err):
+            return await self._fault_end(run, placement, body.err_value, was_asked=True)
+        if head.status in _PROMISES:
+            # The upstream did not say that it did not run the request, so nobody may promise it.
+            return AttemptEnd.BROKEN
+        if head.status >= 500:
+            run.failure = (head.status, head.headers, body.ok_value)
+            return AttemptEnd.SERVER_ERROR
+        self._note_first_event(run, placement)
+        if run.book.has_started_answer:
+            return AttemptEnd.BROKEN
+        run.book.has_started_answer = True
+        await run.responder.answer(head.status, head.headers, body.ok_value)
+        return AttemptEnd.DELIVERED
+
+    async def _relay_events(
+        self, run: _Run, placement: Placement, exchange: HttpExchange, head: HttpHead
+    ) -> AttemptEnd:
+        """Pass a stream's events on as they come."""
+        run.relay.start_run()
+        while True:
+            part = await exchange.part()
+            if isinstance(part, Err):
+                return await self._fault_end(run, placement, part.err_value, was_asked=True)
+            if part.ok_value is None:
+                return await self._end_stream(run, head)
+            passed = run.relay.feed(part.ok_value)
+            if isinstance(passed, Err):
+                return AttemptEnd.BROKEN
+            if passed.ok_value:
+                self._note_first_event(run, placement)
+                await self._send_events(run, head, passed.ok_value)
+
+    async def _send_events(self, run: _Run, head: HttpHead, events: bytes) -> None:
+        if run.book.has_started_answer:
+            await run.responder.send(events)
+            return
+        run.book.has_started_answer = True
+        await run.responder.start(head.status, head.headers, events)
+
+    async def _end_stream(self, run: _Run, head: HttpHead) -> AttemptEnd:
+        if run.relay.has_rest:
+            return AttemptEnd.BROKEN
+        if not run.book.has_started_answer:
+            await self._send_events(run, head, b"")
+        await run.responder.end()
+        return AttemptEnd.DELIVERED
+
+    def _note_first_event(self, run: _Run, placement: Placement) -> None:
+        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
+        if model is not None:
+            model.first_event(run.ticket.number, self._context.now_s())
+        if run.call.content is not None:
+            self._digests.report_completed(run.call.content)
+
+    async def _give_up(self, run: _Run, refused: Refused) -> None:
+        if run.book.has_started_answer:
+            await self._finish_failed(run, NextStep.BREAK_OFF)
+        elif run.failure is not None:
+            await self._finish_failed(run, NextStep.PASS_ON)
+        elif run.book.may_have_run:
+            await self._finish_failed(run, NextStep.FAIL)
+        else:
+            is_overload = refused.reason is RefusalReason.OVERLOADED
+            cause = RefusalCause.OVERLOADED if is_overload else RefusalCause.NO_UPSTREAM
+            await self._refuse_run(run, CallRefusal(cause, refused.retry_after_s))
+
+    async def _finish_failed(self, run: _Run, step: NextStep) -> None:
+        if step is NextStep.BREAK_OFF:
+            self._log_broken(run, "stream-lost")
+            run.responder.break_off()
+        elif step is NextStep.PASS_ON and run.failure is not None:
+            status, headers, body = run.failure
+            log_event(Event.REQUEST_FINISHED, request_id=run.log_id, status=status, tried=run.tried)
+            await run.responder.answer(status, headers, body)
+        elif step is NextStep.REFUSE:
+            retry_after_s = self._context.settings.dispatch.retry_after_min_s
+            await self._refuse_run(run, CallRefusal(RefusalCause.NOT_EXECUTED, retry_after_s))
+        else:
+            await self._refuse_run(run, CallRefusal(RefusalCause.UPSTREAM_FAILED))
+
+    async def _time_out(self, run: _Run) -> None:
+        if run.book.has_started_answer:
+            self._log_broken(run, "timeout")
+            run.responder.break_off()
+        elif run.book.sends:
+            await self._refuse_run(run, CallRefusal(RefusalCause.TIMED_OUT))
+        else:
+            retry_after_s = self._context.settings.dispatch.retry_after_min_s
+            await self._refuse_run(run, CallRefusal(RefusalCause.OVERLOADED, retry_after_s))
+
+    async def _refuse_run(self, run: _Run, refusal: CallRefusal) -> None:
+        if not run.book.may_have_run and run.call.account is not None:
+            self._context.quotas.give_back(run.call.account.name, run.call.cost)
+        await self._refuse(run.call, refusal, run.responder, run)
+
+    async def _refuse(
+        self, call: Call, refusal: CallRefusal, responder: Responder, run: _Run | None = None
+    ) -> None:
+        log_event(
+            Event.REQUEST_REFUSED,
+            request_id=call.log_id,
+            status=refusal.status,
+            reason=refusal.cause.value,
+            retry_after_s=refusal.retry_after_s,
+            route=None if call.route is None else call.route.name,
+            account=None if call.account is None else call.account.name,
+            config_version=None if call.config is None else call.config.version,
+            waited_s=round(self._context.now_s() - call.arrived_s, 4),
+            tried=[] if run is None else run.tried,
+        )
+        await responder.answer(refusal.status, refusal.headers, refusal.body)
+
+    def _log_attempt(self, run: _Run, placement: Placement) -> None:
+        run.tried.append(placement.listing.upstream)
+        log_event(
+            Event.ATTEMPT_STARTED,
+            request_id=run.log_id,
+            upstream=placement.listing.upstream,
+            attempt=len(run.tried),
+            route=run.route.name,
+            config_version=run.call.config.version if run.call.config else None,
+            waited_s=round(self._context.now_s() - run.call.arrived_s, 4),
+            expected_s=round(placement.expected_s, 4),
+            work_tokens=placement.work_tokens,
+            running=placement.running,
+            pace_ms=round(placement.pace_ms, 2),
+            failure_rate=round(placement.failure_rate, 3),
+            digest_age_s=round(placement.digest_age_s, 3),
+        )
+
+    def _log_attempt_end(
+        self, run: _Run, placement: Placement, end: AttemptEnd, step: NextStep
+    ) -> None:
+        now_s = self._context.now_s()
+        log_event(
+            Event.ATTEMPT_ENDED,
+            request_id=run.log_id,
+            upstream=placement.listing.upstream,
+            end=end.value,
+            next=step.value,
+            events=run.relay.passed_events,
+            left_s=round(run.book.deadline_s - now_s, 3),
+            budget_left=round(self._context.budget.left(run.ticket.service, now_s), 1),
+        )
+
+    def _log_finished(self, run: _Run, placement: Placement) -> None:
+        log_event(
+            Event.REQUEST_FINISHED,
+            request_id=run.log_id,
+            upstream=placement.listing.upstream,
+            took_s=round(self._context.now_s() - run.call.arrived_s, 4),
+            events=run.relay.passed_events,
+            tried=run.tried,
+        )
+
+    def _log_broken(self, run: _Run, reason: str) -> None:
+        log_event(
+            Event.REQUEST_BROKEN,
+            request_id=run.log_id,
+            reason=reason,
+            events=run.relay.passed_events,
+            tried=run.tried,
+        )
+
+
+async def _collect(exchange: HttpExchange) -> Result[bytes, HttpFault]:
+    body = bytearray()
+    while True:
+        part = await exchange.part()
+        if isinstance(part, Err):
+            return part
+        if part.ok_value is None:
+            return Ok(bytes(body))
+        body += part.ok_value
+        if len(body) > MAX_ANSWER_BYTES:
+            return Err(HttpFault.WRONG_ANSWER)
--- /dev/null
+++ b/lentilchute/gateway/node.py
@@ -0,0 +1,252 @@
+"""One gateway node: its servers, its controllers and its planned stop.
+
+node = GatewayNode(settings)
+await node.run()      # until ``node.stop()``
+"""
+
+import random
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+
+from .. import messages as node_messages
+from ..events import Event, error_place, log_event
+from ..http_messages import JSON_HEADER
+from ..http_requests import HttpRequest, HttpServerSettings
+from ..http_responder import Responder
+from ..http_server import HttpServer, open_listeners
+from ..ids import IncarnationId, InstanceId
+from ..membership import Membership
+from ..peer_links import LinkIdentity, PeerLinks
+from ..peers import PeerInfo
+from ..platform import endpoints
+from ..platform.store import StoreClient
+from ..settings import Role
+from . import desk, digests, peering, reading
+from .context import GatewayContext, MessageHandler, build_controllers
+from .crash_guard import CrashGuard
+from .fleet import Fleet
+from .forwarder import Forwarder
+from .peering import PeeringController
+from .quota import QuotaBook
+from .retry_budget import RetryBudget
+from .routes import RoutingConfig
+from .settings import GatewaySettings
+
+REGISTERED = (node_messages, desk, digests, peering, reading)
+"""Modules that register peer messages and controllers when they are imported."""
+
+MAX_READING_BYTES = 24 * 1024 * 1024
+"""Bodies that are being read at one time; a fraction of the smallest instance's memory."""
+MAX_CALLER_CONNECTIONS = 1_500
+"""Leaves descriptors for connections to upstreams and peers."""
+KEEP_ALIVE_SHARE = 0.6
+"""Callers are told this part of the time after which an idle connection is closed."""
+LONGEST_CACHED_LIFETIMES = 3.0
+"""Some callers keep an answer where to connect three times as long as it says (platform)."""
+STOP_MARGIN_S = 0.7
+"""Work that is left ends this long before the process would be killed."""
+STOP_POLL_S = 0.05
+LEAVE_NOTICES = 3
+"""Heartbeats that announce a planned stop at once; one may be lost with a breaking link."""
+READING_TIMEOUT_S = 10.0
+"""A body that takes longer is given up."""
+
+
+class GatewayNode:
+    """Runs one process."""
+
+    def __init__(self, settings: GatewaySettings, rng: random.Random | None = None) -> None:
+        self.settings = settings
+        self._stop = trio.Event()
+        self._context = _new_context(settings, rng or random.Random())
+        self._context.controllers += build_controllers(self._context)
+        self._forwarder = Forwarder(self._context)
+        self._callers = HttpServer(_server_settings(None), self._forwarder.handle)
+        self._readiness = HttpServer(HttpServerSettings(), self._answer_ready)
+        self._directory = HttpServer(HttpServerSettings(), self._answer_resolve)
+        self._context.config_listeners.append(self._use_limits)
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop.set()
+
+    def use_settings(self, settings: GatewaySettings) -> None:
+        """Take bounds from settings that were read again; names and addresses stay as they are."""
+        self._context.budget.use_settings(settings.retries)
+        log_event(Event.SETTINGS_RELOADED, ok=True, changed=settings != self.settings)
+
+    async def run(self) -> None:
+        """Run until a planned stop has ended.
+
+        Raises ``OSError`` when an address of the settings cannot be bound.
+        """
+        context = self._context
+        handlers = _handlers(context)
+        context.links.receiver = lambda sender, message: _dispatch(handlers, sender, message)
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(context.links.run, self.settings.listen.peers)
+                await self._open_servers(nursery)
+                for controller in context.controllers:
+                    nursery.start_soon(controller.run)
+                nursery.start_soon(self._log_ready)
+                log_event(
+                    Event.NODE_STARTED,
+                    instance=context.instance,
+                    incarnation=context.incarnation,
+                    callers=self.settings.listen.callers,
+                )
+                await self._stop.wait()
+                await self._finish()
+                nursery.cancel_scope.cancel()
+        finally:
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
+                await context.store.aclose()
+
+    async def _open_servers(self, nursery: trio.Nursery) -> None:
+        listen = self.settings.listen
+        for server, address in (
+            (self._callers, listen.callers),
+            (self._readiness, listen.readiness),
+            (self._directory, listen.directory),
+        ):
+            await nursery.start(server.serve, await open_listeners(address))
+
+    async def _log_ready(self) -> None:
+        started_s = self._context.now_s()
+        while not self._context.is_ready:  # noqa: ASYNC110
+            await trio.sleep(STOP_POLL_S)
+        log_event(Event.NODE_READY, after_s=round(self._context.now_s() - started_s, 3))
+
+    async def _finish(self) -> None:
+        """Leave the answers to callers, serve those who still come, then end."""
+        context, stop = self._context, self.settings.stop
+        stopped_s = context.now_s()
+        log_event(Event.NODE_STOPPING, instance=context.instance)
+        context.is_stopping = True
+        context.membership.leave(stopped_s)
+        self._callers.begin_close()
+        for _ in range(LEAVE_NOTICES):
+            context.controller(PeeringController).send_heartbeats()
+            await trio.sleep(STOP_POLL_S)
+        # Callers hold this address for some lifetimes of the answer; then requests are refused.
+        context.refuses_after_s = stopped_s + LONGEST_CACHED_LIFETIMES * stop.answer_lifetime_s
+        end_s = stopped_s + stop.grace_s - STOP_MARGIN_S
+        while context.now_s() < end_s:
+            if context.now_s() > context.refuses_after_s and not self._forwarder.in_progress:
+                break
+            await trio.sleep(STOP_POLL_S)
+        log_event(
+            Event.NODE_STOPPED,
+            instance=context.instance,
+            work_was_cut=self._forwarder.in_progress > 0,
+        )
+
+    def _use_limits(self, config: RoutingConfig) -> None:
+        self._callers.settings = _server_settings(config)
+
+    async def _answer_ready(self, request: HttpRequest, responder: Responder) -> None:
+        is_asked = endpoints.path_of(request.path) == endpoints.READY_PATH
+        status = 404 if not is_asked else 200 if self._context.is_ready else 503
+        await responder.answer(status, (), b"")
+
+    async def _answer_resolve(self, request: HttpRequest, responder: Responder) -> None:
+        if endpoints.path_of(request.path) != endpoints.RESOLVE_PATH:
+            await responder.answer(404, (), b"")
+            return
+        addresses = self._addresses(endpoints.zone_of_resolve(request.path))
+        body = endpoints.resolve_answer(addresses, self.settings.stop.answer_lifetime_s)
+        await responder.answer(200 if addresses else 503, (JSON_HEADER,), body)
+
+    def _addresses(self, zone: str | None) -> list[str]:
+        """Return callers' addresses of the nodes alive, drawn anew when there are too many."""
+        context = self._context
+        alive = list(context.membership.alive(context.now_s()))
+        if len(alive) > endpoints.MAX_ADDRESSES:
+            context.rng.shuffle(alive)
+            alive.sort(key=lambda info: info.zone != zone)
+        return [info.callers_address for info in alive if info.instance != context.instance] + (
+            [self.settings.listen.callers] if context.is_ready else []
+        )
+
+
+def _new_context(settings: GatewaySettings, rng: random.Random) -> GatewayContext:
+    instance = settings.instance_id
+    incarnation = IncarnationId(f"{instance}.{rng.getrandbits(48):012x}")
+    info = PeerInfo(
+        instance=instance,
+        incarnation=incarnation,
+        generation=int(time.time()),
+        address=settings.listen.peers,
+        callers_address=settings.listen.callers,
+        zone=settings.zone,
+        region=settings.region,
+        roles=(Role.ENTRY,),
+    )
+    identity = LinkIdentity(instance, incarnation, settings.shared_key)
+    return GatewayContext(
+        settings=settings,
+        incarnation=incarnation,
+        rng=rng,
+        store=StoreClient(settings.store.address, settings.store.timeout_s),
+        links=PeerLinks(identity, _drop, rng.randbytes),
+        membership=Membership(info, settings.membership, rng, trio.current_time()),
+        fleet=Fleet(),
+        budget=RetryBudget(settings.retries),
+        quotas=QuotaBook(settings.quotas),
+        crash_guard=CrashGuard(),
+    )
+
+
+def _server_settings(config: RoutingConfig | None) -> HttpServerSettings:
+    if config is None:
+        return HttpServerSettings(
+            max_connections=MAX_CALLER_CONNECTIONS,
+            max_reading_bytes=MAX_READING_BYTES,
+            answers_silent_connection=False,
+        )
+    limits = config.limits
+    return HttpServerSettings(
+        max_connections=MAX_CALLER_CONNECTIONS,
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        max_reading_bytes=MAX_READING_BYTES,
+        header_timeout_s=limits.header_timeout_s,
+        body_timeout_s=READING_TIMEOUT_S,
+        keep_alive_timeout_s=limits.idle_timeout_s,
+        advertised_keep_alive_s=KEEP_ALIVE_SHARE * limits.idle_timeout_s,
+        answers_silent_connection=False,
+    )
+
+
+Handlers = Mapping[type[Any], list[MessageHandler]]
+
+
+def _handlers(context: GatewayContext) -> Handlers:
+    found: dict[type[Any], list[MessageHandler]] = {}
+    for controller in context.controllers:
+        for message_type, handler in controller.handlers().items():
+            found.setdefault(message_type, []).append(handler)
+    return found
+
+
+def _dispatch(handlers: Handlers, sender: InstanceId, message: Any) -> None:
+    """Give a message to its handlers; one that raises stops neither the others nor the node."""
+    for handler in handlers.get(type(message), []):
+        try:
+            handler(sender, message)
+        except Exception as error:
+            log_event(
+                Event.HANDLER_FAILED,
+                sender=sender,
+                message_class=type(message).__name__,
+                error=type(error).__name__,
+                place=error_place(error),
+            )
+
+
+def _drop(sender: InstanceId, message: Any) -> None:
+    """Take a message that came before the node's controllers were there."""
--- /dev/null
+++ b/lentilchute/gateway/peering.py
@@ -0,0 +1,101 @@
+"""Controller that finds the other nodes by their rows in the store and follows them by
+heartbeats."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+from result import Err
+
+from ..events import Event, log_event
+from ..ids import InstanceId
+from ..membership_controller import PEER_EVENTS
+from ..peers import Heartbeat, PeerAddress, PeerChange, PeerChangeKind
+from ..platform import rows
+from ..platform.store import RowWrite
+from .context import GatewayContext, MessageHandler, gateway_controller
+
+REGISTER_RETRY_S = 0.5
+"""Time between two tries to write this node's row."""
+FIRST_SEARCHES = 3
+FIRST_SEARCH_INTERVAL_S = 1.5
+"""Nodes that start together find each other's rows within the first few reads."""
+SEARCH_INTERVAL_S = 15.0
+"""Later reads only find nodes that no heartbeat has named."""
+
+
+@gateway_controller
+class PeeringController:
+    """Registers this node and keeps the view of its peers."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {Heartbeat: self._on_heartbeat}
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._beat)
+            nursery.start_soon(self._search)
+
+    async def _beat(self) -> None:
+        context = self._context
+        while True:
+            now_s = context.now_s()
+            self._note(context.membership.tick(now_s))
+            context.budget.set_nodes(len(context.membership.present()) + 1)
+            self.send_heartbeats()
+            await trio.sleep(context.settings.membership.heartbeat_interval_s)
+
+    def send_heartbeats(self) -> None:
+        """Tell peers now that this node is there, or leaving."""
+        context = self._context
+        version = 0 if context.config is None else context.config.version
+        context.membership.set_configuration(version, ready=context.is_ready)
+        for outgoing in context.membership.heartbeat(context.now_s()):
+            context.links.send(outgoing.instance, outgoing.address, outgoing.heartbeat)
+
+    async def _search(self) -> None:
+        await self._register()
+        searches = 0
+        while True:
+            await self._read_rows()
+            searches += 1
+            is_first = searches < FIRST_SEARCHES
+            await trio.sleep(FIRST_SEARCH_INTERVAL_S if is_first else SEARCH_INTERVAL_S)
+
+    async def _register(self) -> None:
+        address = self._context.settings.listen.peers
+        row = RowWrite(rows.NODES_TABLE, self._context.instance, rows.encode_node(address))
+        while isinstance(written := await self._context.store.write((row,)), Err):
+            log_event(Event.PLATFORM_DOWN, call="register", fault=written.err_value.value)
+            await trio.sleep(REGISTER_RETRY_S * (1 + self._context.rng.random()))
+
+    async def _read_rows(self) -> None:
+        page = await self._context.store.read_table(rows.NODES_TABLE)
+        if isinstance(page, Err):
+            log_event(Event.PLATFORM_DOWN, call="read-nodes", fault=page.err_value.value)
+            return
+        found: list[PeerAddress] = []
+        for row in page.ok_value.rows:
+            node = rows.decode_node(row.key, row.value or b"")
+            if isinstance(node, Err):
+                log_event(Event.ROW_REJECTED, table="nodes", row=row.key, error=node.err_value)
+                continue
+            found.append(node.ok_value)
+        self._context.membership.learn_peers(found, self._context.now_s())
+
+    def _on_heartbeat(self, _sender: InstanceId, heartbeat: Heartbeat) -> None:
+        self._note(self._context.membership.received(heartbeat, self._context.now_s()))
+
+    def _note(self, changes: list[PeerChange]) -> None:
+        for change in changes:
+            log_event(
+                PEER_EVENTS[change.kind],
+                peer=change.info.instance,
+                incarnation=change.info.incarnation,
+                change=change.kind.value,
+            )
+            if change.kind is PeerChangeKind.GONE:
+                self._context.quotas.forget(change.info.incarnation)
--- /dev/null
+++ b/lentilchute/gateway/reading.py
@@ -0,0 +1,246 @@
+"""Controller that keeps this node's copies of the configuration and of the list of upstreams."""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+from result import Err
+
+from ..events import Event, log_event
+from ..ids import InstanceId, UpstreamId
+from ..platform import rows
+from ..platform.store import StoreFault, StoreRow, TablePage
+from .context import GatewayContext, MessageHandler, gateway_controller
+from .fleet import UpstreamChange, UpstreamChangeKind, UpstreamListing
+from .knowledge import TableCopy
+from .messages import NewsRow, TableNews
+
+CHECK_INTERVAL_S = 0.05
+"""How often a copy's age is looked at; a small part of the poll interval."""
+RETRY_INTERVAL_S = 0.3
+"""Pause after a read that failed, so that an outage costs few calls."""
+PAUSE_S = 0.5
+"""A loop that was held up for longer than this, or clocks that differ by more, mean a pause."""
+
+_EVENT_OF_CHANGE = {
+    UpstreamChangeKind.ADDED: Event.UPSTREAM_ADDED,
+    UpstreamChangeKind.RESTARTED: Event.UPSTREAM_ADDED,
+    UpstreamChangeKind.LEAVING: Event.UPSTREAM_LEAVING,
+    UpstreamChangeKind.REMOVED: Event.UPSTREAM_REMOVED,
+}
+
+
+@dataclass(slots=True)
+class _Table:
+    copy: TableCopy
+    take_rows: Callable[[list[StoreRow], bool, bool], list[StoreRow]]
+    """Takes new rows, whether they are the whole table, and whether the store was away; returns
+    those that peers have to know."""
+    is_away: bool = False
+
+
+@gateway_controller
+class ReadingController:
+    """Reads the store's tables when they are due and passes on what changed."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        reading = context.settings.reading
+        self._config = _Table(TableCopy(rows.CONFIG_TABLE, reading), self._take_config)
+        self._upstreams = _Table(TableCopy(rows.UPSTREAMS_TABLE, reading), self._take_upstreams)
+        self._tables = {table.copy.table: table for table in (self._config, self._upstreams)}
+        self._said: dict[str, UpstreamListing] = {}
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {TableNews: self._on_news}
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_pauses)
+            for table in self._tables.values():
+                nursery.start_soon(self._follow, table)
+
+    async def _follow(self, table: _Table) -> None:
+        while True:
+            is_due = table.copy.is_due(self._rank(), self._context.now_s())
+            if is_due and not await self._read(table):
+                await trio.sleep(RETRY_INTERVAL_S * (1 + self._context.rng.random()))
+            await trio.sleep(CHECK_INTERVAL_S)
+
+    async def _watch_pauses(self) -> None:
+        last_s = self._context.now_s()
+        last_offset_s = _suspended_s()
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            now_s, offset_s = self._context.now_s(), _suspended_s()
+            held_s = max(now_s - last_s - CHECK_INTERVAL_S, offset_s - last_offset_s)
+            last_s, last_offset_s = now_s, offset_s
+            if held_s > PAUSE_S:
+                log_event(Event.NODE_PAUSED, paused_s=round(held_s, 3))
+                for table in self._tables.values():
+                    table.copy.distrust()
+            self._expire_upstreams(now_s)
+
+    def _expire_upstreams(self, now_s: float) -> None:
+        changes = self._context.fleet.expire(now_s)
+        if changes:
+            self._announce(changes)
+
+    def _rank(self) -> int:
+        context = self._context
+        alive = [info.instance for info in context.membership.alive(context.now_s())]
+        return alive.index(context.instance) if context.instance in alive else len(alive)
+
+    async def _read(self, table: _Table) -> bool:
+        copy = table.copy
+        asked_s = self._context.now_s()
+        base = copy.version
+        if base is None:
+            answered = await self._context.store.read_table(copy.table)
+        else:
+            answered = await self._context.store.read_changes(copy.table, base)
+        if isinstance(answered, Err):
+            self._note_fault(table, answered.err_value)
+            return False
+        self._note_answer(table)
+        page = answered.ok_value
+        copy.note_read(page.version, asked_s, self._context.now_s())
+        after_outage = copy.is_after_outage(self._context.now_s())
+        self._take(table, page, base, asked_s, after_outage)
+        return True
+
+    def _take(
+        self, table: _Table, page: TablePage, base: int | None, asked_s: float, after_outage: bool
+    ) -> None:
+        newer = table.copy.take_new(page.rows)
+        # A whole table is taken as it is: what it does not name has been removed.
+        taken = list(page.rows) if base is None else newer
+        changed = table.take_rows(taken, base is None, after_outage)
+        if base is None:
+            return
+        news = TableNews(
+            table_name=table.copy.table,
+            base=base,
+            version=page.version,
+            age_s=self._context.now_s() - asked_s,
+            rows=tuple(
+                NewsRow(row.key, row.version, row.value or b"", row.value is None)
+                for row in changed
+            ),
+            after_outage=after_outage,
+        )
+        self._context.broadcast(news)
+
+    def _on_news(self, _sender: InstanceId, news: TableNews) -> None:
+        table = self._tables.get(news.table_name)
+        if table is None:
+            return
+        as_of_s = self._context.now_s() - news.age_s
+        if not table.copy.note_news(news.base, news.version, as_of_s):
+            return
+        received = [
+            StoreRow(row.key, row.version, None if row.removed else row.value) for row in news.rows
+        ]
+        newer = table.copy.take_new(received)
+        if newer:
+            table.take_rows(newer, False, news.after_outage)
+
+    def _note_fault(self, table: _Table, fault: StoreFault) -> None:
+        if fault is StoreFault.HISTORY_GONE:
+            table.copy.lose_history()
+        else:
+            table.copy.note_failure(self._context.now_s())
+        if not table.is_away:
+            table.is_away = True
+            log_event(
+                Event.PLATFORM_DOWN,
+                call=f"read-{table.copy.table}",
+                fault=fault.value,
+                age_s=round(min(table.copy.age_s(self._context.now_s()), 1e6), 3),
+            )
+
+    def _note_answer(self, table: _Table) -> None:
+        if table.is_away:
+            table.is_away = False
+            log_event(Event.PLATFORM_BACK, call=f"read-{table.copy.table}")
+
+    def _take_config(
+        self, taken: list[StoreRow], _is_whole: bool, _after_outage: bool
+    ) -> list[StoreRow]:
+        for row in taken:
+            if row.key != rows.CONFIG_KEY or row.value is None:
+                continue
+            decoded = rows.decode_config(row.value)
+            if isinstance(decoded, Err):
+                log_event(Event.CONFIG_REJECTED, version=row.version, error=decoded.err_value)
+                continue
+            config = decoded.ok_value
+            context = self._context
+            if context.config is not None and config.version <= context.config.version:
+                continue
+            context.config = config
+            context.quotas.set_accounts(config.accounts, context.now_s())
+            log_event(
+                Event.CONFIG_IN_FORCE,
+                version=config.version,
+                row_version=row.version,
+                routes=len(config.routes),
+                accounts=len(config.accounts),
+            )
+            for listener in context.config_listeners:
+                listener(config)
+        return taken
+
+    def _take_upstreams(
+        self, taken: list[StoreRow], is_whole: bool, after_outage: bool
+    ) -> list[StoreRow]:
+        listed: list[UpstreamListing] = []
+        removed: list[UpstreamId] = []
+        changed: list[StoreRow] = []
+        for row in taken:
+            listing = self._decode_upstream(row)
+            if listing is None:
+                removed.append(UpstreamId(row.key))
+                self._said.pop(row.key, None)
+                changed.append(row)
+                continue
+            listed.append(listing)
+            if self._said.get(row.key) != listing:
+                self._said[row.key] = listing
+                changed.append(row)
+        fleet, now_s = self._context.fleet, self._context.now_s()
+        if is_whole:
+            changes = fleet.replace(listed, now_s, after_outage=after_outage)
+        else:
+            changes = fleet.apply(listed, removed, now_s, after_outage=after_outage)
+        if changes:
+            self._announce(changes)
+        return changed
+
+    def _decode_upstream(self, row: StoreRow) -> UpstreamListing | None:
+        if row.value is None:
+            return None
+        decoded = rows.decode_upstream(row.key, row.value)
+        if isinstance(decoded, Err):
+            log_event(Event.ROW_REJECTED, table="upstreams", row=row.key, error=decoded.err_value)
+            return None
+        return decoded.ok_value
+
+    def _announce(self, changes: list[UpstreamChange]) -> None:
+        for change in changes:
+            log_event(
+                _EVENT_OF_CHANGE[change.kind],
+                upstream=change.listing.upstream,
+                service=change.listing.service,
+                change=change.kind.value,
+                version=self._upstreams.copy.version,
+            )
+        for listener in self._context.fleet_listeners:
+            listener()
+
+
+def _suspended_s() -> float:
+    """Return for how long the machine has been suspended since its start."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
--- /dev/null
+++ b/lentilchute/gateway/retry_budget.py
@@ -0,0 +1,72 @@
+"""The budget for sending requests once more, which all nodes share; free of I/O.
+
+Each node spends at most its part: the ratio applies to its own requests, the slack is divided by
+the number of nodes. Counts are kept in buckets of a tenth of the window.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from ..ids import ServiceName
+from .settings import RetrySettings
+
+BUCKETS_PER_WINDOW = 10
+SAFETY = 0.7
+"""Part of the budget that is spent: windows slide, nodes differ in load, and views of who is alive
+lag."""
+
+
+@dataclass(slots=True)
+class _Bucket:
+    start_s: float
+    requests: int = 0
+    repeats: int = 0
+
+
+class RetryBudget:
+    """Requests and repeats of one node, by service, in the last window."""
+
+    def __init__(self, settings: RetrySettings) -> None:
+        self._settings = settings
+        self._buckets: dict[ServiceName, deque[_Bucket]] = {}
+        self._nodes = 1
+
+    def use_settings(self, settings: RetrySettings) -> None:
+        """Replace the budget's bounds from now on."""
+        self._settings = settings
+
+    def set_nodes(self, nodes: int) -> None:
+        """Set how many nodes share the slack."""
+        self._nodes = max(1, nodes)
+
+    def note_request(self, service: ServiceName, now_s: float) -> None:
+        """Count a caller's request for a service."""
+        self._bucket(service, now_s).requests += 1
+
+    def take(self, service: ServiceName, now_s: float) -> bool:
+        """Count one more send of a request if the budget allows it."""
+        if self.left(service, now_s) < 1.0:
+            return False
+        self._bucket(service, now_s).repeats += 1
+        return True
+
+    def left(self, service: ServiceName, now_s: float) -> float:
+        """Return how many repeats this node may still send now."""
+        buckets = self._recent(service, now_s)
+        requests = sum(bucket.requests for bucket in buckets)
+        repeats = sum(bucket.repeats for bucket in buckets)
+        allowed = self._settings.ratio * requests + self._settings.slack / self._nodes
+        return SAFETY * allowed - repeats
+
+    def _bucket(self, service: ServiceName, now_s: float) -> _Bucket:
+        buckets = self._recent(service, now_s)
+        width_s = self._settings.window_s / BUCKETS_PER_WINDOW
+        if not buckets or now_s - buckets[-1].start_s >= width_s:
+            buckets.append(_Bucket(now_s))
+        return buckets[-1]
+
+    def _recent(self, service: ServiceName, now_s: float) -> deque[_Bucket]:
+        buckets = self._buckets.setdefault(service, deque())
+        while buckets and now_s - buckets[0].start_s > self._settings.window_s:
+            buckets.popleft()
+        return buckets
--- /dev/null
+++ b/lentilchute/gateway/tickets.py
@@ -0,0 +1,62 @@
+"""A request that waits for an upstream, and the decisions about it."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..ids import ServiceName, Tier, UpstreamId
+from .fleet import UpstreamListing
+
+
+@dataclass(slots=True)
+class Ticket:
+    """What the dispatcher knows about one request; never its body."""
+
+    number: int
+    """Order of arrival at this node."""
+    service: ServiceName
+    tier: Tier
+    prompt_tokens: int
+    output_tokens: int
+    """Expected, not exact."""
+    arrived_s: float
+    objective_s: float
+    deadline_s: float
+    may_repeat: bool
+    excluded: set[UpstreamId] = field(default_factory=set)
+    """Upstreams that have had the request already."""
+
+
+class RefusalReason(Enum):
+    """Why the dispatcher gave a ticket up."""
+
+    NO_UPSTREAM = "no-upstream"
+    """No upstream of the service is known to take work."""
+    OVERLOADED = "overloaded"
+    """No upstream had room in time."""
+    DEADLINE = "deadline"
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """An upstream for a ticket, with what decided it."""
+
+    listing: UpstreamListing
+    expected_s: float
+    """To the first event, or to the whole answer of a plain service."""
+    work_tokens: int
+    running: int
+    pace_ms: float
+    failure_rate: float
+    digest_age_s: float
+    """Age of the oldest peer's digest behind the choice."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The ticket will not be placed."""
+
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Decision = Placement | Refused
--- a/lentilchute/http_client.py
+++ b/lentilchute/http_client.py
@@ -51,6 +51,8 @@
     max_idle_connections: int = 16
     idle_timeout_s: float = 8.0
     """A connection idle for longer is not used again; servers may tell a shorter time."""
+    accepts_unframed: bool = False
+    """Take an answer without a length or chunks as whole when its connection ends properly."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +84,10 @@
     body: bytes
 
 
+LARGE_REQUEST_BYTES = 16_384
+"""A request above this may not fit the buffers on the way, so its answer can come before its
+end."""
+
 Opener = Callable[[str], Awaitable[trio.abc.HalfCloseableStream]]
 BeforeFirstByte = Callable[[], bool]
 
@@ -93,6 +99,8 @@
     stream: trio.abc.HalfCloseableStream
     http: h11.Connection
     idle_until_s: float = 0.0
+    is_request_unsent: bool = False
+    """Part of a request's body never left; the server would take later bytes for it."""
 
 
 async def open_tcp(address: str) -> trio.abc.HalfCloseableStream:
@@ -199,6 +207,7 @@
         """Take back a connection after its exchange: pool it after a whole answer, or close it."""
         http = connection.http
         is_whole = http.our_state is h11.DONE and http.their_state is h11.DONE
+        is_whole = is_whole and not connection.is_request_unsent
         has_room = len(self._idle) < self.settings.max_idle_connections
         if not is_whole or not has_room or self._is_closed or http.trailing_data[0]:
             await trio.aclose_forcefully(connection.stream)
@@ -239,10 +248,7 @@
         await trio.lowlevel.checkpoint_if_cancelled()
         if not self._before_first_byte():
             return Err(HttpFault.NOT_SENT)
-        sent = await self._write(self._connection, wire)
-        if isinstance(sent, Err):
-            return sent
-        event = await self._read_head(self._connection)
+        event = await self._send_and_read_head(self._connection, wire)
         if isinstance(event, Err):
             return event
         head = HttpHead(event.ok_value.status_code, from_wire(list(event.ok_value.headers)))
@@ -284,6 +290,31 @@
         parts.append(h11.EndOfMessage())
         return b"".join(connection.http.send(part) or b"" for part in parts)
 
+    async def _send_and_read_head(
+        self, connection: _Connection, wire: bytes
+    ) -> Result[h11.Response, HttpFault]:
+        if len(wire) > LARGE_REQUEST_BYTES:
+            return await self._read_head_while_sending(connection, wire)
+        sent = await self._write(connection, wire)
+        return sent if isinstance(sent, Err) else await self._read_head(connection)
+
+    async def _read_head_while_sending(
+        self, connection: _Connection, wire: bytes
+    ) -> Result[h11.Response, HttpFault]:
+        """Send a large request, and stop sending when its answer comes first."""
+        connection.is_request_unsent = True
+
+        async def send() -> None:
+            # A failure to send shows in reading as well, which may still find the answer.
+            if (await self._write(connection, wire)).is_ok():
+                connection.is_request_unsent = False
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            event = await self._read_head(connection)
+            nursery.cancel_scope.cancel()
+        return event
+
     async def _write(self, connection: _Connection, wire: bytes) -> Result[None, HttpFault]:
         try:
             with trio.move_on_after(self._settings.write_timeout_s) as scope:
@@ -314,7 +345,7 @@
                 while (event := http.next_event()) is h11.NEED_DATA:
                     data = await connection.stream.receive_some(READ_BYTES)
                     if not data:
-                        return _at_eof(http)
+                        return _at_eof(http, self._settings.accepts_unframed)
                     http.receive_data(bytes(data))
                 return Ok(event) if isinstance(event, h11.Event) else Err(HttpFault.RESET)
         except _BROKEN_STREAM:
@@ -324,11 +355,12 @@
         return Err(HttpFault.TIMED_OUT)
 
 
-def _at_eof(http: h11.Connection) -> Result[h11.Event, HttpFault]:
+def _at_eof(http: h11.Connection, accepts_unframed: bool) -> Result[h11.Event, HttpFault]:
     """Tell what the connection's end means.
 
-    An answer without a length or chunks ends with its connection; nobody can tell a cut one from a
-    whole one, so such answers are refused.
+    An answer without a length or chunks ends with its connection. A server that resets a connection
+    when it fails makes that end trustworthy; otherwise nobody can tell a cut answer from a whole
+    one, and such answers are refused.
     """
     http.receive_data(b"")
     try:
@@ -336,6 +368,8 @@
     except h11.RemoteProtocolError:
         return Err(HttpFault.RESET)
     is_unframed = isinstance(event, h11.EndOfMessage)
+    if is_unframed and accepts_unframed and isinstance(event, h11.Event):
+        return Ok(event)
     return Err(HttpFault.WRONG_ANSWER if is_unframed else HttpFault.RESET)
 
 
--- a/lentilchute/http_connection.py
+++ b/lentilchute/http_connection.py
@@ -110,7 +110,7 @@
             data = await self._stream.receive_some(READ_BYTES)
         self._idle_scope = None
         if scope.cancelled_caught:
-            if self._is_first:
+            if self._is_first and self._settings.answers_silent_connection:
                 raise input_error(408, "timeout", "no request came in time")
             return False
         self._http.receive_data(bytes(data))
--- a/lentilchute/http_requests.py
+++ b/lentilchute/http_requests.py
@@ -34,6 +34,8 @@
 
     The server keeps it open for longer than that, so a planned close meets no request on its way.
     """
+    answers_silent_connection: bool = True
+    """Answer 408 on a new connection that brings no request in time; else just close it."""
     linger_s: float = 2.0
     """How long a closing connection is still read, so that the last answer is not lost."""
 
--- a/lentilchute/http_responder.py
+++ b/lentilchute/http_responder.py
@@ -63,9 +63,12 @@
         events.append(h11.EndOfMessage())
         return await self._write(*events)
 
-    async def start(self, status: int, headers: Headers) -> bool:
-        """Write the head of a streamed answer."""
-        return await self._write(self._head(status, headers_without_framing(headers)))
+    async def start(self, status: int, headers: Headers, data: bytes = b"") -> bool:
+        """Write the head of a streamed answer, together with its first bytes if there are any."""
+        events = [self._head(status, headers_without_framing(headers))]
+        if data and self._has_body:
+            events.append(h11.Data(data=data))
+        return await self._write(*events)
 
     async def send(self, data: bytes) -> bool:
         """Write a part of a streamed answer."""
--- a/lentilchute/instance_watch.py
+++ b/lentilchute/instance_watch.py
@@ -14,7 +14,7 @@
 from enum import Enum
 
 from .ids import UpstreamId
-from .platform import ListedInstance, ListedState
+from .platform_services import ListedInstance, ListedState
 
 LIST_SETTLE_S = 10.0
 """Longer than the list's usual lag: a change back to live is believed after this long."""
--- a/lentilchute/key_claim.py
+++ b/lentilchute/key_claim.py
@@ -5,7 +5,7 @@
 
 from .claim_answers import ClaimRequest, ClaimState, KeptAnswer
 from .claim_records import ClaimRecord, RecordState, read_claim
-from .platform import Row
+from .platform_services import Row
 
 
 class Intent(Enum):
--- a/lentilchute/leases.py
+++ b/lentilchute/leases.py
@@ -15,7 +15,7 @@
 
 from .ids import FencingNumber, IncarnationId, ServiceName
 from .lease_records import LeaseRecord, lease_key, next_fencing, read_lease
-from .platform import Condition, Row, TableFault, Transaction, Write
+from .platform_services import Condition, Row, TableFault, Transaction, Write
 
 LEASE_DURATION_S = 10.0
 RENEW_AFTER_S = 3.0
--- a/lentilchute/logs.py
+++ b/lentilchute/logs.py
@@ -98,7 +98,7 @@
         """Stop receiving messages and write the rest."""
         eliot.remove_destination(self)
         self.flush()
-        if self._file is not sys.stderr.buffer:
+        if self._file not in (sys.stderr.buffer, sys.stdout.buffer):
             self._file.close()
 
     def _take_lines(self) -> list[str]:
@@ -109,13 +109,13 @@
         return lines
 
 
-def open_log(path: str | None = None) -> LogWriter:
-    """Send the log to a file, which is appended to, or to standard error without one.
+def open_log(path: str | None = None, stream: BinaryIO | None = None) -> LogWriter:
+    """Send the log to a file, which is appended to; without one to ``stream`` or standard error.
 
     Raises ``UserError`` when the file cannot be opened.
     """
     try:
-        file = io.BufferedWriter(io.FileIO(path, "ab")) if path else sys.stderr.buffer
+        file = io.BufferedWriter(io.FileIO(path, "ab")) if path else stream or sys.stderr.buffer
     except OSError as error:
         raise UserError(f"cannot open the log {path}: {error.strerror}") from error
     writer = LogWriter(file)
--- a/lentilchute/membership_controller.py
+++ b/lentilchute/membership_controller.py
@@ -8,7 +8,7 @@
 from .node_context import MessageHandler, NodeContext, node_controller, repeat
 from .peers import Heartbeat, PeerChange, PeerChangeKind
 
-_EVENTS = {
+PEER_EVENTS = {
     PeerChangeKind.ALIVE: Event.PEER_ALIVE,
     PeerChangeKind.SUSPECT: Event.PEER_SUSPECT,
     PeerChangeKind.LEAVING: Event.PEER_LEAVING,
@@ -45,7 +45,7 @@
     def _tell(self, changes: list[PeerChange]) -> None:
         for change in changes:
             log_event(
-                _EVENTS[change.kind],
+                PEER_EVENTS[change.kind],
                 peer=change.info.instance,
                 incarnation=change.info.incarnation,
                 change=change.kind.value,
--- a/lentilchute/metered_platform.py
+++ b/lentilchute/metered_platform.py
@@ -3,7 +3,15 @@
 from result import Err, Result
 
 from .metrics import Metrics
-from .platform import InstanceList, ObjectStore, Platform, Row, Table, TableFault, Transaction
+from .platform_services import (
+    InstanceList,
+    ObjectStore,
+    Platform,
+    Row,
+    Table,
+    TableFault,
+    Transaction,
+)
 
 RESULT_OK = "ok"
 
--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -39,7 +39,7 @@
 from .operator_controller import read_gauges
 from .peer_links import LinkIdentity, PeerLinks
 from .peers import PeerAddress, PeerInfo
-from .platform import platform_for
+from .platform_services import platform_for
 from .settings import NodeSettings, PeerSeed
 from .upstream_directory import UpstreamDirectory
 
--- a/lentilchute/node_context.py
+++ b/lentilchute/node_context.py
@@ -20,7 +20,7 @@
 from .metrics import Metrics
 from .peer_links import PeerLinks
 from .peers import PeerChange
-from .platform import Platform
+from .platform_services import Platform
 from .settings import NodeSettings, Role
 from .upstream_directory import UpstreamDirectory
 
--- a/lentilchute/operator_api.py
+++ b/lentilchute/operator_api.py
@@ -13,7 +13,7 @@
 from result import Result
 
 from .ids import DocumentVersion, InstanceId, ServiceName, UpstreamId
-from .platform import TableFault
+from .platform_services import TableFault
 
 KEY_PURPOSE = b"lentilchute operator link 1"
 MAX_HISTORY_ENTRIES = 100
--- a/lentilchute/operator_controller.py
+++ b/lentilchute/operator_controller.py
@@ -31,7 +31,7 @@
     operator_key,
 )
 from .operator_routes import OperatorApi
-from .platform import TableFault
+from .platform_services import TableFault
 from .scheduler_controller import SchedulerController
 from .shard_status import ShardStatus
 from .upstream_controller import UpstreamController
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -184,6 +184,52 @@
   2: string news
 }
 
+struct UpstreamLoad {
+  1: string upstream
+  2: i32 running
+  3: i64 backlog_tokens
+  4: double pace_ms
+  5: double pace_weight
+  6: double failures
+  7: double results
+}
+
+struct AccountUsage {
+  1: string account
+  2: double used
+}
+
+struct LoadDigest {
+  1: string incarnation
+  2: list<UpstreamLoad> upstreams
+  3: list<AccountUsage> accounts
+}
+
+struct NewsRow {
+  1: string key
+  2: i64 version
+  3: binary value
+  4: bool removed
+}
+
+struct TableNews {
+  1: string table_name
+  2: i64 base
+  3: i64 version
+  4: double age_s
+  5: list<NewsRow> rows
+  6: bool after_outage
+}
+
+struct CrashNotice {
+  1: string upstream
+  2: list<string> contents
+}
+
+struct ClearedNotice {
+  1: string content
+}
+
 struct PeerMessage {
   1: optional Submit submit
   2: optional Withdraw withdraw
@@ -203,6 +249,10 @@
   16: optional UpstreamNotice upstream_notice
   17: optional ClaimQuestion claim_question
   18: optional ClaimReply claim_reply
+  19: optional LoadDigest load_digest
+  20: optional TableNews table_news
+  21: optional CrashNotice crash_notice
+  22: optional ClearedNotice cleared_notice
 }
 
 struct Hello {
--- /dev/null
+++ b/lentilchute/platform/endpoints.py
@@ -0,0 +1,30 @@
+"""The calls that the platform makes at a node: readiness, and where to connect."""
+
+import json
+from collections.abc import Iterable
+from urllib.parse import parse_qs, urlsplit
+
+from ..ids import AvailabilityZone
+
+READY_PATH = "/api/readyz"
+RESOLVE_PATH = "/api/resolve"
+MAX_ADDRESSES = 64
+"""Most addresses that callers take from one answer, by the platform's protocol."""
+
+
+def path_of(target: str) -> str:
+    """Return the path of a request target."""
+    return urlsplit(target).path
+
+
+def zone_of_resolve(target: str) -> AvailabilityZone | None:
+    """Return the availability zone that a question where to connect names."""
+    values = parse_qs(urlsplit(target).query).get("zone")
+    return AvailabilityZone(values[0]) if values else None
+
+
+def resolve_answer(addresses: Iterable[str], lifetime_s: float) -> bytes:
+    """Return the body of the answer to where callers may connect."""
+    chosen = list(addresses)[:MAX_ADDRESSES]
+    # "ttl" is how long callers may keep the whole answer.
+    return json.dumps({"addresses": chosen, "ttl-s": lifetime_s}).encode()
--- /dev/null
+++ b/lentilchute/platform/headers.py
@@ -0,0 +1,172 @@
+"""Headers of callers' requests and of upstreams' answers on the platform."""
+
+from dataclasses import dataclass
+
+from ..http_messages import HOP_BY_HOP_HEADERS, Headers, header_value, without_headers
+from ..ids import ClientAccountId, UpstreamId
+
+_ATTEMPT_ID = "lentilchute-attempt-id"
+_DEADLINE_MS = "lentilchute-deadline-ms"
+_KEY = "lentilchute-key"
+_ACCOUNT = "lentilchute-tenant-name"
+_EXPECTED_UPSTREAM = "lentilchute-expect-instance"
+_UPSTREAM_ID = "lentilchute-instance-id"
+_TOKENS = "lentilchute-token-counts"
+_PROMPT_PARTS = "lentilchute-prompt-prefix"
+_LENGTH_HINT = "lentilchute-length-hint"
+_LAST_EVENT_ID = "last-event-id"
+_STAMP = "lentilchute-engine-stamp"
+_NOT_EXECUTED = "lentilchute-not-executed"
+_LOAD = "lentilchute-engine-load"
+
+_NOT_PASSED_ON = HOP_BY_HOP_HEADERS | {
+    "content-length",
+    "expect",
+    "kv-fetch",
+    "kv-from",
+    "lentilchute-cache-hold",
+    "lentilchute-kv-backup",
+    "lentilchute-pin-ms",
+    _ACCOUNT,
+    _DEADLINE_MS,
+    _EXPECTED_UPSTREAM,
+    _KEY,
+}
+"""Headers of one connection, the caller's key, and those that only the system may set."""
+
+MAX_PROMPT_PARTS = 64
+"""Parts of a prompt that are looked at; real prompts have a handful."""
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """One part of a prompt, which other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallHeaders:
+    """What the headers of a caller's request say."""
+
+    attempt_id: str
+    time_left_s: float | None
+    """How long the caller waits, counted from the request's arrival."""
+    account_key: str | None
+    prompt_tokens: int
+    max_output_tokens: int
+    has_token_counts: bool
+    expected_output_tokens: int | None
+    """The caller's estimate; right in the median and often far off."""
+    prompt_parts: tuple[PromptPart, ...]
+    resume_after: int | None
+    """The caller has the events up to this id already."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLoadWord:
+    """What an upstream says about its load with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHeaders:
+    """What the headers of an upstream's answer say."""
+
+    attempt_id: str | None
+    is_signed: bool
+    """The answer bears the upstream's signature, as every answer of a run does."""
+    is_not_executed: bool
+    """The upstream says that it did not run the request."""
+    load: UpstreamLoadWord | None
+    has_encoding: bool
+    """The body is not the upstream's own: callers ask for no encoding."""
+
+
+def decode_call(headers: Headers) -> CallHeaders:
+    """Decode a caller's headers; values that cannot be read count as absent."""
+    counts = _numbers(header_value(headers, _TOKENS), 2)
+    deadline_ms = _decimal(header_value(headers, _DEADLINE_MS))
+    return CallHeaders(
+        attempt_id=header_value(headers, _ATTEMPT_ID) or "",
+        time_left_s=None if deadline_ms is None else deadline_ms / 1000,
+        account_key=header_value(headers, _KEY),
+        prompt_tokens=counts[0] if counts else 0,
+        max_output_tokens=counts[1] if counts else 0,
+        has_token_counts=counts is not None,
+        expected_output_tokens=_whole(header_value(headers, _LENGTH_HINT)),
+        prompt_parts=_prompt_parts(header_value(headers, _PROMPT_PARTS)),
+        resume_after=_whole(header_value(headers, _LAST_EVENT_ID)),
+    )
+
+
+def upstream_headers(
+    headers: Headers,
+    *,
+    upstream: UpstreamId,
+    account: ClientAccountId | None,
+    time_left_s: float,
+    resume_after: int | None,
+) -> Headers:
+    """Return the headers to send upstream in place of the caller's ``headers``.
+
+    ``resume_after`` is the id of the last event that the caller has, when a stream is taken up
+    again.
+    """
+    dropped = _NOT_PASSED_ON if resume_after is None else _NOT_PASSED_ON | {_LAST_EVENT_ID}
+    added = [
+        (_DEADLINE_MS, str(max(1, int(time_left_s * 1000)))),
+        (_EXPECTED_UPSTREAM, str(upstream)),
+        ("connection", "close"),
+    ]
+    if account is not None:
+        added.append((_ACCOUNT, str(account)))
+    if resume_after is not None:
+        added.append((_LAST_EVENT_ID, str(resume_after)))
+    return (*without_headers(headers, dropped), *added)
+
+
+def decode_answer(headers: Headers) -> AnswerHeaders:
+    """Decode the headers of an upstream's answer."""
+    load = _numbers(header_value(headers, _LOAD), 3)
+    encoding = header_value(headers, "content-encoding")
+    return AnswerHeaders(
+        attempt_id=header_value(headers, _ATTEMPT_ID),
+        is_signed=header_value(headers, _STAMP) is not None,
+        is_not_executed=header_value(headers, _NOT_EXECUTED) is not None,
+        load=None if load is None else UpstreamLoadWord(*load),
+        has_encoding=encoding is not None and encoding.strip().lower() != "identity",
+    )
+
+
+def _prompt_parts(text: str | None) -> tuple[PromptPart, ...]:
+    parts: list[PromptPart] = []
+    for item in (text or "").split(",")[:MAX_PROMPT_PARTS]:
+        part_id, _, tokens = item.strip().partition(":")
+        count = _whole(tokens)
+        if not part_id or count is None:
+            return tuple(parts)
+        parts.append(PromptPart(part_id, count))
+    return tuple(parts)
+
+
+def _numbers(text: str | None, count: int) -> list[int] | None:
+    values = [_whole(item.strip()) for item in (text or "").split(",")]
+    found = [value for value in values if value is not None]
+    return found if len(found) == len(values) == count else None
+
+
+def _whole(text: str | None) -> int | None:
+    is_number = text is not None and text.isascii() and text.isdecimal() and len(text) <= 15
+    return int(text) if is_number and text is not None else None
+
+
+def _decimal(text: str | None) -> float | None:
+    whole, _, fraction = (text or "").strip().partition(".")
+    if not (whole + fraction).isascii() or not (whole + fraction).isdecimal() or len(whole) > 12:
+        return None
+    return float(f"{whole or 0}.{fraction or 0}")
--- /dev/null
+++ b/lentilchute/platform/rows.py
@@ -0,0 +1,187 @@
+"""Rows of the platform's store, decoded into the gateway's types, and those that nodes write.
+
+Rows may come from another writer: a row with a missing or mistyped field yields an error text,
+never a half-filled value.
+"""
+
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from ..gateway.fleet import UpstreamListing, UpstreamState
+from ..gateway.routes import (
+    Account,
+    CallerLimits,
+    ModelProfile,
+    RequestKind,
+    Route,
+    RoutingConfig,
+    ServiceProfile,
+    WeightedService,
+)
+from ..ids import AvailabilityZone, ClientAccountId, InstanceId, ServiceName, Tier, UpstreamId
+from ..peers import PeerAddress
+
+CONFIG_TABLE = "op"
+"""The operator's table."""
+CONFIG_KEY = "config"
+UPSTREAMS_TABLE = "servers"
+"""The table in which upstreams register themselves."""
+NODES_TABLE = "lentilchute-nodes"
+"""The table in which nodes of this system register themselves."""
+
+Decoded = TypeVar("Decoded")
+
+_KINDS = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.NON_IDEMPOTENT,
+    "streaming": RequestKind.STREAM,
+}
+_STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
+
+_MISSING_OR_MISTYPED = (KeyError, TypeError, ValueError, AttributeError, RecursionError)
+
+
+def decode_config(value: bytes) -> Result[RoutingConfig, str]:
+    """Decode the operator's configuration."""
+    return _decode(value, _config)
+
+
+def decode_upstream(key: str, value: bytes) -> Result[UpstreamListing, str]:
+    """Decode the row of one upstream; ``key`` is its id."""
+    return _decode(value, lambda row: _upstream(key, row))
+
+
+def decode_node(key: str, value: bytes) -> Result[PeerAddress, str]:
+    """Decode the row of one node of this system."""
+    return _decode(value, lambda row: PeerAddress(InstanceId(key), _text(row["peers"])))
+
+
+def encode_node(peers_address: str) -> bytes:
+    """Return the value of this node's own row."""
+    return json.dumps({"peers": peers_address}).encode()
+
+
+def _decode(value: bytes, build: Callable[[Any], Decoded]) -> Result[Decoded, str]:
+    try:
+        return Ok(build(json.loads(value)))
+    except _MISSING_OR_MISTYPED as error:
+        return Err(f"{type(error).__name__}: {str(error)[:80]}")
+
+
+def _config(row: Any) -> RoutingConfig:
+    tenants = row.get("tenants")
+    return RoutingConfig(
+        version=_whole(row["version"]),
+        routes=tuple(_route(item) for item in row["routes"]),
+        services={item["name"]: _service(item) for item in row["services"]},
+        accounts=tuple(_account(item) for item in tenants or ()),
+        needs_key=bool(tenants),
+        limits=_limits(row.get("limits") or {}),
+    )
+
+
+def _route(item: Any) -> Route:
+    return Route(
+        name=_text(item["name"]),
+        host=_text(item["host"]).lower(),
+        path_prefix=_text(item["path-prefix"]),
+        kind=_KINDS[item["kind"]],
+        timeout_s=_number(item["timeout-ms"]) / 1000,
+        objective_s=_number(item.get("target-latency-ms") or item["timeout-ms"]) / 1000,
+        tier=Tier(_whole(item.get("priority") or 0)),
+        targets=_targets(item),
+        max_attempts=max(1, _whole(item.get("max-attempts") or 1)),
+        is_public=bool(item.get("public")),
+        is_resumable=bool(item.get("resumable")),
+        # A longest pause between the events of a stream, not a period of time between requests.
+        max_pause_s=_number(item.get("gap-target-ms") or 0) / 1000 or None,
+    )
+
+
+def _targets(item: Any) -> tuple[WeightedService, ...]:
+    split = item.get("traffic-split")
+    if not split:
+        return (WeightedService(ServiceName(_text(item["service"])), 1.0),)
+    return tuple(
+        WeightedService(ServiceName(_text(part["service"])), _number(part["weight"]))
+        for part in split
+    )
+
+
+def _service(item: Any) -> ServiceProfile:
+    engine = item.get("engine")
+    return ServiceProfile(
+        name=ServiceName(_text(item["name"])),
+        max_connections=_whole(item.get("max-conns") or 0) or None,
+        model=None if not engine else _model(engine),
+    )
+
+
+def _model(engine: Any) -> ModelProfile:
+    return ModelProfile(
+        slots=max(1, _whole(engine["slots"])),
+        memory_tokens=max(1, _whole(engine["kv-tokens"])),
+        # Tokens in one event of a stream; the name does not say of what it is the stride.
+        tokens_per_event=max(1, _whole(engine.get("stride") or 1)),
+    )
+
+
+def _account(item: Any) -> Account:
+    return Account(
+        name=ClientAccountId(_text(item["name"])),
+        keys=frozenset(_text(key) for key in item["api-keys"]),
+        # "rate" and "burst" are numbers of the account's unit: requests, or prompt and output
+        # tokens.
+        quota_per_s=_number(item.get("rate-per-s") or 0) or None,
+        quota_burst=_number(item.get("burst") or 0),
+        counts_tokens=item.get("unit") == "token_count",
+        plain_request_tokens=_number(item.get("plain-tokens") or 1),
+    )
+
+
+def _limits(item: Any) -> CallerLimits:
+    return CallerLimits(
+        max_header_bytes=_whole(item.get("max-header-bytes") or 32_768),
+        max_body_bytes=_whole(item.get("max-body-bytes") or 4_194_304),
+        header_timeout_s=_number(item.get("header-timeout-ms") or 3_000) / 1000,
+        idle_timeout_s=_number(item.get("idle-timeout-ms") or 15_000) / 1000,
+    )
+
+
+def _upstream(key: str, row: Any) -> UpstreamListing:
+    address = _text(row["address"])
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise ValueError("the address has no port")
+    return UpstreamListing(
+        upstream=UpstreamId(key),
+        service=ServiceName(_text(row["service"])),
+        address=address,
+        zone=AvailabilityZone(_text(row["zone"])),
+        slots=max(1, _whole(row["slots"])),
+        state=_STATES[row["state"]],
+        slow_start_left_s=_number(row.get("cold-remaining-ms") or 0) / 1000,
+        # When the upstream started: the same id with another start is another run.
+        started_ms=_whole(row.get("born") or 0),
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"not a text: {value!r}")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"not a whole number: {value!r}")
+    return value
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(f"not a number: {value!r}")
+    return float(value)
--- /dev/null
+++ b/lentilchute/platform/store.py
@@ -0,0 +1,206 @@
+"""The one client of the platform's store: tables of rows, read at once or by their changes."""
+
+import base64
+import binascii
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+from urllib.parse import urlencode
+
+from result import Err, Ok, Result
+
+from ..http_client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings, HttpFault
+
+CONNECT_TIMEOUT_S = 1.0
+"""Callers of the platform give a new connection one second as well."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Bounds memory; a page of rows is at most 1 MB before its encoding."""
+IDLE_TIMEOUT_S = 4.0
+"""A connection idle for longer is not used again: it may have died without a sign."""
+PAGE_ROWS = 500
+"""Most rows that the store returns at once."""
+
+
+class StoreFault(Enum):
+    """Why a call to the store brought nothing."""
+
+    NOTHING_DONE = "nothing-done"
+    """The store refused the call, or it never left; nothing was applied."""
+    UNKNOWN = "unknown-outcome"
+    """No answer came: the call may have been performed, or may be performed later."""
+    CONFLICT = "conflict"
+    """A condition did not hold; nothing was applied."""
+    FORBIDDEN = "forbidden"
+    """This caller may not write there."""
+    HISTORY_GONE = "history-gone"
+    """Changes since that version are no longer kept; read the whole table."""
+    UNREADABLE = "unreadable"
+    """The answer does not have the form that the platform documents."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRow:
+    """One row. ``value`` is ``None`` for a row that was removed."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class TablePage:
+    """Rows of one table as of one version of the store."""
+
+    rows: tuple[StoreRow, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RowWrite:
+    """A new value for a row, or its removal with ``None``.
+
+    ``expected_version`` makes the whole transaction depend on the row's version; 0 means no row.
+    """
+
+    table: str
+    key: str
+    value: bytes | None
+    expected_version: int | None = None
+
+
+class StoreClient:
+    """Calls to the store at one address. Each call is sent once; callers repeat as they see fit."""
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._client = HttpClient(
+            address,
+            HttpClientSettings(
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+                head_timeout_s=timeout_s,
+                read_timeout_s=timeout_s,
+                write_timeout_s=timeout_s,
+                idle_timeout_s=IDLE_TIMEOUT_S,
+            ),
+        )
+        self.calls = 0
+
+    async def read_table(self, table: str) -> Result[TablePage, StoreFault]:
+        """Return all rows of a table (empty part)."""
+        rows: list[StoreRow] = []
+        version: int | None = None
+        start: str | None = None
+        while True:
+            query = {"table": table, "part": "", "limit": PAGE_ROWS}
+            if start is not None:
+                query["from"] = start
+            answered = await self._get("/api/rows-get", query)
+            if isinstance(answered, Err):
+                return answered
+            page = _decode_page(answered.ok_value)
+            if isinstance(page, Err):
+                return page
+            rows += page.ok_value.rows
+            # Later pages may show newer rows; changes are followed from the first page's version.
+            version = page.ok_value.version if version is None else version
+            if not answered.ok_value.get("truncated") or not page.ok_value.rows:
+                return Ok(TablePage(tuple(rows), version))
+            start = page.ok_value.rows[-1].key + "\0"
+
+    async def read_changes(self, table: str, after_version: int) -> Result[TablePage, StoreFault]:
+        """Return the rows that changed after a version, without waiting for a change."""
+        query = {"table": table, "start-after": after_version, "wait-ms": 0}
+        answered = await self._get("/api/rows-feed", query)
+        if isinstance(answered, Err):
+            return answered
+        return _decode_page(answered.ok_value)
+
+    async def write(self, writes: tuple[RowWrite, ...]) -> Result[int, StoreFault]:
+        """Apply writes together and return the store's new version."""
+        body = {
+            "expected-rev": [
+                {**_row_name(write), "ver": write.expected_version}
+                for write in writes
+                if write.expected_version is not None
+            ],
+            "set-keys": [
+                {**_row_name(write), "value": base64.b64encode(write.value).decode("ascii")}
+                for write in writes
+                if write.value is not None
+            ],
+            "remove": [_row_name(write) for write in writes if write.value is None],
+        }
+        request = ClientRequest(
+            "POST",
+            "/api/rows-tx",
+            (("content-type", "application/json"),),
+            json.dumps(body).encode(),
+        )
+        answered = await self._call(request)
+        if isinstance(answered, Err):
+            return answered
+        version = answered.ok_value.get("ver")
+        return Ok(version) if isinstance(version, int) else Err(StoreFault.UNREADABLE)
+
+    async def aclose(self) -> None:
+        """Close idle connections."""
+        await self._client.aclose()
+
+    async def _get(self, path: str, query: dict[str, Any]) -> Result[dict[str, Any], StoreFault]:
+        return await self._call(ClientRequest("GET", f"{path}?{urlencode(query)}"))
+
+    async def _call(self, request: ClientRequest) -> Result[dict[str, Any], StoreFault]:
+        self.calls += 1
+        answered = await self._client.call(request, max_body_bytes=MAX_ANSWER_BYTES)
+        if isinstance(answered, Err):
+            is_unsent = answered.err_value is HttpFault.NOT_SENT
+            return Err(StoreFault.NOTHING_DONE if is_unsent else StoreFault.UNKNOWN)
+        return _decode_answer(answered.ok_value)
+
+
+def _row_name(write: RowWrite) -> dict[str, str]:
+    return {"table": write.table, "part": "", "key": write.key}
+
+
+_FAULT_OF_STATUS = {
+    403: StoreFault.FORBIDDEN,
+    410: StoreFault.HISTORY_GONE,
+    412: StoreFault.CONFLICT,
+    429: StoreFault.NOTHING_DONE,
+    503: StoreFault.NOTHING_DONE,
+}
+
+
+def _decode_answer(answer: HttpAnswer) -> Result[dict[str, Any], StoreFault]:
+    if answer.status != 200:
+        return Err(_FAULT_OF_STATUS.get(answer.status, StoreFault.UNKNOWN))
+    try:
+        body = json.loads(answer.body)
+    except ValueError:
+        return Err(StoreFault.UNREADABLE)
+    return Ok(body) if isinstance(body, dict) else Err(StoreFault.UNREADABLE)
+
+
+def _decode_page(body: dict[str, Any]) -> Result[TablePage, StoreFault]:
+    rows, version = body.get("rows"), body.get("ver")
+    if not isinstance(rows, list) or not isinstance(version, int):
+        return Err(StoreFault.UNREADABLE)
+    return Ok(TablePage(tuple(_decode_row(row) for row in rows if _is_row(row)), version))
+
+
+def _is_row(row: Any) -> bool:
+    if not isinstance(row, dict):
+        return False
+    return isinstance(row.get("key"), str) and isinstance(row.get("ver"), int)
+
+
+def _decode_row(row: dict[str, Any]) -> StoreRow:
+    if row.get("tombstone"):
+        return StoreRow(row["key"], row["ver"], None)
+    try:
+        value = base64.b64decode(row.get("value") or "", validate=True)
+    except (binascii.Error, TypeError, ValueError):
+        # A value by another writer; its content check rejects the empty bytes with a log line.
+        value = b""
+    return StoreRow(row["key"], row["ver"], value)
--- a/lentilchute/platform_http.py
+++ b/lentilchute/platform_http.py
@@ -16,7 +16,7 @@
 from .events import Event, log_event
 from .http_client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings
 from .http_messages import JSON_HEADER
-from .platform import (
+from .platform_services import (
     InstanceList,
     ListedInstance,
     ObjectStore,
--- a/lentilchute/table_pace.py
+++ b/lentilchute/table_pace.py
@@ -6,7 +6,7 @@
 
 from result import Err, Result
 
-from .platform import TableFault
+from .platform_services import TableFault
 from .settings import ClaimSettings
 from .token_bucket import TokenBucket
 
--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -1,6 +1,7 @@
 """The command line: one module a command, all under the one program ``lentilchute``.
 
-A module registers its command by decorator; it is loaded because ``COMMAND_MODULES`` names it.
+A module registers its command by decorator. Only the module of the command that was asked for is
+imported, so that a node does not load what it never uses.
 """
 
 import importlib
@@ -12,33 +13,29 @@
 
 from .. import __version__
 from ..errors import ExitCode, UserError
-from .registry import registered_commands
+from .registry import register_command, registered_commands
 
-COMMAND_MODULES = (
-    "serve",
-    "demo",
-    "check",
-    "call",
-    "standin",
-    "apply",
-    "show",
-    "history",
-    "status",
-    "drain",
-    "operator_key",
-)  # fmt: skip
-"""Modules with commands, in the order of the help text."""
+COMMANDS = {
+    "serve": "Run one node.",
+    "gateway": "Run one gateway node on the users' platform.",
+    "demo": "Run a small deployment in one process.",
+    "check": "Check documents or settings and print all findings.",
+    "call": "Call a service.",
+    "standin": "Run a stand-in for an outside system.",
+    "apply": "Make a document known to all nodes.",
+    "show": "Show the document in force.",
+    "history": "Show the versions of a document.",
+    "status": "Show what the nodes see.",
+    "drain": "Take an upstream out of service.",
+    "operator-key": "Print the key for the operators' interface.",
+}
+"""All commands with their help texts, in the order of the program's own help."""
 
-for _module in COMMAND_MODULES:
-    importlib.import_module(f".{_module}", __name__)
 
-
-@cappa.command(name="lentilchute", help="A request scheduler for unlike engines.")
-@dataclass
-class Root:
-    """The program itself; a subcommand does the work."""
-
-    command: Annotated[Any, cappa.Subcommand(types=registered_commands().values(), required=True)]
+def load_commands(names: list[str] | None = None) -> None:
+    """Import the modules of the named commands, or of all."""
+    for name in COMMANDS if names is None else names:
+        importlib.import_module(f".{name.replace('-', '_')}", __name__)
 
 
 def main(argv: list[str] | None = None) -> None:
@@ -53,10 +50,43 @@
     ``SystemExit`` with ``ExitCode.USAGE``, after the usage.
     """
     try:
-        code = cappa.invoke(Root, argv=argv, version=__version__, completion=False, color=False)
+        root = _root(argv[0] if argv else "")
+        code = cappa.invoke(root, argv=argv, version=__version__, completion=False, color=False)
     except UserError as error:
         print(f"lentilchute: {error}", file=sys.stderr)
         return int(error.exit_code)
     except KeyboardInterrupt:
         return int(ExitCode.INTERRUPTED)
     return int(code or ExitCode.OK)
+
+
+def _root(command: str) -> Any:
+    """Return the program's own command, with the wanted subcommand loaded and the others named."""
+    if command in COMMANDS:
+        load_commands([command])
+    types = [
+        registered_commands().get(name) or _named(name, text) for name, text in COMMANDS.items()
+    ]
+
+    @cappa.command(name="lentilchute", help="A request scheduler for unlike engines.")
+    @dataclass
+    class Root:
+        """The program itself; a subcommand does the work."""
+
+        command: Annotated[Any, cappa.Subcommand(types=types, required=True)]
+
+    return Root
+
+
+def _named(name: str, text: str) -> type:
+    """Return a command that is only there for the list of commands."""
+
+    @cappa.command(name=name, help=text)
+    @dataclass
+    class Named:
+        """A command that is not loaded."""
+
+    return Named
+
+
+__all__ = ["COMMANDS", "load_commands", "main", "register_command", "run"]
--- a/lentilchute/upstream_controller.py
+++ b/lentilchute/upstream_controller.py
@@ -12,7 +12,7 @@
 from .messages import UpstreamNews, UpstreamNotice
 from .node_context import MessageHandler, NodeContext, node_controller
 from .peers import PeerAddress, PeerChange, PeerChangeKind
-from .platform import ListedInstance, ListedState
+from .platform_services import ListedInstance, ListedState
 
 ENTRY_KIND = "entry"
 
--- a/lentilchute/upstream_directory.py
+++ b/lentilchute/upstream_directory.py
@@ -9,7 +9,7 @@
 from .document import ServiceDocument, UpstreamGroup
 from .ids import ServiceName, UpstreamId
 from .instance_watch import InstanceWatch, WatchedState
-from .platform import ListedInstance
+from .platform_services import ListedInstance
 from .upstreams import Upstream, UpstreamAdapter, adapter_for
 
 
--- a/test/operator_nodes.py
+++ b/test/operator_nodes.py
@@ -27,7 +27,7 @@
     UpstreamAnswer,
 )
 from lentilchute.operator_routes import OperatorApi
-from lentilchute.platform import TableFault
+from lentilchute.platform_services import TableFault
 
 KEY = "k" * 64
 SERVICE = ServiceName("drafts")
--- a/test/test_claim_expiry.py
+++ b/test/test_claim_expiry.py
@@ -11,7 +11,7 @@
     RecordState,
     expiry_key,
 )
-from lentilchute.platform import TableFault, Transaction, Write
+from lentilchute.platform_services import TableFault, Transaction, Write
 
 EXPIRES_WALL_S = 100.0 * SECONDS_PER_HOUR
 
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -35,7 +35,7 @@
     ServiceName,
     request_id,
 )
-from lentilchute.platform import TableFault
+from lentilchute.platform_services import TableFault
 from lentilchute.settings import ClaimSettings
 
 KEYS = ("k1", "k2", "k3", "k4", "k5")
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -43,7 +43,7 @@
 )
 from lentilchute.document import ServiceDocument
 from lentilchute.ids import DocumentVersion, InstanceId, ServiceName
-from lentilchute.platform import TableFault
+from lentilchute.platform_services import TableFault
 from lentilchute.settings import MembershipSettings
 
 NODES = ("entry-1", "entry-2", "entry-3")
--- a/test/test_engine_orders.py
+++ b/test/test_engine_orders.py
@@ -28,7 +28,7 @@
 from lentilchute.ids import FencingNumber, ModelName, ServiceName, UpstreamId
 from lentilchute.lease_records import lease_key
 from lentilchute.order_records import ORDERS_PER_LEASE, order_key, read_order
-from lentilchute.platform import Condition, Row, Transaction, Write
+from lentilchute.platform_services import Condition, Row, Transaction, Write
 from lentilchute.upstreams import EngineOrder, EngineState, UpstreamFault
 
 SERVICE = ServiceName("fleet")
--- a/test/test_instance_watch.py
+++ b/test/test_instance_watch.py
@@ -17,7 +17,7 @@
     InstanceWatch,
     WatchedState,
 )
-from lentilchute.platform import ListedInstance, ListedState
+from lentilchute.platform_services import ListedInstance, ListedState
 
 NAME = UpstreamId("engine-1")
 OTHERS = (UpstreamId("engine-2"), UpstreamId("engine-3"))
--- a/test/test_platform_http.py
+++ b/test/test_platform_http.py
@@ -7,7 +7,8 @@
 from result import Err, Ok
 
 from lentilchute.http_client import ClientRequest, HttpClient
-from lentilchute.platform import (
+from lentilchute.platform_http import HttpPlatform
+from lentilchute.platform_services import (
     Condition,
     ListedState,
     Platform,
@@ -17,7 +18,6 @@
     Write,
     platform_for,
 )
-from lentilchute.platform_http import HttpPlatform
 from lentilchute.settings import PlatformSettings
 from lentilchute.standins import platform as standin
 
