Count quotas over the platform's window, and log first event and longest pause

A bucket of one second's burst also bounds short windows, which the platform does not ask for.

Ruled out: usage counted twice (a peer's first digest is no usage).

Change: a window of the platform's length, own requests at once, peers' as they tell. Log lines of finished streams give what makes one late.

--- a/lentilchute/gateway/admission.py
+++ b/lentilchute/gateway/admission.py
@@ -90,8 +90,8 @@
     headers = call.headers
     tokens = headers.prompt_tokens + headers.max_output_tokens
     cost = account.request_cost(tokens if headers.has_token_counts else None)
-    if not context.quotas.admit(account.name, cost, now_s):
+    call.charge = context.quotas.admit(account.name, cost, now_s)
+    if call.charge is None:
         retry_after_s = context.quotas.retry_after_s(account.name, cost, now_s)
         return CallRefusal(RefusalCause.OVER_QUOTA, retry_after_s)
-    call.cost = cost
     return None
--- a/lentilchute/gateway/calls.py
+++ b/lentilchute/gateway/calls.py
@@ -7,6 +7,7 @@
 from ..http_requests import HttpRequest
 from ..ids import Fingerprint, ServiceName
 from ..platform.headers import CallHeaders
+from .quota import Charge
 from .routes import Account, Route, RoutingConfig
 
 
@@ -81,8 +82,7 @@
     service: ServiceName | None = None
     account: Account | None = None
     content: Fingerprint | None = None
-    cost: float = 0.0
-    """What was taken from the account's quota."""
+    charge: Charge | None = None
 
     @property
     def log_id(self) -> str:
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -50,6 +50,23 @@
 """Statuses that tell a caller that its request did not run."""
 
 
+@dataclass(slots=True)
+class _Pauses:
+    """When events came, for what the log says and for the pace of an upstream."""
+
+    first_s: float | None = None
+    last_s: float = 0.0
+    longest_s: float = 0.0
+
+    def note(self, now_s: float) -> None:
+        """Note that events came."""
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.longest_s = max(self.longest_s, now_s - self.last_s)
+        self.last_s = now_s
+
+
 @dataclass(slots=True)
 class _Run:
     """The state of one request over its attempts."""
@@ -60,6 +77,7 @@
     book: AttemptBook
     responder: Responder
     relay: EventRelay
+    pauses: "_Pauses" = field(default_factory=lambda: _Pauses())
     failure: tuple[int, Headers, bytes] | None = None
     """The last whole failure that an upstream gave."""
     tried: list[UpstreamId] = field(default_factory=list)
@@ -321,6 +339,7 @@
             if isinstance(passed, Err):
                 return AttemptEnd.BROKEN
             if passed.ok_value:
+                run.pauses.note(self._context.now_s())
                 self._note_first_event(run, placement)
                 await self._send_events(run, head, passed.ok_value)
 
@@ -383,8 +402,8 @@
             await self._refuse_run(run, CallRefusal(RefusalCause.OVERLOADED, retry_after_s))
 
     async def _refuse_run(self, run: _Run, refusal: CallRefusal) -> None:
-        if not run.book.may_have_run and run.call.account is not None:
-            self._context.quotas.give_back(run.call.account.name, run.call.cost)
+        if not run.book.may_have_run and run.call.charge is not None:
+            self._context.quotas.give_back(run.call.charge, self._context.now_s())
         await self._refuse(run.call, refusal, run.responder, run)
 
     async def _refuse(
@@ -443,6 +462,8 @@
             request_id=run.log_id,
             upstream=placement.listing.upstream,
             took_s=round(self._context.now_s() - run.call.arrived_s, 4),
+            first_event_s=_rounded(run.pauses.first_s, run.call.arrived_s),
+            longest_pause_s=round(run.pauses.longest_s, 4),
             events=run.relay.passed_events,
             tried=run.tried,
         )
@@ -457,6 +478,10 @@
         )
 
 
+def _rounded(at_s: float | None, start_s: float) -> float | None:
+    return None if at_s is None else round(at_s - start_s, 4)
+
+
 async def _collect(exchange: HttpExchange) -> Result[bytes, HttpFault]:
     body = bytearray()
     while True:
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -76,6 +76,7 @@
     def use_settings(self, settings: GatewaySettings) -> None:
         """Take bounds from settings that were read again; names and addresses stay as they are."""
         self._context.budget.use_settings(settings.retries)
+        self._context.quotas.use_settings(settings.quotas)
         log_event(Event.SETTINGS_RELOADED, ok=True, changed=settings != self.settings)
 
     async def run(self) -> None:
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -1,10 +1,11 @@
 """Quotas of client accounts over all nodes; free of I/O.
 
-Each node keeps one bucket an account, from which it takes its own requests at once and those of its
-peers as their digests tell. A peer that has fallen silent counts as using its even share of the
-rate, so that losing sight of peers never loosens a quota.
+In any window an account may use its rate times the window, and its burst. Each node counts its own
+requests at once and those of its peers as their digests tell. A peer that has fallen silent counts
+as using its even share of the rate, so that losing sight of peers never loosens a quota.
 """
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -12,11 +13,29 @@
 from .routes import Account
 from .settings import QuotaSettings
 
+BUCKETS_PER_WINDOW = 32
+"""A request is counted up to this part of a window longer than it must be."""
+
 
 @dataclass(slots=True)
 class _Bucket:
-    level: float
-    filled_s: float
+    start_s: float
+    used: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """What a request has taken of its account's quota, to be given back if it is not sent."""
+
+    account: ClientAccountId
+    cost: float
+    charged_s: float
+
+
+@dataclass(slots=True)
+class _Usage:
+    buckets: deque[_Bucket] = field(default_factory=deque)
+    total: float = 0.0
     own_used: float = 0.0
     peers_used: dict[IncarnationId, float] = field(default_factory=dict)
 
@@ -34,68 +53,75 @@
     def __init__(self, settings: QuotaSettings) -> None:
         self._settings = settings
         self._accounts: dict[ClientAccountId, Account] = {}
-        self._buckets: dict[ClientAccountId, _Bucket] = {}
+        self._usage: dict[ClientAccountId, _Usage] = {}
         self._peers: dict[IncarnationId, _Peer] = {}
 
-    def set_accounts(self, accounts: Iterable[Account], now_s: float) -> None:
-        """Take in the accounts of a new configuration; a bucket never holds more than its burst."""
+    def use_settings(self, settings: QuotaSettings) -> None:
+        """Replace the bounds from now on."""
+        self._settings = settings
+
+    def set_accounts(self, accounts: Iterable[Account]) -> None:
+        """Take in the accounts of a new configuration; what was used stays counted."""
         self._accounts = {account.name: account for account in accounts}
-        self._buckets = {
-            name: self._buckets.get(name) or _Bucket(account.quota_burst, now_s)
-            for name, account in self._accounts.items()
-        }
-        for name, account in self._accounts.items():
-            bucket = self._buckets[name]
-            bucket.level = min(bucket.level, account.quota_burst)
-
-    def admit(self, account: ClientAccountId, cost: float, now_s: float) -> bool:
-        """Take a request's cost from its account's quota, or return false when it is used up."""
+        self._usage = {name: self._usage.get(name, _Usage()) for name in self._accounts}
+
+    def admit(self, account: ClientAccountId, cost: float, now_s: float) -> Charge | None:
+        """Take a request's cost from its account's quota, or return ``None`` when it is used up."""
         limit = self._accounts.get(account)
         if limit is None or limit.quota_per_s is None:
-            return True
-        bucket = self._filled(limit, now_s)
-        if bucket.level < min(cost, limit.quota_burst):
-            return False
-        bucket.level -= cost
-        bucket.own_used += cost
-        return True
-
-    def give_back(self, account: ClientAccountId, cost: float) -> None:
+            return Charge(account, 0.0, now_s)
+        if self._used(account, now_s) + cost > self._allowed(limit):
+            return None
+        self._add(account, cost, now_s)
+        self._usage[account].own_used += cost
+        return Charge(account, cost, now_s)
+
+    def give_back(self, charge: Charge, now_s: float) -> None:
         """Return the cost of a request that was not sent upstream."""
-        bucket = self._buckets.get(account)
-        if bucket is not None and self._accounts[account].quota_per_s is not None:
-            bucket.level += cost
-            bucket.own_used -= cost
+        usage = self._usage.get(charge.account)
+        if usage is None or not charge.cost:
+            return
+        self._used(charge.account, now_s)
+        for bucket in reversed(usage.buckets):
+            if bucket.start_s <= charge.charged_s:
+                bucket.used -= charge.cost
+                usage.total -= charge.cost
+                usage.own_used -= charge.cost
+                return
 
     def retry_after_s(self, account: ClientAccountId, cost: float, now_s: float) -> float:
         """Return when the account's quota will hold a request's cost again."""
         limit = self._accounts.get(account)
         if limit is None or limit.quota_per_s is None:
             return 0.0
-        missing = min(cost, limit.quota_burst) - self._filled(limit, now_s).level
-        return max(0.0, missing) / limit.quota_per_s
+        excess = self._used(account, now_s) + cost - self._allowed(limit)
+        for bucket in self._usage[account].buckets:
+            if excess <= 0:
+                return max(0.0, bucket.start_s + self._settings.window_s - now_s)
+            excess -= bucket.used
+        return self._settings.window_s
 
     def own_usage(self) -> dict[ClientAccountId, float]:
         """Return what this run has taken of each quota in all, for peers."""
-        return {name: bucket.own_used for name, bucket in self._buckets.items()}
+        return {name: usage.own_used for name, usage in self._usage.items()}
 
     def learn(self, peer: IncarnationId, used: dict[ClientAccountId, float], now_s: float) -> None:
         """Take in what a peer's run has used in all."""
         self._peers[peer] = _Peer(now_s, now_s)
         for name, total in used.items():
-            bucket = self._buckets.get(name)
-            if bucket is None:
+            usage = self._usage.get(name)
+            if usage is None:
                 continue
-            before = bucket.peers_used.get(peer)
-            bucket.peers_used[peer] = total
-            if before is not None:
-                bucket.level -= total - before
+            before = usage.peers_used.get(peer)
+            usage.peers_used[peer] = total
+            if before is not None and total != before:
+                self._add(name, total - before, now_s)
 
     def forget(self, peer: IncarnationId) -> None:
         """Drop a peer whose run is known to be over."""
         self._peers.pop(peer, None)
-        for bucket in self._buckets.values():
-            bucket.peers_used.pop(peer, None)
+        for usage in self._usage.values():
+            usage.peers_used.pop(peer, None)
 
     def charge_silence(self, now_s: float) -> None:
         """Charge the even share of each quota for every peer that has fallen silent."""
@@ -107,14 +133,24 @@
             peer.charged_s = now_s
             for name, account in self._accounts.items():
                 if account.quota_per_s is not None:
-                    self._buckets[name].level -= account.quota_per_s / nodes * (now_s - from_s)
-
-    def _filled(self, account: Account, now_s: float) -> _Bucket:
-        bucket = self._buckets[account.name]
-        passed_s = max(0.0, now_s - bucket.filled_s)
-        bucket.filled_s = max(now_s, bucket.filled_s)
-        rate = account.quota_per_s or 0.0
-        # A deficit from late news of peers is worked off, but no deeper than one burst.
-        floor = -account.quota_burst
-        bucket.level = min(account.quota_burst, max(floor, bucket.level) + rate * passed_s)
-        return bucket
+                    self._add(name, account.quota_per_s / nodes * (now_s - from_s), now_s)
+
+    def _allowed(self, account: Account) -> float:
+        return (account.quota_per_s or 0.0) * self._settings.window_s + account.quota_burst
+
+    def _used(self, account: ClientAccountId, now_s: float) -> float:
+        """Return what all nodes have used in the last window."""
+        usage = self._usage[account]
+        width_s = self._settings.window_s / BUCKETS_PER_WINDOW
+        oldest_s = now_s - self._settings.window_s - width_s
+        while usage.buckets and usage.buckets[0].start_s < oldest_s:
+            usage.total -= usage.buckets.popleft().used
+        return usage.total
+
+    def _add(self, account: ClientAccountId, amount: float, now_s: float) -> None:
+        usage = self._usage[account]
+        width_s = self._settings.window_s / BUCKETS_PER_WINDOW
+        if not usage.buckets or now_s - usage.buckets[-1].start_s >= width_s:
+            usage.buckets.append(_Bucket(now_s))
+        usage.buckets[-1].used += amount
+        usage.total += amount
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -181,7 +181,7 @@
             if context.config is not None and config.version <= context.config.version:
                 continue
             context.config = config
-            context.quotas.set_accounts(config.accounts, context.now_s())
+            context.quotas.set_accounts(config.accounts)
             log_event(
                 Event.CONFIG_IN_FORCE,
                 version=config.version,
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -63,6 +63,8 @@
 class QuotaSettings(Part):
     """How accounts' quotas are counted over all nodes."""
 
+    window_s: Seconds
+    """In any window of this length an account may use its rate times the window, and its burst."""
     peer_silent_after_s: Seconds
     """A peer without a digest for this long counts as using its even share."""
 
