Learn the time between events, and place long streams where they end in time

Late first events came in groups on one engine: a long prompt placed by another node was not known yet. And the platform tolerates more than the bare quota before it counts a breach.

--- a/lentilchute/gateway/digests.py
+++ b/lentilchute/gateway/digests.py
@@ -21,6 +21,7 @@
         self._context = context
         self._last: LoadDigest | None = None
         self._last_s = float("-inf")
+        self._hastened = trio.Event()
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
         return {
@@ -32,7 +33,9 @@
     async def run(self) -> None:
         settings = self._context.settings.dispatch
         while True:
-            await trio.sleep(settings.digest_interval_s)
+            with trio.move_on_after(settings.digest_interval_s):
+                await self._hastened.wait()
+            self._hastened = trio.Event()
             now_s = self._context.now_s()
             self._context.quotas.charge_silence(now_s)
             digest = self._digest(now_s)
@@ -41,6 +44,10 @@
                 self._last, self._last_s = digest, now_s
                 self._context.broadcast(digest)
 
+    def hasten(self) -> None:
+        """Send the next digest at once: the load changed by much."""
+        self._hastened.set()
+
     def report_crash(self, upstream: UpstreamId, contents: tuple[Fingerprint, ...]) -> None:
         """Note contents that were in flight at a crash, here and at all peers."""
         self._note_crash(self._context.instance, upstream, contents)
--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -6,12 +6,14 @@
 return.
 """
 
+import math
 import random
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from statistics import NormalDist
 
 from ..ids import AvailabilityZone, IncarnationId, ServiceName, UpstreamId
-from .estimates import DEFAULT_PACE_MS
+from .estimates import DEFAULT_GAP_MS, DEFAULT_PACE_MS, Learned
 from .fleet import UpstreamListing
 from .messages import UpstreamLoad
 from .settings import DispatchSettings
@@ -21,6 +23,11 @@
 OTHER_ZONE_S = 0.004
 """What an upstream in another zone must be better by: the way, and the price of bytes between
 zones."""
+LENGTH_SPREAD = 0.7
+"""Standard deviation of the logarithm of a stream's length against its caller's estimate, which is
+right in the median and often far off (platform)."""
+MISS_OBJECTIVES = 4.0
+"""A stream that misses its deadline is lost; that costs as much as this many latency objectives."""
 JITTER = 0.05
 """Part of the expected time that is drawn, so that nodes with one view do not all choose alike."""
 
@@ -133,14 +140,14 @@
         return any(upstream not in ticket.excluded for upstream in self._models)
 
     def _place(self, ticket: Ticket, now_s: float) -> Placement | None:
-        common_ms = self._common_pace_ms(now_s)
+        common = self._common(now_s)
         best: tuple[float, UpstreamModel, Placement] | None = None
         for model in self._models.values():
             if model.listing.upstream in ticket.excluded or model.is_blocked(now_s):
                 continue
             if model.running(now_s) >= model.slots:
                 continue
-            placement = self._expectation(model, ticket, common_ms, now_s)
+            placement = self._expectation(model, ticket, common, now_s)
             cost_s = self._cost_s(placement, ticket)
             if best is None or cost_s < best[0]:
                 best = cost_s, model, placement
@@ -151,13 +158,17 @@
         return replace(placement, digest_age_s=model.oldest_digest_s(now_s))
 
     def _expectation(
-        self, model: UpstreamModel, ticket: Ticket, common_ms: float, now_s: float
+        self, model: UpstreamModel, ticket: Ticket, common: "_Common", now_s: float
     ) -> Placement:
-        pace_ms = model.pace_ms(common_ms, now_s)
+        pace_ms = model.pace_ms(common.pace_ms, now_s)
         work_tokens = model.work_tokens(ticket.prompt_tokens, now_s)
+        expected_s = pace_ms * work_tokens / 1e6
+        gap_s = model.gap_s(common.gap_ms * pace_ms / common.pace_ms, now_s)
         return Placement(
             listing=model.listing,
-            expected_s=pace_ms * work_tokens / 1e6,
+            expected_s=expected_s,
+            gap_s=gap_s,
+            miss_probability=_miss_probability(ticket, expected_s, gap_s, now_s),
             work_tokens=work_tokens,
             running=model.running(now_s),
             pace_ms=pace_ms,
@@ -169,15 +180,48 @@
         zone_s = 0.0 if placement.listing.zone == self._zone else OTHER_ZONE_S
         # A failure costs a repeat, or the request itself where it may not be repeated.
         failure_s = placement.failure_rate * ticket.objective_s * (1 if ticket.may_repeat else 3)
+        miss_s = placement.miss_probability * ticket.objective_s * MISS_OBJECTIVES
         jitter = 1 + JITTER * self._rng.random()
-        return (placement.expected_s + failure_s) * jitter + zone_s
+        return (placement.expected_s + failure_s + miss_s) * jitter + zone_s
 
-    def _common_pace_ms(self, now_s: float) -> float:
+    def _common(self, now_s: float) -> "_Common":
         parts = [part for model in self._models.values() for part in model.learned_parts(now_s)]
-        weight = sum(part.pace_weight for part in parts)
-        if weight < 1.0:
-            return DEFAULT_PACE_MS
-        return sum(part.pace_ms * part.pace_weight for part in parts) / weight
+        return _Common(_common_pace_ms(parts), _common_gap_ms(parts))
+
+
+@dataclass(frozen=True, slots=True)
+class _Common:
+    """What the upstreams of a service have in common."""
+
+    pace_ms: float
+    gap_ms: float
+
+
+def _common_pace_ms(parts: list[Learned]) -> float:
+    weight = sum(part.pace_weight for part in parts)
+    if weight < 1.0:
+        return DEFAULT_PACE_MS
+    return sum(part.pace_ms * part.pace_weight for part in parts) / weight
+
+
+def _common_gap_ms(parts: list[Learned]) -> float:
+    weight = sum(part.gap_weight for part in parts)
+    if weight < 1.0:
+        return DEFAULT_GAP_MS
+    return sum(part.gap_ms * part.gap_weight for part in parts) / weight
+
+
+def _miss_probability(ticket: Ticket, expected_s: float, gap_s: float, now_s: float) -> float:
+    """Return how likely a stream is longer than what its deadline has room for."""
+    if ticket.expected_events <= 0:
+        return 0.0
+    room_events = (ticket.deadline_s - now_s - expected_s) / max(gap_s, 1e-4)
+    if room_events >= ticket.max_events:
+        return 0.0
+    if room_events <= 0:
+        return 1.0
+    deviations = math.log(room_events / ticket.expected_events) / LENGTH_SPREAD
+    return 1.0 - NormalDist().cdf(deviations)
 
 
 def _order(ticket: Ticket) -> tuple[int, int]:
--- a/lentilchute/gateway/estimates.py
+++ b/lentilchute/gateway/estimates.py
@@ -12,6 +12,8 @@
 """Failures come and go faster than pace; a recovered upstream is trusted again after seconds."""
 DEFAULT_PACE_MS = 12.0
 """Milliseconds per thousand tokens before anything is learned: about 80 tokens a millisecond."""
+DEFAULT_GAP_MS = 40.0
+"""Milliseconds between two events before anything is learned."""
 PRIOR_WEIGHT = 0.5
 """Weight of the service's common pace against one result of the upstream itself."""
 
@@ -60,18 +62,19 @@
     pace_ms: float
     """Milliseconds to the first event per thousand tokens of work."""
     pace_weight: float
+    gap_ms: float
+    """Milliseconds between two events of a stream."""
+    gap_weight: float
     failures: float
     results: float
 
 
-NOTHING_LEARNED = Learned(0.0, 0.0, 0.0, 0.0)
-
-
 class UpstreamRecord:
     """One node's own results with one run of an upstream."""
 
     def __init__(self) -> None:
         self._pace = WeightedMean(PACE_HALF_LIFE_S)
+        self._gap = WeightedMean(PACE_HALF_LIFE_S)
         self._failures = DecayingSum(RESULT_HALF_LIFE_S)
         self._results = DecayingSum(RESULT_HALF_LIFE_S)
 
@@ -79,6 +82,10 @@
         """Take in the pace that one request saw."""
         self._pace.add(pace_ms, now_s)
 
+    def note_gap(self, gap_ms: float, now_s: float) -> None:
+        """Take in the mean time between the events of one stream."""
+        self._gap.add(gap_ms, now_s)
+
     def note_result(self, *, failed: bool, now_s: float) -> None:
         """Take in how one request ended."""
         self._results.add(1.0, now_s)
@@ -87,8 +94,16 @@
 
     def learned(self, now_s: float) -> Learned:
         """Return what is known now."""
-        pace_ms, weight = self._pace.read(now_s)
-        return Learned(pace_ms, weight, self._failures.read(now_s), self._results.read(now_s))
+        pace_ms, pace_weight = self._pace.read(now_s)
+        gap_ms, gap_weight = self._gap.read(now_s)
+        return Learned(
+            pace_ms=pace_ms,
+            pace_weight=pace_weight,
+            gap_ms=gap_ms,
+            gap_weight=gap_weight,
+            failures=self._failures.read(now_s),
+            results=self._results.read(now_s),
+        )
 
 
 def merged_pace_ms(parts: list[Learned], common_pace_ms: float) -> float:
@@ -98,6 +113,13 @@
     return (total + common_pace_ms * PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
 
 
+def merged_gap_ms(parts: list[Learned], common_gap_ms: float) -> float:
+    """Return the time between events that several nodes' results give, in the same way."""
+    weight = sum(part.gap_weight for part in parts)
+    total = sum(part.gap_ms * part.gap_weight for part in parts)
+    return (total + common_gap_ms * PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
+
+
 def merged_failure_rate(parts: list[Learned]) -> float:
     """Return the part of recent requests that failed; one result alone proves little."""
     results = sum(part.results for part in parts)
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -46,6 +46,11 @@
 EXPECTED_PATIENCE = 3.0
 """A request is not given up at an upstream before this many times what was expected there."""
 
+MIN_GAP_EVENTS = 4
+"""Shorter streams say little about the time between events."""
+LONG_PROMPT_TOKENS = 2_000
+"""A prompt above this holds up what follows it, so peers learn of it at once."""
+
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
 
@@ -130,12 +135,14 @@
         if headers.time_left_s is not None:
             wait_s = min(wait_s, headers.time_left_s)
         deadline_s = call.arrived_s + max(wait_s - ANSWER_MARGIN_S, 0.0)
+        stride = self._tokens_per_event(call)
         ticket = Ticket(
             number=call.number,
             service=service,
             tier=Tier(route.tier),
             prompt_tokens=headers.prompt_tokens,
-            output_tokens=headers.expected_output_tokens or headers.max_output_tokens,
+            expected_events=(headers.expected_output_tokens or headers.max_output_tokens) / stride,
+            max_events=headers.max_output_tokens / stride,
             arrived_s=call.arrived_s,
             objective_s=route.objective_s,
             deadline_s=deadline_s,
@@ -145,6 +152,11 @@
         book = AttemptBook(route, service, deadline_s)
         return _Run(call, route, ticket, book, responder, EventRelay(headers.resume_after))
 
+    def _tokens_per_event(self, call: Call) -> int:
+        assert call.config is not None and call.service is not None
+        profile = call.config.services.get(call.service)
+        return 1 if profile is None or profile.model is None else profile.model.tokens_per_event
+
     async def _run(self, run: _Run) -> None:
         with trio.CancelScope(deadline=run.book.deadline_s) as scope:
             await self._attempt_until_done(run)
@@ -171,6 +183,8 @@
     async def _attempt(self, run: _Run, placement: Placement) -> AttemptEnd:
         """Send the request to the upstream of a placement and pass its answer on."""
         self._log_attempt(run, placement)
+        if run.ticket.prompt_tokens >= LONG_PROMPT_TOKENS:
+            self._digests.hasten()
         dispatcher = self._context.dispatcher(run.ticket.service)
         model = dispatcher.model(placement.listing.upstream)
         end = AttemptEnd.NOT_SENT
@@ -329,11 +343,14 @@
     ) -> AttemptEnd:
         """Pass a stream's events on as they come."""
         run.relay.start_run()
+        first_event = run.relay.passed_events
+        started_s = self._context.now_s()
         while True:
             part = await exchange.part()
             if isinstance(part, Err):
                 return await self._fault_end(run, placement, part.err_value, was_asked=True)
             if part.ok_value is None:
+                self._note_gap(run, placement, run.relay.passed_events - first_event, started_s)
                 return await self._end_stream(run, head)
             passed = run.relay.feed(part.ok_value)
             if isinstance(passed, Err):
@@ -343,6 +360,13 @@
                 self._note_first_event(run, placement)
                 await self._send_events(run, head, passed.ok_value)
 
+    def _note_gap(self, run: _Run, placement: Placement, events: int, started_s: float) -> None:
+        """Learn the time between events from a whole stream."""
+        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
+        if model is not None and events >= MIN_GAP_EVENTS:
+            now_s = self._context.now_s()
+            model.record.note_gap((now_s - started_s) * 1000 / (events - 1), now_s)
+
     async def _send_events(self, run: _Run, head: HttpHead, events: bytes) -> None:
         if run.book.has_started_answer:
             await run.responder.send(events)
@@ -437,6 +461,8 @@
             work_tokens=placement.work_tokens,
             running=placement.running,
             pace_ms=round(placement.pace_ms, 2),
+            gap_ms=round(placement.gap_s * 1000, 1),
+            miss_probability=round(placement.miss_probability, 3),
             failure_rate=round(placement.failure_rate, 3),
             digest_age_s=round(placement.digest_age_s, 3),
         )
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -16,6 +16,8 @@
     """Prompt tokens of the requests that have not shown their first event."""
     pace_ms: float
     pace_weight: float
+    gap_ms: float
+    gap_weight: float
     failures: float
     results: float
 
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -136,7 +136,10 @@
                     self._add(name, account.quota_per_s / nodes * (now_s - from_s), now_s)
 
     def _allowed(self, account: Account) -> float:
-        return (account.quota_per_s or 0.0) * self._settings.window_s + account.quota_burst
+        settings = self._settings
+        quota = (account.quota_per_s or 0.0) * settings.window_s + account.quota_burst
+        tolerance = settings.overrun * quota + (settings.slack if account.counts_tokens else 0.0)
+        return quota + settings.tolerance_share * tolerance
 
     def _used(self, account: ClientAccountId, now_s: float) -> float:
         """Return what all nodes have used in the last window."""
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -65,6 +65,12 @@
 
     window_s: Seconds
     """In any window of this length an account may use its rate times the window, and its burst."""
+    overrun: Share
+    """Part of a quota that the platform tolerates beyond it, for counting over several nodes."""
+    slack: Amount
+    """Tokens that it tolerates besides."""
+    tolerance_share: Share
+    """Part of that tolerance that is used; the rest covers usage of peers not heard of yet."""
     peer_silent_after_s: Seconds
     """A peer without a digest for this long counts as using its even share."""
 
--- a/lentilchute/gateway/tickets.py
+++ b/lentilchute/gateway/tickets.py
@@ -16,8 +16,9 @@
     service: ServiceName
     tier: Tier
     prompt_tokens: int
-    output_tokens: int
-    """Expected, not exact."""
+    expected_events: float
+    """Events of the whole stream, by the caller's estimate; 0 for a plain request."""
+    max_events: float
     arrived_s: float
     objective_s: float
     deadline_s: float
@@ -43,6 +44,10 @@
     listing: UpstreamListing
     expected_s: float
     """To the first event, or to the whole answer of a plain service."""
+    gap_s: float
+    """Between two events of a stream."""
+    miss_probability: float
+    """That the stream will not have ended by the ticket's deadline."""
     work_tokens: int
     running: int
     pace_ms: float
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -4,10 +4,10 @@
 
 from ..ids import IncarnationId
 from .estimates import (
-    NOTHING_LEARNED,
     Learned,
     UpstreamRecord,
     merged_failure_rate,
+    merged_gap_ms,
     merged_pace_ms,
 )
 from .fleet import UpstreamListing
@@ -81,7 +81,14 @@
     def learned_parts(self, now_s: float) -> list[Learned]:
         """Return this node's figures and its peers'."""
         peers = [
-            Learned(peer.load.pace_ms, peer.load.pace_weight, peer.load.failures, peer.load.results)
+            Learned(
+                pace_ms=peer.load.pace_ms,
+                pace_weight=peer.load.pace_weight,
+                gap_ms=peer.load.gap_ms,
+                gap_weight=peer.load.gap_weight,
+                failures=peer.load.failures,
+                results=peer.load.results,
+            )
             for peer in self._heard(now_s)
         ]
         return [self.record.learned(now_s), *peers]
@@ -90,6 +97,10 @@
         """Return milliseconds to the first event per thousand tokens of work."""
         return merged_pace_ms(self.learned_parts(now_s), common_pace_ms)
 
+    def gap_s(self, common_gap_ms: float, now_s: float) -> float:
+        """Return the time between two events of a stream."""
+        return merged_gap_ms(self.learned_parts(now_s), common_gap_ms) / 1000
+
     def failure_rate(self, now_s: float) -> float:
         """Return the part of recent requests that failed."""
         return merged_failure_rate(self.learned_parts(now_s))
@@ -109,7 +120,7 @@
         """Return this node's word for its peers; ``None`` when there is nothing to say."""
         learned = self.record.learned(now_s)
         is_idle = not self._own and learned.pace_weight < 0.01 and learned.results < 0.01
-        if is_idle or learned is NOTHING_LEARNED:
+        if is_idle:
             return None
         return UpstreamLoad(
             upstream=self.listing.upstream,
@@ -117,6 +128,8 @@
             backlog_tokens=self.own_backlog_tokens,
             pace_ms=learned.pace_ms,
             pace_weight=learned.pace_weight,
+            gap_ms=learned.gap_ms,
+            gap_weight=learned.gap_weight,
             failures=learned.failures,
             results=learned.results,
         )
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -190,8 +190,10 @@
   3: i64 backlog_tokens
   4: double pace_ms
   5: double pace_weight
-  6: double failures
-  7: double results
+  6: double gap_ms
+  7: double gap_weight
+  8: double failures
+  9: double results
 }
 
 struct AccountUsage {
