Let slow engines be forgotten more slowly, and count late streams as half failures

Cause: most late streams ran on the three slowest engines (2.8 times the usual time), which are tried again whenever their record has faded, and whose pauses exceed the limit while prompts are read.

--- a/lentilchute/gateway/estimates.py
+++ b/lentilchute/gateway/estimates.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass
 
-PACE_HALF_LIFE_S = 8.0
-"""A slow-down or a recovery shows in the pace within a few seconds of traffic."""
+PACE_HALF_LIFE_S = 15.0
+"""An engine that is slow by its kind is not tried again all the time; traffic corrects sooner."""
 RESULT_HALF_LIFE_S = 4.0
 """Failures come and go faster than pace; a recovered upstream is trusted again after seconds."""
 DEFAULT_PACE_MS = 12.0
@@ -86,11 +86,11 @@
         """Take in the mean time between the events of one stream."""
         self._gap.add(gap_ms, now_s)
 
-    def note_result(self, *, failed: bool, now_s: float) -> None:
-        """Take in how one request ended."""
+    def note_result(self, failure: float, now_s: float) -> None:
+        """Take in how one request ended: 0 for a good end, 1 for a failure, between for a late
+        one."""
         self._results.add(1.0, now_s)
-        if failed:
-            self._failures.add(1.0, now_s)
+        self._failures.add(failure, now_s)
 
     def learned(self, now_s: float) -> Learned:
         """Return what is known now."""
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -46,6 +46,8 @@
 EXPECTED_PATIENCE = 3.0
 """A request is not given up at an upstream before this many times what was expected there."""
 
+LATE_FAILURE = 0.5
+"""A stream with too long a pause earns about half of a good one (site sheets)."""
 MIN_GAP_EVENTS = 4
 """Shorter streams say little about the time between events."""
 LONG_PROMPT_TOKENS = 2_000
@@ -196,8 +198,7 @@
             if model is not None:
                 model.end(run.ticket.number)
                 if is_known_end and end is not AttemptEnd.NOT_SENT:
-                    is_failed = end is not AttemptEnd.DELIVERED
-                    model.record.note_result(failed=is_failed, now_s=self._context.now_s())
+                    model.record.note_result(_failure(run, end), self._context.now_s())
             self._desk.poll(run.ticket.service)
         return end
 
@@ -504,6 +505,14 @@
         )
 
 
+def _failure(run: _Run, end: AttemptEnd) -> float:
+    """Return how much of a failure an attempt's end is for the record of its upstream."""
+    if end is not AttemptEnd.DELIVERED:
+        return 1.0
+    is_late = run.route.max_pause_s is not None and run.pauses.longest_s > run.route.max_pause_s
+    return LATE_FAILURE if is_late else 0.0
+
+
 def _rounded(at_s: float | None, start_s: float) -> float | None:
     return None if at_s is None else round(at_s - start_s, 4)
 
