--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -13,21 +13,21 @@
 
 from .. import __version__
 from ..errors import ExitCode, UserError
-from .registry import register_command, registered_commands
+from .registry import registered_commands
 
 COMMANDS = {
     "serve": "Run one node.",
     "gateway": "Run one gateway node on the users' platform.",
-    "demo": "Run a small deployment in one process.",
-    "check": "Check documents or settings and print all findings.",
-    "call": "Call a service.",
-    "standin": "Run a stand-in for an outside system.",
-    "apply": "Make a document known to all nodes.",
-    "show": "Show the document in force.",
-    "history": "Show the versions of a document.",
-    "status": "Show what the nodes see.",
-    "drain": "Take an upstream out of service.",
-    "operator-key": "Print the key for the operators' interface.",
+    "demo": "Run three nodes on embedded stand-ins and show goodput by tier.",
+    "check": "Check a service document or a node's settings.",
+    "call": "Send a request to a service and print its answer.",
+    "standin": "Serve a stand-in for the platform, an engine or a service.",
+    "apply": "Make a file the next version of its service's document.",
+    "show": "Print the service document in force.",
+    "history": "List the accepted versions of a service document.",
+    "status": "Show nodes, versions in force, upstreams and waiting work.",
+    "drain": "Give an upstream no new work and wait until it is idle.",
+    "operator-key": "Print the operator key that belongs to node settings.",
 }
 """All commands with their help texts, in the order of the program's own help."""
 
@@ -50,7 +50,7 @@
     ``SystemExit`` with ``ExitCode.USAGE``, after the usage.
     """
     try:
-        root = _root(argv[0] if argv else "")
+        root = root_command(argv[0] if argv else "")
         code = cappa.invoke(root, argv=argv, version=__version__, completion=False, color=False)
     except UserError as error:
         print(f"lentilchute: {error}", file=sys.stderr)
@@ -60,7 +60,7 @@
     return int(code or ExitCode.OK)
 
 
-def _root(command: str) -> Any:
+def root_command(command: str) -> Any:
     """Return the program's own command, with the wanted subcommand loaded and the others named."""
     if command in COMMANDS:
         load_commands([command])
@@ -87,6 +87,3 @@
         """A command that is not loaded."""
 
     return Named
-
-
-__all__ = ["COMMANDS", "load_commands", "main", "register_command", "run"]
--- /dev/null
+++ b/test/gateway/test_dispatcher.py
@@ -0,0 +1,160 @@
+"""The choice of an upstream, waiting and refusals."""
+
+import random
+
+from gateway_samples import DISPATCH, SERVICE, ZONE, listing, ticket
+
+from lentilchute.gateway.dispatcher import Dispatcher
+from lentilchute.gateway.messages import UpstreamLoad
+from lentilchute.gateway.tickets import Placement, RefusalReason, Refused
+from lentilchute.ids import AvailabilityZone, IncarnationId, UpstreamId
+
+PEER = IncarnationId("peer.1")
+
+
+def dispatcher(*names: str, slots: int = 4) -> Dispatcher:
+    made = Dispatcher(SERVICE, ZONE, DISPATCH, random.Random(1))
+    made.set_upstreams([listing(name, slots=slots) for name in names], slots)
+    return made
+
+
+def load(name: str, **changes: float) -> UpstreamLoad:
+    values: dict[str, float] = {
+        "running": 0,
+        "backlog_tokens": 0,
+        "pace_ms": 0.0,
+        "pace_weight": 0.0,
+        "gap_ms": 0.0,
+        "gap_weight": 0.0,
+        "failures": 0.0,
+        "results": 0.0,
+    }
+    return UpstreamLoad(upstream=UpstreamId(name), **{**values, **changes})  # type: ignore[arg-type]
+
+
+def learn(made: Dispatcher, *loads: UpstreamLoad, now_s: float = 0.0) -> None:
+    made.learn_peer(PEER, {item.upstream: item for item in loads}, now_s)
+
+
+def chosen(decision: object) -> str:
+    assert isinstance(decision, Placement)
+    return decision.listing.upstream
+
+
+def test_a_long_prompt_elsewhere_is_avoided() -> None:
+    made = dispatcher("a", "b")
+    learn(made, load("a", running=1, backlog_tokens=20_000))
+    assert chosen(made.submit(ticket(1), 0.0)) == "b"
+
+
+def test_the_faster_upstream_is_chosen() -> None:
+    made = dispatcher("a", "b")
+    learn(made, load("a", pace_ms=30.0, pace_weight=5), load("b", pace_ms=10.0, pace_weight=5))
+    assert chosen(made.submit(ticket(1), 0.0)) == "b"
+
+
+def test_a_failing_upstream_is_avoided() -> None:
+    made = dispatcher("a", "b")
+    learn(made, load("a", failures=5, results=10), load("b", results=10, running=2))
+    assert chosen(made.submit(ticket(1), 0.0)) == "b"
+
+
+def test_a_long_stream_goes_where_it_ends_in_time() -> None:
+    made = dispatcher("a", "b")
+    loads = (
+        load("a", gap_ms=60.0, gap_weight=5),
+        load("b", gap_ms=15.0, gap_weight=5, running=3, backlog_tokens=9_000),
+    )
+    learn(made, *loads)
+    long = ticket(1, expected_events=200, max_events=400)
+    assert chosen(made.submit(long, 0.0)) == "b"
+    short = ticket(2, expected_events=5, max_events=10)
+    assert chosen(made.submit(short, 0.0)) == "a"
+
+
+def test_the_own_zone_is_chosen_between_equals() -> None:
+    made = Dispatcher(SERVICE, ZONE, DISPATCH, random.Random(1))
+    far = listing("a", zone=AvailabilityZone("zone-2"))
+    made.set_upstreams([far, listing("b")], 4)
+    assert chosen(made.submit(ticket(1), 0.0)) == "b"
+
+
+def test_a_full_service_makes_tickets_wait_by_tier() -> None:
+    made = dispatcher("a", slots=1)
+    assert chosen(made.submit(ticket(1), 0.0)) == "a"
+    assert made.submit(ticket(2, tier=2), 0.0) is None
+    assert made.submit(ticket(3, tier=0), 0.0) is None
+    model = made.model(UpstreamId("a"))
+    assert model is not None
+    model.end(1)
+    ((first, decision),) = made.poll(0.05)
+    assert first.number == 3
+    assert chosen(decision) == "a"
+
+
+def test_a_ticket_waits_for_a_part_of_its_objective_and_is_refused() -> None:
+    made = dispatcher("a", slots=1)
+    made.submit(ticket(1), 0.0)
+    assert made.submit(ticket(2), 0.0) is None
+    assert made.poll(0.19) == []
+    ((_, decision),) = made.poll(0.2)
+    assert isinstance(decision, Refused)
+    assert decision.reason is RefusalReason.OVERLOADED
+    assert 0.2 <= decision.retry_after_s <= 10.0
+
+
+def test_places_that_peers_use_are_taken() -> None:
+    made = dispatcher("a")
+    learn(made, load("a", running=4))
+    assert made.submit(ticket(1), 0.0) is None
+    learn(made, load("a", running=3), now_s=0.1)
+    assert len(made.poll(0.1)) == 1
+
+
+def test_a_peer_that_fell_silent_holds_no_places() -> None:
+    made = dispatcher("a")
+    learn(made, load("a", running=4))
+    assert made.submit(ticket(1, arrived_s=5.0), 5.0) is not None
+
+
+def test_without_an_upstream_a_ticket_is_refused_at_once() -> None:
+    decision = dispatcher().submit(ticket(1), 0.0)
+    assert isinstance(decision, Refused)
+    assert decision.reason is RefusalReason.NO_UPSTREAM
+
+
+def test_an_upstream_that_had_the_request_does_not_get_it_again() -> None:
+    made = dispatcher("a", "b")
+    again = ticket(1)
+    again.excluded.add(UpstreamId("a"))
+    assert chosen(made.submit(again, 0.0)) == "b"
+    again.excluded.add(UpstreamId("b"))
+    assert isinstance(made.submit(again, 0.0), Refused)
+
+
+def test_an_upstream_that_refused_a_connection_is_left_alone_for_a_while() -> None:
+    made = dispatcher("a")
+    model = made.model(UpstreamId("a"))
+    assert model is not None
+    model.block(0.0)
+    assert made.submit(ticket(1), 0.0) is None
+    assert len(made.poll(0.19)) == 0
+    made.withdraw(ticket(1))
+    assert isinstance(made.submit(ticket(2, arrived_s=0.3), 0.3), Placement)
+
+
+def test_another_run_of_an_upstream_starts_with_nothing_known() -> None:
+    made = dispatcher("a", slots=1)
+    made.submit(ticket(1), 0.0)
+    made.set_upstreams([listing("a", started_ms=2, slots=1)], 1)
+    assert isinstance(made.submit(ticket(2), 0.0), Placement)
+
+
+def test_what_is_known_fades_and_a_slow_upstream_is_tried_again() -> None:
+    made = dispatcher("a", "b")
+    model = made.model(UpstreamId("a"))
+    assert model is not None
+    model.record.note_pace(100.0, 0.0)
+    learn(made, load("b", pace_ms=12.0, pace_weight=5))
+    assert model.pace_ms(12.0, 0.0) > 60.0
+    assert model.pace_ms(12.0, 300.0) < 13.0
--- /dev/null
+++ b/test/gateway/test_knowledge.py
@@ -0,0 +1,91 @@
+"""When a node reads the store itself, and what it takes from peers."""
+
+from gateway_samples import READING
+
+from lentilchute.gateway.knowledge import TableCopy
+from lentilchute.platform.store import StoreRow
+
+
+def fresh_copy(now_s: float = 0.0) -> TableCopy:
+    copy = TableCopy("op", READING)
+    copy.note_read(10, now_s, now_s)
+    return copy
+
+
+def test_a_node_that_knows_nothing_reads_at_once() -> None:
+    assert TableCopy("op", READING).is_due(5, 0.0)
+
+
+def test_the_first_node_reads_at_the_interval_and_others_later_by_rank() -> None:
+    copy = fresh_copy()
+    assert not copy.is_due(0, 0.4)
+    assert copy.is_due(0, 0.5)
+    assert not copy.is_due(1, 1.0)
+    assert copy.is_due(1, 1.06)
+    assert not copy.is_due(2, 1.1)
+    assert copy.is_due(2, 1.21)
+
+
+def test_every_node_reads_before_the_platform_expects_it_to_know() -> None:
+    """The shortest time in which a leaving upstream or a version must be known is two seconds."""
+    copy = fresh_copy()
+    assert all(copy.is_due(rank, 1.7) for rank in range(400))
+
+
+def test_news_in_sequence_keep_a_copy_fresh() -> None:
+    copy = fresh_copy()
+    assert copy.note_news(base=10, version=12, as_of_s=0.6)
+    assert copy.version == 12
+    assert not copy.is_due(1, 1.6)
+
+
+def test_news_after_a_gap_are_not_taken() -> None:
+    copy = fresh_copy()
+    assert not copy.note_news(base=11, version=12, as_of_s=0.6)
+    assert copy.version == 10
+
+
+def test_old_news_neither_set_the_version_back_nor_make_the_copy_older() -> None:
+    copy = fresh_copy(now_s=5.0)
+    assert copy.note_news(base=3, version=8, as_of_s=2.0)
+    assert copy.version == 10
+    assert copy.age_s(6.0) == 1.0
+
+
+def test_a_pause_makes_the_copy_due() -> None:
+    copy = fresh_copy()
+    copy.distrust()
+    assert copy.is_due(3, 0.1)
+    copy.note_read(10, 0.1, 0.1)
+    assert not copy.is_due(3, 0.2)
+
+
+def test_lost_history_asks_for_the_whole_table() -> None:
+    copy = fresh_copy()
+    copy.lose_history()
+    assert copy.needs_whole_table
+    assert copy.is_due(3, 0.1)
+
+
+def test_rows_older_than_the_copy_are_left_out() -> None:
+    copy = fresh_copy()
+    new, old = StoreRow("config", 9, b"new"), StoreRow("config", 8, b"old")
+    assert copy.take_new([new]) == [new]
+    assert copy.take_new([old, new]) == []
+
+
+def test_an_outage_is_remembered_after_its_end() -> None:
+    copy = fresh_copy()
+    copy.note_failure(1.0)
+    copy.note_failure(3.0)
+    assert not copy.is_after_outage(3.0)
+    copy.note_read(11, 4.0, 4.0)
+    assert copy.is_after_outage(5.0)
+    assert not copy.is_after_outage(6.1)
+
+
+def test_one_failed_read_is_no_outage() -> None:
+    copy = fresh_copy()
+    copy.note_failure(1.0)
+    copy.note_read(11, 1.5, 1.5)
+    assert not copy.is_after_outage(1.6)
--- /dev/null
+++ b/test/gateway_samples.py
@@ -0,0 +1,176 @@
+"""Sample values for the gateway's tests."""
+
+import json
+from typing import Any
+
+from lentilchute.gateway.fleet import UpstreamListing, UpstreamState
+from lentilchute.gateway.routes import RequestKind, Route, WeightedService
+from lentilchute.gateway.settings import DispatchSettings, ReadingSettings
+from lentilchute.gateway.tickets import Ticket
+from lentilchute.ids import AvailabilityZone, ServiceName, Tier, UpstreamId
+
+SERVICE = ServiceName("drafters")
+ZONE = AvailabilityZone("zone-1")
+
+DISPATCH = DispatchSettings(
+    digest_interval_s=0.05,
+    idle_digest_interval_s=0.5,
+    hold_share=0.5,
+    retry_after_min_s=0.2,
+    retry_after_max_s=5.0,
+)
+READING = ReadingSettings(
+    poll_interval_s=0.5,
+    self_read_after_s=0.9,
+    stagger_s=0.15,
+    outage_after_s=1.0,
+    outage_memory_s=2.0,
+)
+
+
+def listing(
+    name: str,
+    *,
+    state: UpstreamState = UpstreamState.READY,
+    started_ms: int = 1,
+    slots: int = 4,
+    zone: AvailabilityZone = ZONE,
+    address: str = "127.0.0.1:9",
+) -> UpstreamListing:
+    """Return an upstream's listing."""
+    return UpstreamListing(
+        upstream=UpstreamId(name),
+        service=SERVICE,
+        address=address,
+        zone=zone,
+        slots=slots,
+        state=state,
+        slow_start_left_s=0.0,
+        started_ms=started_ms,
+    )
+
+
+def route(
+    kind: RequestKind = RequestKind.IDEMPOTENT,
+    *,
+    max_attempts: int = 2,
+    is_resumable: bool = False,
+    path_prefix: str = "/a/",
+    host: str = "a.example",
+) -> Route:
+    """Return a route."""
+    return Route(
+        name="route",
+        host=host,
+        path_prefix=path_prefix,
+        kind=kind,
+        timeout_s=5.0,
+        objective_s=0.4,
+        tier=Tier(0),
+        targets=(WeightedService(SERVICE, 1.0),),
+        max_attempts=max_attempts,
+        is_public=False,
+        is_resumable=is_resumable,
+        max_pause_s=0.4 if kind is RequestKind.STREAM else None,
+    )
+
+
+def ticket(
+    number: int,
+    *,
+    arrived_s: float = 0.0,
+    tier: int = 0,
+    prompt_tokens: int = 1_000,
+    expected_events: float = 0.0,
+    max_events: float = 0.0,
+    deadline_s: float | None = None,
+    may_repeat: bool = True,
+) -> Ticket:
+    """Return a ticket."""
+    return Ticket(
+        number=number,
+        service=SERVICE,
+        tier=Tier(tier),
+        prompt_tokens=prompt_tokens,
+        expected_events=expected_events,
+        max_events=max_events,
+        arrived_s=arrived_s,
+        objective_s=0.4,
+        deadline_s=arrived_s + 5.0 if deadline_s is None else deadline_s,
+        may_repeat=may_repeat,
+    )
+
+
+def config_row(**changes: Any) -> bytes:
+    """Return the operator's configuration in the platform's form."""
+    row: dict[str, Any] = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "drafts",
+                "host": "a.example",
+                "path-prefix": "/drafts/",
+                "kind": "streaming",
+                "timeout-ms": 4000,
+                "target-latency-ms": 800,
+                "priority": 0,
+                "service": "drafters",
+                "max-attempts": 2,
+                "public": False,
+                "sticky": True,
+                "resumable": True,
+                "gap-target-ms": 400,
+            },
+            {
+                "name": "book",
+                "host": "a.example",
+                "path-prefix": "/book/",
+                "kind": "unsafe",
+                "timeout-ms": 2000,
+                "target-latency-ms": 400,
+                "priority": 2,
+                "service": "agenda",
+                "max-attempts": 1,
+                "public": False,
+            },
+            {
+                "name": "view",
+                "host": "a.example",
+                "path-prefix": "/view/",
+                "kind": "safe",
+                "timeout-ms": 2000,
+                "target-latency-ms": 400,
+                "priority": 2,
+                "service": "agenda",
+                "max-attempts": 2,
+                "public": False,
+            },
+        ],
+        "services": [
+            {
+                "name": "drafters",
+                "health-path": "/healthz",
+                "max-conns": 100,
+                "engine": {"slots": 4, "kv-tokens": 100000, "stride": 6},
+            },
+            {"name": "agenda", "health-path": "/healthz", "max-conns": 100},
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1000000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [
+            {
+                "name": "notary",
+                "api-keys": ["key-1"],
+                "priority": 1,
+                "unit": "token_count",
+                "plain-tokens": 200,
+                "rate-per-s": 100000,
+                "burst": 100000,
+            }
+        ],
+    }
+    return json.dumps({**row, **changes}).encode()
--- /dev/null
+++ b/test/platform/test_headers.py
@@ -0,0 +1,99 @@
+"""Headers of the platform's protocol."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilchute.http_messages import header_value
+from lentilchute.ids import ClientAccountId, UpstreamId
+from lentilchute.platform.headers import (
+    PromptPart,
+    decode_answer,
+    decode_call,
+    upstream_headers,
+)
+
+CALL = (
+    ("host", "a.example"),
+    ("lentilchute-attempt-id", "id-1"),
+    ("lentilchute-key", "secret"),
+    ("lentilchute-deadline-ms", "1500"),
+    ("lentilchute-token-counts", "1460,80"),
+    ("lentilchute-prompt-prefix", "5c1e:800,91bd:660"),
+    ("lentilchute-length-hint", "40"),
+    ("last-event-id", "12"),
+    ("lentilchute-tenant-name", "someone-else"),
+    ("lentilchute-cache-hold", "h"),
+    ("lentilchute-pin-ms", "5"),
+    ("lentilchute-kv-backup", "10.0.0.1:1"),
+    ("kv-from", "10.0.0.1:1/x"),
+    ("kv-fetch", "10.0.0.1:1"),
+    ("lentilchute-expect-instance", "i-9"),
+    ("connection", "keep-alive"),
+    ("transfer-encoding", "chunked"),
+    ("x-other", "kept"),
+)
+
+
+def sent(**changes: object) -> dict[str, str]:
+    values: dict[str, object] = {
+        "upstream": UpstreamId("i-1"),
+        "account": ClientAccountId("notary"),
+        "time_left_s": 1.25,
+        "resume_after": None,
+    }
+    return dict(upstream_headers(CALL, **{**values, **changes}))  # type: ignore[arg-type]
+
+
+def test_a_call_is_decoded() -> None:
+    call = decode_call(CALL)
+    assert call.attempt_id == "id-1"
+    assert call.time_left_s == 1.5
+    assert (call.prompt_tokens, call.max_output_tokens) == (1460, 80)
+    assert call.prompt_parts == (PromptPart("5c1e", 800), PromptPart("91bd", 660))
+    assert call.expected_output_tokens == 40
+    assert call.resume_after == 12
+
+
+def test_the_key_and_what_only_the_system_sets_are_not_passed_on() -> None:
+    headers = sent()
+    assert "lentilchute-key" not in headers
+    assert headers["lentilchute-tenant-name"] == "notary"
+    assert headers["lentilchute-expect-instance"] == "i-1"
+    assert headers["lentilchute-deadline-ms"] == "1250"
+    assert headers["x-other"] == "kept"
+    assert headers["lentilchute-attempt-id"] == "id-1"
+    assert headers["last-event-id"] == "12"
+    for name in ("cache-hold", "pin-ms", "kv-backup"):
+        assert f"lentilchute-{name}" not in headers
+    assert not {"kv-from", "kv-fetch", "transfer-encoding"} & set(headers)
+
+
+def test_without_an_account_no_account_is_named() -> None:
+    assert "lentilchute-tenant-name" not in sent(account=None)
+
+
+def test_a_resumed_stream_names_its_last_event() -> None:
+    assert sent(resume_after=30)["last-event-id"] == "30"
+
+
+def test_an_answer_is_decoded() -> None:
+    answer = decode_answer(
+        (
+            ("lentilchute-attempt-id", "id-1"),
+            ("lentilchute-engine-stamp", "s"),
+            ("lentilchute-engine-load", "3,1,8"),
+        )
+    )
+    assert answer.is_signed and not answer.is_not_executed and not answer.has_encoding
+    assert answer.load is not None and answer.load.waiting == 1
+    refused = decode_answer((("lentilchute-not-executed", "1"), ("content-encoding", "gzip")))
+    assert refused.is_not_executed and refused.has_encoding and not refused.is_signed
+
+
+@given(st.lists(st.text(max_size=30), min_size=6, max_size=6))
+def test_any_values_are_decoded_without_an_error(values: list[str]) -> None:
+    names = [name for name, _ in CALL[3:8]]
+    headers = tuple(zip(names, values, strict=False))
+    call = decode_call(headers)
+    assert call.prompt_tokens >= 0
+    assert header_value(headers, "lentilchute-key") is None
--- a/test/ui/test_check.py
+++ b/test/ui/test_check.py
@@ -2,8 +2,11 @@
 
 import json
 import re
+import subprocess
+import sys
 from pathlib import Path
 
+import cappa
 import pytest
 
 from lentilchute import ui
@@ -68,4 +71,18 @@
     codes = {int(code) for code in re.findall(r"^\| (\d+) \|", page, re.MULTILINE)}
     assert codes == {int(code) for code in ExitCode}
     names = set(re.findall(r"^## lentilchute ([a-z-]+)", page, re.MULTILINE))
-    assert names == set(registered_commands())
+    assert names == set(ui.COMMANDS)
+
+
+def test_the_list_of_commands_has_their_own_help_texts() -> None:
+    ui.load_commands()
+    helps = {name: cappa.Command.get(kind).help for name, kind in registered_commands().items()}
+    assert helps == ui.COMMANDS
+
+
+def test_help_imports_no_command() -> None:
+    code = "import sys; from lentilchute import ui; ui.run(['--help'])"
+    probe = f"import atexit, sys; atexit.register(lambda: print('trio' in sys.modules)); {code}"
+    done = subprocess.run([sys.executable, "-c", probe], capture_output=True, text=True)
+    assert "Run one node." in done.stdout
+    assert done.stdout.rstrip().endswith("False")
--- a/test/ui/test_standin.py
+++ b/test/ui/test_standin.py
@@ -7,13 +7,13 @@
 import trio
 
 from lentilchute.standins import plain
-from lentilchute.ui import Root
+from lentilchute.ui import root_command
 from lentilchute.ui.standin import EngineCommand, _serve_until_signal
 
 
 def test_arguments_become_the_engine_settings() -> None:
     argv = ["standin", "engine", "--listen", "127.0.0.1:7", "--ignores-fencing", "--adapters", "tn"]
-    command = cappa.parse(Root, argv=argv).command.kind
+    command = cappa.parse(root_command("standin"), argv=argv).command.kind
     assert isinstance(command, EngineCommand)
     settings = command.settings()
     assert settings.listen == "127.0.0.1:7" and settings.adapters == ("tn",)
