--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -71,6 +71,10 @@
     CLAIM_GRANTED = EventInfo(700, "An idempotency key was claimed for a request.")
     CLAIM_REFUSED = EventInfo(701, "An idempotency key could not be claimed.")
     CLAIM_RELEASED = EventInfo(702, "A claimant released a key whose request did not run.")
+    COORDINATOR_CHOSEN = EventInfo(505, "A node sees another coordinator, or became it.")
+    COORDINATOR_SILENT = EventInfo(
+        506, "The coordinator did not decide about a request; the node decided itself."
+    )
     PLATFORM_DOWN = EventInfo(800, "A platform service does not answer.")
     PLATFORM_BACK = EventInfo(801, "A platform service answers again.")
 
--- a/lentilchute/gateway/admission.py
+++ b/lentilchute/gateway/admission.py
@@ -83,15 +83,9 @@
 
 
 @admission_filter
-def _take_quota(call: Call, context: GatewayContext, now_s: float) -> CallRefusal | None:
-    account = call.account
-    if account is None:
-        return None
-    headers = call.headers
-    tokens = headers.prompt_tokens + headers.max_output_tokens
-    cost = account.request_cost(tokens if headers.has_token_counts else None)
-    call.charge = context.quotas.admit(account.name, cost, now_s)
-    if call.charge is None:
-        retry_after_s = context.quotas.retry_after_s(account.name, cost, now_s)
-        return CallRefusal(RefusalCause.OVER_QUOTA, retry_after_s)
+def _find_cost(call: Call, _context: GatewayContext, _now_s: float) -> CallRefusal | None:
+    if call.account is not None:
+        headers = call.headers
+        tokens = headers.prompt_tokens + headers.max_output_tokens
+        call.cost = call.account.request_cost(tokens if headers.has_token_counts else None)
     return None
--- a/lentilchute/gateway/attempts.py
+++ b/lentilchute/gateway/attempts.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..ids import ServiceName
-from .retry_budget import RetryBudget
 from .routes import Route
 
 MIN_RETRY_TIME_S = 0.05
@@ -53,7 +51,6 @@
     """The attempts of one request."""
 
     route: Route
-    service: ServiceName
     deadline_s: float
     sends: int = 0
     may_have_run: bool = False
@@ -64,30 +61,30 @@
         """Note the first byte of an attempt."""
         self.sends += 1
 
-    def ended(self, end: AttemptEnd, budget: RetryBudget, now_s: float) -> NextStep:
-        """Return what follows from an attempt's end; a retry is taken from the budget."""
+    def ended(self, end: AttemptEnd, now_s: float) -> NextStep:
+        """Return what follows from an attempt's end, if the retry budget allows it."""
         if end is AttemptEnd.DELIVERED:
             return NextStep.FINISH
         if end not in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED):
             self.may_have_run = True
-        if self._may_retry(end, budget, now_s):
+        if self._may_retry(end, now_s):
             return NextStep.RETRY
-        return self._give_up(end)
+        return self.give_up(has_failure=end is AttemptEnd.SERVER_ERROR)
 
-    def _may_retry(self, end: AttemptEnd, budget: RetryBudget, now_s: float) -> bool:
+    def _may_retry(self, end: AttemptEnd, now_s: float) -> bool:
         if self.deadline_s - now_s < MIN_RETRY_TIME_S:
             return False
         if self.may_have_run and not self.route.is_repeatable:
             return False
         if end is AttemptEnd.NOT_SENT and self.sends == 0:
             return True
-        if self.sends >= self.route.max_attempts:
-            return False
-        return budget.take(self.service, now_s)
+        return self.sends < self.route.max_attempts
 
-    def _give_up(self, end: AttemptEnd) -> NextStep:
+    def give_up(self, *, has_failure: bool) -> NextStep:
+        """Return how a request ends that is not sent again; the upstream may have given a
+        failure."""
         if self.has_started_answer:
             return NextStep.BREAK_OFF
-        if end is AttemptEnd.SERVER_ERROR:
+        if has_failure:
             return NextStep.PASS_ON
         return NextStep.FAIL if self.may_have_run else NextStep.REFUSE
--- a/lentilchute/gateway/calls.py
+++ b/lentilchute/gateway/calls.py
@@ -7,7 +7,6 @@
 from ..http_requests import HttpRequest
 from ..ids import Fingerprint, ServiceName
 from ..platform.headers import CallHeaders
-from .quota import Charge
 from .routes import Account, Route, RoutingConfig
 
 
@@ -82,7 +81,8 @@
     service: ServiceName | None = None
     account: Account | None = None
     content: Fingerprint | None = None
-    charge: Charge | None = None
+    cost: float = 0.0
+    """What the request uses of its account's quota."""
 
     @property
     def log_id(self) -> str:
--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -7,15 +7,14 @@
 
 import trio
 
-from ..ids import AvailabilityZone, IncarnationId, InstanceId, ServiceName
+from ..ids import AvailabilityZone, IncarnationId, InstanceId
 from ..membership import Membership
 from ..peer_links import PeerLinks
 from ..platform.store import StoreClient
+from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
-from .dispatcher import Dispatcher
 from .fleet import Fleet
-from .quota import QuotaBook
-from .retry_budget import RetryBudget
+from .placement_book import PlacementBook
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 
@@ -47,17 +46,18 @@
     links: PeerLinks
     membership: Membership
     fleet: Fleet
-    budget: RetryBudget
-    quotas: QuotaBook
+    book: PlacementBook
+    choice: CoordinatorChoice
     crash_guard: CrashGuard
     config: RoutingConfig | None = None
-    dispatchers: dict[ServiceName, Dispatcher] = field(default_factory=dict)
     controllers: list[GatewayController] = field(default_factory=list)
     is_stopping: bool = False
     refuses_after_s: float | None = None
     """During a planned stop: when requests that still come are refused."""
     config_listeners: list[Callable[[RoutingConfig], None]] = field(default_factory=list)
     fleet_listeners: list[Callable[[], None]] = field(default_factory=list)
+    coordinator_listeners: list[Callable[[], None]] = field(default_factory=list)
+    """Called when the coordinator or the number of nodes has changed."""
 
     @property
     def instance(self) -> InstanceId:
@@ -78,14 +78,6 @@
         """Return the time on this process's clock."""
         return trio.current_time()
 
-    def dispatcher(self, service: ServiceName) -> Dispatcher:
-        """Return the dispatcher of a service, made when it is first asked for."""
-        found = self.dispatchers.get(service)
-        if found is None:
-            found = Dispatcher(service, self.zone, self.settings.dispatch, self.rng)
-            self.dispatchers[service] = found
-        return found
-
     def controller(self, wanted: type[Wanted]) -> Wanted:
         """Return the controller of a class."""
         found = next((one for one in self.controllers if isinstance(one, wanted)), None)
@@ -93,6 +85,12 @@
             raise LookupError(f"no controller {wanted.__name__}")
         return found
 
+    def post(self, instance: InstanceId, message: object) -> None:
+        """Send a message to a peer; it may be lost."""
+        address = self.membership.address_of(instance)
+        if address is not None:
+            self.links.send(instance, address, message)
+
     def broadcast(self, message: object) -> None:
         """Send a message to all peers that may still answer; it may be lost."""
         for info in self.membership.present():
--- /dev/null
+++ b/lentilchute/gateway/coordinator.py
@@ -0,0 +1,237 @@
+"""Controller that decides about tickets.
+
+While this node coordinates these are the tickets of all nodes, else its own ones when the
+coordinator does not answer.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from ..events import Event, log_event
+from ..ids import InstanceId, ServiceName, Tier, UpstreamId
+from ..peers import PeerChangeKind
+from .context import GatewayContext, MessageHandler, gateway_controller
+from .messages import (
+    FleetDigest,
+    LoadRefresh,
+    LoadReports,
+    PlaceReply,
+    PlaceRequest,
+    PlaceState,
+    TicketWithdrawal,
+)
+from .placement_book import Scope
+from .routes import RoutingConfig
+from .tickets import Decision, Placement, Refused, Ticket, TicketKey
+
+POLL_INTERVAL_S = 0.02
+"""Waiting tickets are looked at this often besides each change; a fraction of any objective."""
+
+
+@dataclass(slots=True)
+class _OwnWait:
+    decided: trio.Event = field(default_factory=trio.Event)
+    decision: Decision | None = None
+
+
+@gateway_controller
+class CoordinatorController:
+    """Drives this node's placement book."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        self._own_waits: dict[TicketKey, _OwnWait] = {}
+        self._remote_waits: dict[TicketKey, InstanceId] = {}
+        context.config_listeners.append(self._on_config)
+        context.fleet_listeners.append(self._update_upstreams)
+        context.coordinator_listeners.append(self._on_coordinator)
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {
+            PlaceRequest: self._on_place_request,
+            TicketWithdrawal: self._on_withdrawal,
+            LoadReports: self._on_reports,
+            LoadRefresh: self._on_refresh,
+            FleetDigest: self._on_digest,
+        }
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll_waiting)
+            nursery.start_soon(self._tell_digest)
+
+    async def place_here(self, ticket: Ticket) -> Decision:
+        """Return this node's own decision about a ticket; a cancelled wait withdraws it."""
+        book, context = self._context.book, self._context
+        decision = book.submit(ticket, context.now_s())
+        if decision is not None:
+            return decision
+        wait = self._own_waits[ticket.key] = _OwnWait()
+        try:
+            await wait.decided.wait()
+        finally:
+            del self._own_waits[ticket.key]
+            if wait.decision is None:
+                book.drop(ticket.service, ticket.key, context.now_s())
+        assert wait.decision is not None
+        return wait.decision
+
+    def poll(self, service: ServiceName) -> None:
+        """Hand out the decisions that a change has made possible."""
+        for ticket, decision in self._context.book.poll(service, self._context.now_s()):
+            self._hand_out(ticket, decision)
+
+    async def _poll_waiting(self) -> None:
+        while True:
+            await trio.sleep(POLL_INTERVAL_S)
+            if self._own_waits or self._remote_waits:
+                for service in list(self._context.book.dispatchers):
+                    self.poll(service)
+
+    async def _tell_digest(self) -> None:
+        while True:
+            await trio.sleep(self._context.settings.dispatch.digest_interval_s)
+            if self._context.choice.is_own and self._context.is_ready:
+                self._context.broadcast(self._context.book.digest(self._context.now_s()))
+
+    def _hand_out(self, ticket: Ticket, decision: Decision) -> None:
+        own = self._own_waits.get(ticket.key)
+        if own is not None:
+            own.decision = decision
+            own.decided.set()
+            return
+        sender = self._remote_waits.pop(ticket.key, None)
+        if sender is not None:
+            self._context.post(sender, _reply(ticket.key.number, decision))
+
+    def _on_place_request(self, sender: InstanceId, request: PlaceRequest) -> None:
+        context = self._context
+        if not context.is_ready:
+            context.post(sender, _bare_reply(request.number, PlaceState.DECLINED))
+            return
+        ticket = _ticket(request, context.now_s())
+        decision = context.book.submit(ticket, context.now_s())
+        if decision is None:
+            self._remote_waits[ticket.key] = sender
+            context.post(sender, _bare_reply(request.number, PlaceState.WAITING))
+        else:
+            context.post(sender, _reply(request.number, decision))
+
+    def _on_withdrawal(self, _sender: InstanceId, withdrawal: TicketWithdrawal) -> None:
+        key = TicketKey(withdrawal.node, withdrawal.number)
+        self._remote_waits.pop(key, None)
+        self._context.book.drop(withdrawal.service, key, self._context.now_s())
+        self.poll(withdrawal.service)
+
+    def _on_reports(self, _sender: InstanceId, reports: LoadReports) -> None:
+        now_s = self._context.now_s()
+        for report in reports.items:
+            self._context.book.report(reports.node, report, now_s)
+        for service in {report.service for report in reports.items if report.ended}:
+            self.poll(service)
+
+    def _on_refresh(self, _sender: InstanceId, refresh: LoadRefresh) -> None:
+        self._context.book.refresh(refresh, self._context.now_s())
+
+    def _on_digest(self, sender: InstanceId, digest: FleetDigest) -> None:
+        if sender == self._context.choice.coordinator:
+            self._context.book.take_digest(digest, self._context.now_s())
+
+    def _on_coordinator(self) -> None:
+        context = self._context
+        present = context.membership.present()
+        alive = {info.instance for info in context.membership.alive(context.now_s())}
+        nodes = len(present) + 1
+        lost = sum(1 for info in present if info.instance not in alive)
+        is_own = context.choice.is_own
+        context.book.scope = Scope(nodes, max(1, nodes - lost) if is_own else 1)
+
+    def take_over(self) -> None:
+        """Begin to coordinate with what the last coordinator told."""
+        self._context.book.quotas.take_over(self._context.now_s())
+        log_event(Event.COORDINATOR_CHOSEN, coordinator=self._context.instance, is_own=True)
+
+    def peer_changed(self, kind: PeerChangeKind, node: Any) -> None:
+        """Forget a node whose run is over."""
+        if kind is PeerChangeKind.GONE:
+            self._context.book.forget_node(node)
+            for key in [key for key in self._remote_waits if key.node == node]:
+                del self._remote_waits[key]
+
+    def _on_config(self, config: RoutingConfig) -> None:
+        self._context.book.quotas.set_accounts(config.accounts, self._context.now_s())
+        self._update_upstreams()
+
+    def _update_upstreams(self) -> None:
+        self._context.book.update(self._context.config, self._context.fleet)
+        for service in list(self._context.book.dispatchers):
+            self.poll(service)
+
+
+def _ticket(request: PlaceRequest, now_s: float) -> Ticket:
+    return Ticket(
+        key=TicketKey(request.node, request.number),
+        zone=request.zone,
+        service=request.service,
+        tier=Tier(request.tier),
+        prompt_tokens=request.prompt_tokens,
+        expected_events=request.expected_events,
+        max_events=request.max_events,
+        arrived_s=now_s - request.waited_s,
+        objective_s=request.objective_s,
+        deadline_s=now_s + request.time_left_s,
+        may_repeat=request.may_repeat,
+        account=request.account or None,
+        cost=request.cost,
+        is_repeat=request.is_repeat,
+        excluded=set(request.excluded),
+    )
+
+
+def _reply(number: int, decision: Decision) -> PlaceReply:
+    if isinstance(decision, Refused):
+        return _bare_reply(
+            number, PlaceState.REFUSED, decision.reason.value, decision.retry_after_s
+        )
+    return _placed_reply(number, decision)
+
+
+def _placed_reply(number: int, placement: Placement) -> PlaceReply:
+    return PlaceReply(
+        number=number,
+        state=PlaceState.PLACED,
+        upstream=placement.listing.upstream,
+        started_ms=placement.listing.started_ms,
+        expected_s=placement.expected_s,
+        gap_s=placement.gap_s,
+        miss_probability=placement.miss_probability,
+        work_tokens=placement.work_tokens,
+        running=placement.running,
+        pace_ms=placement.pace_ms,
+        failure_rate=placement.failure_rate,
+        reason="",
+        retry_after_s=0.0,
+    )
+
+
+def _bare_reply(
+    number: int, state: PlaceState, reason: str = "", retry_after_s: float = 0.0
+) -> PlaceReply:
+    return PlaceReply(
+        number=number,
+        state=state,
+        upstream=UpstreamId(""),
+        started_ms=0,
+        expected_s=0.0,
+        gap_s=0.0,
+        miss_probability=0.0,
+        work_tokens=0,
+        running=0,
+        pace_ms=0.0,
+        failure_rate=0.0,
+        reason=reason,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/lentilchute/gateway/crash_news.py
@@ -0,0 +1,53 @@
+"""Controller that tells all nodes about contents that crash upstreams."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from ..events import Event, log_event
+from ..ids import Fingerprint, InstanceId, UpstreamId
+from .context import GatewayContext, MessageHandler, gateway_controller
+from .messages import ClearedNotice, CrashNotice
+
+
+@gateway_controller
+class CrashNewsController:
+    """Shares suspicions between the crash guards of all nodes."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {CrashNotice: self._on_crash, ClearedNotice: self._on_cleared}
+
+    async def run(self) -> None:
+        return
+
+    def report_crash(self, upstream: UpstreamId, contents: tuple[Fingerprint, ...]) -> None:
+        """Note contents that were in flight at a crash, here and at all peers."""
+        self._note_crash(self._context.instance, upstream, contents)
+        self._context.broadcast(CrashNotice(upstream, contents))
+
+    def report_completed(self, content: Fingerprint) -> None:
+        """Clear a content that completed, here and at all peers, if it was suspected."""
+        if self._context.crash_guard.completed(content):
+            self._context.broadcast(ClearedNotice(content))
+
+    def _on_crash(self, sender: InstanceId, notice: CrashNotice) -> None:
+        self._note_crash(sender, notice.upstream, notice.contents)
+
+    def _note_crash(
+        self, reporter: InstanceId, upstream: UpstreamId, contents: tuple[Fingerprint, ...]
+    ) -> None:
+        now_s = self._context.now_s()
+        for content in contents:
+            crashes = self._context.crash_guard.crashed(content, upstream, now_s)
+            log_event(
+                Event.POISON_VERDICT,
+                content=content,
+                upstream=upstream,
+                crashes=crashes,
+                reporter=reporter,
+            )
+
+    def _on_cleared(self, _sender: InstanceId, notice: ClearedNotice) -> None:
+        self._context.crash_guard.completed(notice.content)
--- a/lentilchute/gateway/desk.py
+++ b/lentilchute/gateway/desk.py
@@ -1,4 +1,8 @@
-"""Controller that gives waiting requests their decisions and keeps the dispatchers up to date."""
+"""Controller through which this node's requests get their upstreams.
+
+It asks the coordinator and waits a short time for the answer; without one, the node decides itself.
+What happens to a request is reported in batches, and everything that runs at intervals.
+"""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -6,78 +10,207 @@
 
 import trio
 
-from ..ids import ServiceName
+from ..events import Event, log_event
+from ..ids import ClientAccountId, InstanceId
 from .context import GatewayContext, MessageHandler, gateway_controller
-from .routes import RoutingConfig
-from .tickets import Decision, Ticket
+from .coordinator import CoordinatorController
+from .messages import (
+    NOT_MEASURED,
+    LoadReports,
+    PlaceReply,
+    PlaceRequest,
+    PlaceState,
+    Report,
+    TicketWithdrawal,
+)
+from .tickets import Decision, Placement, RefusalReason, Refused, Ticket
 
-POLL_INTERVAL_S = 0.02
-"""Waiting tickets are looked at this often besides each change; a fraction of any objective."""
+MAX_BATCH = 500
+"""Reports in one message at most."""
 
 
 @dataclass(slots=True)
-class _Pending:
-    decided: trio.Event = field(default_factory=trio.Event)
-    decision: Decision | None = None
+class _Question:
+    """A ticket that the coordinator was asked about."""
+
+    replied: trio.Event = field(default_factory=trio.Event)
+    reply: PlaceReply | None = None
 
 
 @gateway_controller
 class DispatchDesk:
-    """Between the requests of one node and its dispatchers."""
+    """Asks for placements and reports what became of them."""
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
-        self._pending: dict[int, _Pending] = {}
-        context.config_listeners.append(self._on_config)
-        context.fleet_listeners.append(self.update_upstreams)
+        self._questions: dict[int, _Question] = {}
+        self._reports: list[Report] = []
+        self._has_reports = trio.Event()
+        context.coordinator_listeners.append(self._tell_running)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
-        return {}
+        return {PlaceReply: self._on_reply}
 
     async def run(self) -> None:
-        while True:
-            await trio.sleep(POLL_INTERVAL_S)
-            if self._pending:
-                for service in list(self._context.dispatchers):
-                    self.poll(service)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_reports)
+            nursery.start_soon(self._refresh)
 
     async def place(self, ticket: Ticket) -> Decision:
         """Return the decision about a ticket; a cancelled wait withdraws it."""
-        dispatcher = self._context.dispatcher(ticket.service)
-        decision = dispatcher.submit(ticket, self._context.now_s())
-        if decision is not None:
-            return decision
-        pending = self._pending[ticket.number] = _Pending()
+        if self._context.choice.can_ask(self._context.now_s()):
+            decision = await self._ask(ticket)
+            if decision is not None:
+                return decision
+        return await self._context.controller(CoordinatorController).place_here(ticket)
+
+    def report(
+        self,
+        ticket: Ticket,
+        placement: Placement,
+        *,
+        first_event_s: float = NOT_MEASURED,
+        gap_ms: float = NOT_MEASURED,
+        failure: float = NOT_MEASURED,
+        ended: bool = False,
+        unreachable: bool = False,
+    ) -> None:
+        """Take in what happened to a request, here and at the coordinator."""
+        report = Report(
+            number=ticket.key.number,
+            service=ticket.service,
+            upstream=placement.listing.upstream,
+            first_event_s=first_event_s,
+            gap_ms=gap_ms,
+            failure=failure,
+            ended=ended,
+            unreachable=unreachable,
+        )
+        context = self._context
+        context.book.report(context.incarnation, report, context.now_s())
+        if not context.choice.is_own:
+            self._reports.append(report)
+            self._has_reports.set()
+        if ended:
+            context.controller(CoordinatorController).poll(ticket.service)
+
+    async def _ask(self, ticket: Ticket) -> Decision | None:
+        """Ask the coordinator; ``None`` when it does not decide."""
+        number = ticket.key.number
+        coordinator = self._context.choice.coordinator
+        question = self._questions[number] = _Question()
+        self._context.post(coordinator, self._request(ticket))
+        is_answered = False
         try:
-            await pending.decided.wait()
+            reply = await self._reply(question, ticket)
+            is_answered = reply is not None
         finally:
-            del self._pending[ticket.number]
-            if pending.decision is None:
-                dispatcher.withdraw(ticket)
-        assert pending.decision is not None
-        return pending.decision
-
-    def poll(self, service: ServiceName) -> None:
-        """Hand out the decisions that a change has made possible."""
-        dispatcher = self._context.dispatchers.get(service)
-        if dispatcher is None or not dispatcher.waiting:
-            return
-        for ticket, decision in dispatcher.poll(self._context.now_s()):
-            pending = self._pending[ticket.number]
-            pending.decision = decision
-            pending.decided.set()
-
-    def update_upstreams(self) -> None:
-        """Take the fleet's present state into all dispatchers."""
+            del self._questions[number]
+            if not is_answered:
+                node = self._context.incarnation
+                self._context.post(coordinator, TicketWithdrawal(node, number, ticket.service))
+        if reply is None or reply.state is PlaceState.DECLINED:
+            self._give_up_asking(coordinator, ticket, reply)
+            return None
+        return self._decision(ticket, reply)
+
+    async def _reply(self, question: _Question, ticket: Ticket) -> PlaceReply | None:
+        settings = self._context.settings.dispatch
+        wait_s = settings.reply_timeout_s
+        while True:
+            with trio.move_on_after(wait_s) as scope:
+                await question.replied.wait()
+            if scope.cancelled_caught:
+                return None
+            reply = question.reply
+            if reply is None or reply.state is not PlaceState.WAITING:
+                return reply
+            question.replied = trio.Event()
+            wait_s = settings.reply_timeout_s + settings.hold_share * ticket.objective_s
+
+    def _give_up_asking(
+        self, coordinator: InstanceId, ticket: Ticket, reply: PlaceReply | None
+    ) -> None:
+        self._context.choice.is_silent(self._context.now_s())
+        log_event(
+            Event.COORDINATOR_SILENT,
+            coordinator=coordinator,
+            number=ticket.key.number,
+            has_declined=reply is not None,
+        )
+
+    def _decision(self, ticket: Ticket, reply: PlaceReply) -> Decision | None:
         context = self._context
-        services = set(context.dispatchers) | (
-            set(context.config.services) if context.config else set()
+        now_s = context.now_s()
+        if reply.state is PlaceState.REFUSED:
+            return Refused(RefusalReason(reply.reason), reply.retry_after_s)
+        listing = context.fleet.listing(reply.upstream)
+        model = context.book.dispatcher(ticket.service).model(reply.upstream)
+        if listing is None or model is None or listing.started_ms != reply.started_ms:
+            # The coordinator knows of an upstream or a run that this node does not know yet.
+            number = ticket.key.number
+            withdrawal = TicketWithdrawal(context.incarnation, number, ticket.service)
+            context.post(context.choice.coordinator, withdrawal)
+            return None
+        model.start(ticket.key, ticket.prompt_tokens, reply.work_tokens, now_s)
+        context.book.note_granted(ticket, now_s)
+        return Placement(
+            listing=listing,
+            expected_s=reply.expected_s,
+            gap_s=reply.gap_s,
+            miss_probability=reply.miss_probability,
+            work_tokens=reply.work_tokens,
+            running=reply.running,
+            pace_ms=reply.pace_ms,
+            failure_rate=reply.failure_rate,
+        )
+
+    def _request(self, ticket: Ticket) -> PlaceRequest:
+        now_s = self._context.now_s()
+        return PlaceRequest(
+            node=ticket.key.node,
+            zone=ticket.zone,
+            number=ticket.key.number,
+            service=ticket.service,
+            tier=ticket.tier,
+            prompt_tokens=ticket.prompt_tokens,
+            expected_events=ticket.expected_events,
+            max_events=ticket.max_events,
+            waited_s=now_s - ticket.arrived_s,
+            objective_s=ticket.objective_s,
+            time_left_s=ticket.deadline_s - now_s,
+            may_repeat=ticket.may_repeat,
+            is_repeat=ticket.is_repeat,
+            excluded=tuple(ticket.excluded),
+            account=ticket.account or ClientAccountId(""),
+            cost=ticket.cost,
         )
-        for service in services:
-            slots = context.config.slots_of(service) if context.config else None
-            dispatcher = context.dispatcher(service)
-            dispatcher.set_upstreams(context.fleet.of_service(service), slots)
-            self.poll(service)
-
-    def _on_config(self, _config: RoutingConfig) -> None:
-        self.update_upstreams()
+
+    def _on_reply(self, _sender: InstanceId, reply: PlaceReply) -> None:
+        question = self._questions.get(reply.number)
+        if question is not None:
+            question.reply = reply
+            question.replied.set()
+
+    async def _send_reports(self) -> None:
+        while True:
+            await self._has_reports.wait()
+            await trio.sleep(self._context.settings.dispatch.report_interval_s)
+            self._has_reports = trio.Event()
+            batch, self._reports = self._reports[:MAX_BATCH], self._reports[MAX_BATCH:]
+            if self._reports:
+                self._has_reports.set()
+            if not self._context.choice.is_own:
+                message = LoadReports(self._context.incarnation, tuple(batch))
+                self._context.post(self._context.choice.coordinator, message)
+
+    async def _refresh(self) -> None:
+        while True:
+            await trio.sleep(self._context.settings.dispatch.refresh_interval_s)
+            self._tell_running()
+
+    def _tell_running(self) -> None:
+        context = self._context
+        if not context.choice.is_own:
+            refresh = context.book.own_refresh(context.incarnation, context.now_s())
+            context.post(context.choice.coordinator, refresh)
--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -9,15 +9,15 @@
 import math
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from statistics import NormalDist
 
-from ..ids import AvailabilityZone, IncarnationId, ServiceName, UpstreamId
+from ..ids import IncarnationId, ServiceName, UpstreamId
 from .estimates import DEFAULT_GAP_MS, DEFAULT_PACE_MS, Learned
 from .fleet import UpstreamListing
 from .messages import UpstreamLoad
 from .settings import DispatchSettings
-from .tickets import Decision, Placement, RefusalReason, Refused, Ticket
+from .tickets import Decision, Placement, RefusalReason, Refused, Ticket, TicketKey
 from .upstream_model import UpstreamModel
 
 OTHER_ZONE_S = 0.004
@@ -33,17 +33,15 @@
 
 
 class Dispatcher:
-    """Waiting tickets and upstreams of one service, as one node sees them."""
+    """Waiting tickets and upstreams of one service."""
 
     def __init__(
         self,
         service: ServiceName,
-        zone: AvailabilityZone,
         settings: DispatchSettings,
         rng: random.Random,
     ) -> None:
         self.service = service
-        self._zone = zone
         self._settings = settings
         self._rng = rng
         self._models: dict[UpstreamId, UpstreamModel] = {}
@@ -88,10 +86,11 @@
         self._waiting.sort(key=_order)
         return None
 
-    def withdraw(self, ticket: Ticket) -> None:
-        """Forget a waiting ticket."""
-        if ticket in self._waiting:
-            self._waiting.remove(ticket)
+    def drop(self, key: TicketKey) -> None:
+        """Forget a ticket that waits, or the request that it has become."""
+        self._waiting = [ticket for ticket in self._waiting if ticket.key != key]
+        for model in self._models.values():
+            model.end(key)
 
     def poll(self, now_s: float) -> list[tuple[Ticket, Decision]]:
         """Return decisions about waiting tickets; call it after each change and at intervals."""
@@ -103,17 +102,25 @@
                 decided.append((ticket, decision))
         return decided
 
-    def learn_peer(
-        self, peer: IncarnationId, loads: dict[UpstreamId, UpstreamLoad], now_s: float
-    ) -> None:
-        """Take in a peer's digest."""
+    def take_digest(self, loads: dict[UpstreamId, UpstreamLoad], now_s: float) -> None:
+        """Take in the coordinator's digest."""
         for upstream, model in self._models.items():
-            model.learn_peer(peer, loads.get(upstream), now_s)
+            if upstream in loads:
+                model.take_digest(loads[upstream], now_s)
+
+    def loads(self, now_s: float) -> list[UpstreamLoad]:
+        """Return the service's part of a digest."""
+        return [model.load(now_s) for model in self._models.values()]
+
+    def forget_node(self, node: IncarnationId) -> None:
+        """Drop the tickets and requests of a node whose run is over."""
+        self._waiting = [ticket for ticket in self._waiting if ticket.key.node != node]
+        for model in self._models.values():
+            model.keep_only(node, ())
 
-    def own_loads(self, now_s: float) -> list[UpstreamLoad]:
-        """Return this node's part of a digest."""
-        loads = (model.own_load(now_s) for model in self._models.values())
-        return [load for load in loads if load is not None]
+    def models(self) -> list[UpstreamModel]:
+        """Return all upstreams that take new work."""
+        return list(self._models.values())
 
     def _decide_waiting(self, ticket: Ticket, now_s: float) -> Decision | None:
         if now_s >= ticket.deadline_s:
@@ -154,8 +161,8 @@
         if best is None:
             return None
         _, model, placement = best
-        model.start(ticket.number, ticket.prompt_tokens, placement.work_tokens, now_s)
-        return replace(placement, digest_age_s=model.oldest_digest_s(now_s))
+        model.start(ticket.key, ticket.prompt_tokens, placement.work_tokens, now_s)
+        return placement
 
     def _expectation(
         self, model: UpstreamModel, ticket: Ticket, common: "_Common", now_s: float
@@ -173,11 +180,10 @@
             running=model.running(now_s),
             pace_ms=pace_ms,
             failure_rate=model.failure_rate(now_s),
-            digest_age_s=0.0,
         )
 
     def _cost_s(self, placement: Placement, ticket: Ticket) -> float:
-        zone_s = 0.0 if placement.listing.zone == self._zone else OTHER_ZONE_S
+        zone_s = 0.0 if placement.listing.zone == ticket.zone else OTHER_ZONE_S
         # A failure costs a repeat, or the request itself where it may not be repeated.
         failure_s = placement.failure_rate * ticket.objective_s * (1 if ticket.may_repeat else 3)
         miss_s = placement.miss_probability * ticket.objective_s * MISS_OBJECTIVES
@@ -224,5 +230,5 @@
     return 1.0 - NormalDist().cdf(deviations)
 
 
-def _order(ticket: Ticket) -> tuple[int, int]:
-    return ticket.tier, ticket.number
+def _order(ticket: Ticket) -> tuple[int, float]:
+    return ticket.tier, ticket.arrived_s
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -25,11 +25,12 @@
 from .attempts import AttemptBook, AttemptEnd, NextStep
 from .calls import Call, CallRefusal, RefusalCause
 from .context import GatewayContext
+from .crash_news import CrashNewsController
 from .desk import DispatchDesk
-from .digests import DigestController
 from .event_relay import EventRelay
+from .messages import NOT_MEASURED
 from .routes import RequestKind, Route
-from .tickets import Placement, RefusalReason, Refused, Ticket
+from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
 
 CONNECT_TIMEOUT_S = 0.4
 """Upstreams are a few milliseconds away; with a packet lost, another upstream is faster."""
@@ -50,8 +51,13 @@
 """A stream with too long a pause earns about half of a good one (site sheets)."""
 MIN_GAP_EVENTS = 4
 """Shorter streams say little about the time between events."""
-LONG_PROMPT_TOKENS = 2_000
-"""A prompt above this holds up what follows it, so peers learn of it at once."""
+_CAUSES = {
+    RefusalReason.NO_UPSTREAM: RefusalCause.NO_UPSTREAM,
+    RefusalReason.OVERLOADED: RefusalCause.OVERLOADED,
+    RefusalReason.DEADLINE: RefusalCause.OVERLOADED,
+    RefusalReason.OVER_QUOTA: RefusalCause.OVER_QUOTA,
+    RefusalReason.NO_BUDGET: RefusalCause.NOT_EXECUTED,
+}
 
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
@@ -88,6 +94,10 @@
     failure: tuple[int, Headers, bytes] | None = None
     """The last whole failure that an upstream gave."""
     tried: list[UpstreamId] = field(default_factory=list)
+    attempt_s: float = 0.0
+    """When the present attempt began."""
+    has_first_event: bool = False
+    """The present attempt has shown its first event."""
 
     @property
     def log_id(self) -> str:
@@ -100,7 +110,7 @@
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
         self._desk = context.controller(DispatchDesk)
-        self._digests = context.controller(DigestController)
+        self._crash_news = context.controller(CrashNewsController)
         self._numbers = 0
         self._client_settings = HttpClientSettings(
             connect_timeout_s=CONNECT_TIMEOUT_S, accepts_unframed=True
@@ -139,7 +149,8 @@
         deadline_s = call.arrived_s + max(wait_s - ANSWER_MARGIN_S, 0.0)
         stride = self._tokens_per_event(call)
         ticket = Ticket(
-            number=call.number,
+            key=TicketKey(self._context.incarnation, call.number),
+            zone=self._context.zone,
             service=service,
             tier=Tier(route.tier),
             prompt_tokens=headers.prompt_tokens,
@@ -149,9 +160,10 @@
             objective_s=route.objective_s,
             deadline_s=deadline_s,
             may_repeat=route.is_repeatable,
+            account=None if call.account is None else call.account.name,
+            cost=call.cost,
         )
-        self._context.budget.note_request(service, call.arrived_s)
-        book = AttemptBook(route, service, deadline_s)
+        book = AttemptBook(route, deadline_s)
         return _Run(call, route, ticket, book, responder, EventRelay(headers.resume_after))
 
     def _tokens_per_event(self, call: Call) -> int:
@@ -172,7 +184,7 @@
                 await self._give_up(run, decision)
                 return
             end = await self._attempt(run, decision)
-            step = run.book.ended(end, self._context.budget, self._context.now_s())
+            step = run.book.ended(end, self._context.now_s())
             if step is NextStep.FINISH:
                 self._log_finished(run, decision)
                 return
@@ -181,25 +193,21 @@
                 await self._finish_failed(run, step)
                 return
             run.ticket.excluded.add(decision.listing.upstream)
+            run.ticket.is_repeat = run.book.sends > 0
+            run.ticket.cost = 0.0
 
     async def _attempt(self, run: _Run, placement: Placement) -> AttemptEnd:
         """Send the request to the upstream of a placement and pass its answer on."""
         self._log_attempt(run, placement)
-        if run.ticket.prompt_tokens >= LONG_PROMPT_TOKENS:
-            self._digests.hasten()
-        dispatcher = self._context.dispatcher(run.ticket.service)
-        model = dispatcher.model(placement.listing.upstream)
-        end = AttemptEnd.NOT_SENT
-        is_known_end = False
+        run.attempt_s = self._context.now_s()
+        run.has_first_event = False
+        failure = NOT_MEASURED
         try:
             end = await self._exchange(run, placement)
-            is_known_end = True
+            if end is not AttemptEnd.NOT_SENT:
+                failure = _failure(run, end)
         finally:
-            if model is not None:
-                model.end(run.ticket.number)
-                if is_known_end and end is not AttemptEnd.NOT_SENT:
-                    model.record.note_result(_failure(run, end), self._context.now_s())
-            self._desk.poll(run.ticket.service)
+            self._desk.report(run.ticket, placement, failure=failure, ended=True)
         return end
 
     async def _exchange(self, run: _Run, placement: Placement) -> AttemptEnd:
@@ -257,17 +265,14 @@
         return min(left_s, PAUSE_PATIENCE * run.route.max_pause_s)
 
     def _could_repeat(self, run: _Run) -> bool:
-        budget_left = self._context.budget.left(run.ticket.service, self._context.now_s())
-        has_attempt = run.book.sends + 1 < run.route.max_attempts
-        return run.route.is_repeatable and has_attempt and budget_left >= 1.0
+        return run.route.is_repeatable and run.book.sends + 1 < run.route.max_attempts
 
     async def _fault_end(
         self, run: _Run, placement: Placement, fault: HttpFault, was_asked: bool
     ) -> AttemptEnd:
-        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
         if fault is HttpFault.NOT_SENT:
-            if not was_asked and model is not None:
-                model.block(self._context.now_s())
+            if not was_asked:
+                self._desk.report(run.ticket, placement, unreachable=True)
             return AttemptEnd.NOT_SENT
         if fault is HttpFault.TIMED_OUT:
             return AttemptEnd.SILENT
@@ -283,16 +288,14 @@
         except trio.TooSlowError:
             return
         except OSError:
-            model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
-            if model is not None:
-                model.block(self._context.now_s())
+            self._desk.report(run.ticket, placement, unreachable=True)
             log_event(
                 Event.UPSTREAM_CRASHED,
                 request_id=run.log_id,
                 upstream=placement.listing.upstream,
             )
             if run.call.content is not None:
-                self._digests.report_crash(placement.listing.upstream, (run.call.content,))
+                self._crash_news.report_crash(placement.listing.upstream, (run.call.content,))
             return
         await trio.aclose_forcefully(stream)
 
@@ -300,9 +303,6 @@
         self, run: _Run, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
         answer = decode_answer(head.headers)
-        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
-        if model is not None:
-            model.unblock()
         if answer.attempt_id is not None and answer.attempt_id != run.call.headers.attempt_id:
             return AttemptEnd.BROKEN
         if answer.is_not_executed or head.status == 421:
@@ -363,10 +363,9 @@
 
     def _note_gap(self, run: _Run, placement: Placement, events: int, started_s: float) -> None:
         """Learn the time between events from a whole stream."""
-        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
-        if model is not None and events >= MIN_GAP_EVENTS:
-            now_s = self._context.now_s()
-            model.record.note_gap((now_s - started_s) * 1000 / (events - 1), now_s)
+        if events >= MIN_GAP_EVENTS:
+            gap_ms = (self._context.now_s() - started_s) * 1000 / (events - 1)
+            self._desk.report(run.ticket, placement, gap_ms=gap_ms)
 
     async def _send_events(self, run: _Run, head: HttpHead, events: bytes) -> None:
         if run.book.has_started_answer:
@@ -384,23 +383,21 @@
         return AttemptEnd.DELIVERED
 
     def _note_first_event(self, run: _Run, placement: Placement) -> None:
-        model = self._context.dispatcher(run.ticket.service).model(placement.listing.upstream)
-        if model is not None:
-            model.first_event(run.ticket.number, self._context.now_s())
+        if run.has_first_event:
+            return
+        run.has_first_event = True
+        took_s = self._context.now_s() - run.attempt_s
+        self._desk.report(run.ticket, placement, first_event_s=took_s)
         if run.call.content is not None:
-            self._digests.report_completed(run.call.content)
+            self._crash_news.report_completed(run.call.content)
 
     async def _give_up(self, run: _Run, refused: Refused) -> None:
-        if run.book.has_started_answer:
-            await self._finish_failed(run, NextStep.BREAK_OFF)
-        elif run.failure is not None:
-            await self._finish_failed(run, NextStep.PASS_ON)
-        elif run.book.may_have_run:
-            await self._finish_failed(run, NextStep.FAIL)
-        else:
-            is_overload = refused.reason is RefusalReason.OVERLOADED
-            cause = RefusalCause.OVERLOADED if is_overload else RefusalCause.NO_UPSTREAM
+        step = run.book.give_up(has_failure=run.failure is not None)
+        if step is NextStep.REFUSE:
+            cause = _CAUSES[refused.reason]
             await self._refuse_run(run, CallRefusal(cause, refused.retry_after_s))
+        else:
+            await self._finish_failed(run, step)
 
     async def _finish_failed(self, run: _Run, step: NextStep) -> None:
         if step is NextStep.BREAK_OFF:
@@ -427,8 +424,6 @@
             await self._refuse_run(run, CallRefusal(RefusalCause.OVERLOADED, retry_after_s))
 
     async def _refuse_run(self, run: _Run, refusal: CallRefusal) -> None:
-        if not run.book.may_have_run and run.call.charge is not None:
-            self._context.quotas.give_back(run.call.charge, self._context.now_s())
         await self._refuse(run.call, refusal, run.responder, run)
 
     async def _refuse(
@@ -465,7 +460,7 @@
             gap_ms=round(placement.gap_s * 1000, 1),
             miss_probability=round(placement.miss_probability, 3),
             failure_rate=round(placement.failure_rate, 3),
-            digest_age_s=round(placement.digest_age_s, 3),
+            coordinator=self._context.choice.coordinator,
         )
 
     def _log_attempt_end(
@@ -480,7 +475,6 @@
             next=step.value,
             events=run.relay.passed_events,
             left_s=round(run.book.deadline_s - now_s, 3),
-            budget_left=round(self._context.budget.left(run.ticket.service, now_s), 1),
         )
 
     def _log_finished(self, run: _Run, placement: Placement) -> None:
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -24,18 +24,18 @@
 from ..platform import endpoints
 from ..platform.store import StoreClient
 from ..settings import Role
-from . import desk, digests, peering, reading
+from . import coordinator, crash_news, desk, peering, reading
 from .context import GatewayContext, MessageHandler, build_controllers
+from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
 from .fleet import Fleet
 from .forwarder import Forwarder
 from .peering import PeeringController
-from .quota import QuotaBook
-from .retry_budget import RetryBudget
+from .placement_book import PlacementBook
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 
-REGISTERED = (node_messages, desk, digests, peering, reading)
+REGISTERED = (node_messages, coordinator, crash_news, desk, peering, reading)
 """Modules that register peer messages and controllers when they are imported."""
 
 MAX_READING_BYTES = 24 * 1024 * 1024
@@ -75,8 +75,7 @@
 
     def use_settings(self, settings: GatewaySettings) -> None:
         """Take bounds from settings that were read again; names and addresses stay as they are."""
-        self._context.budget.use_settings(settings.retries)
-        self._context.quotas.use_settings(settings.quotas)
+        self._context.book.use_settings(settings)
         log_event(Event.SETTINGS_RELOADED, ok=True, changed=settings != self.settings)
 
     async def run(self) -> None:
@@ -186,6 +185,7 @@
         zone=settings.zone,
         region=settings.region,
         roles=(Role.ENTRY,),
+        strength=settings.machine.cores * settings.machine.core_share,
     )
     identity = LinkIdentity(instance, incarnation, settings.shared_key)
     return GatewayContext(
@@ -196,8 +196,8 @@
         links=PeerLinks(identity, _drop, rng.randbytes),
         membership=Membership(info, settings.membership, rng, trio.current_time()),
         fleet=Fleet(),
-        budget=RetryBudget(settings.retries),
-        quotas=QuotaBook(settings.quotas),
+        book=PlacementBook(settings, rng),
+        choice=CoordinatorChoice(instance),
         crash_guard=CrashGuard(),
     )
 
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -10,10 +10,11 @@
 from ..events import Event, log_event
 from ..ids import InstanceId
 from ..membership_controller import PEER_EVENTS
-from ..peers import Heartbeat, PeerAddress, PeerChange, PeerChangeKind
+from ..peers import Heartbeat, PeerAddress, PeerChange
 from ..platform import rows
 from ..platform.store import RowWrite
 from .context import GatewayContext, MessageHandler, gateway_controller
+from .coordinator import CoordinatorController
 
 REGISTER_RETRY_S = 0.5
 """Time between two tries to write this node's row."""
@@ -44,7 +45,6 @@
         while True:
             now_s = context.now_s()
             self._note(context.membership.tick(now_s))
-            context.budget.set_nodes(len(context.membership.present()) + 1)
             self.send_heartbeats()
             await trio.sleep(context.settings.membership.heartbeat_interval_s)
 
@@ -97,5 +97,19 @@
                 incarnation=change.info.incarnation,
                 change=change.kind.value,
             )
-            if change.kind is PeerChangeKind.GONE:
-                self._context.quotas.forget(change.info.incarnation)
+            controller = self._context.controller(CoordinatorController)
+            controller.peer_changed(change.kind, change.info.incarnation)
+        if changes:
+            self._choose_coordinator()
+
+    def _choose_coordinator(self) -> None:
+        context = self._context
+        is_changed = context.choice.update(context.membership.alive(context.now_s()))
+        for listener in context.coordinator_listeners:
+            listener()
+        if is_changed and context.choice.is_own:
+            context.controller(CoordinatorController).take_over()
+        elif is_changed:
+            log_event(
+                Event.COORDINATOR_CHOSEN, coordinator=context.choice.coordinator, is_own=False
+            )
--- /dev/null
+++ b/lentilchute/gateway/placement_book.py
@@ -0,0 +1,219 @@
+"""All decisions about tickets in one place: quota, retry budget and upstream; free of I/O.
+
+The coordinator's book holds the tickets of all nodes. A node that gets no answer from the
+coordinator decides about its own tickets with its own book, within its even share of quotas and
+budget.
+"""
+
+import random
+from dataclasses import dataclass
+
+from ..ids import IncarnationId, ServiceName
+from .dispatcher import Dispatcher
+from .fleet import Fleet
+from .messages import AccountUsage, FleetDigest, LoadRefresh, Report, RunningTicket
+from .quota import Charge, QuotaBook
+from .retry_budget import RetryBudget
+from .routes import RoutingConfig
+from .settings import GatewaySettings
+from .tickets import Decision, RefusalReason, Refused, Ticket, TicketKey
+from .upstream_model import RunningRequest, UpstreamModel
+
+GRANT_IN_FLIGHT_S = 0.5
+"""A request that was placed this recently may be missing from its node's refresh."""
+NO_BUDGET_RETRY_S = 1.0
+"""The budget's window moves on by a tenth in about this time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """For whom a book decides."""
+
+    nodes: int
+    """Nodes that share quotas and budget."""
+    covered: int
+    """How many of them this book decides for."""
+
+    @property
+    def share(self) -> float:
+        """Part of quotas and budget that this book may spend."""
+        return self.covered / self.nodes
+
+
+class PlacementBook:
+    """Tickets, upstreams, quotas and budget of one node."""
+
+    def __init__(self, settings: GatewaySettings, rng: random.Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self.quotas = QuotaBook(settings.quotas)
+        self.budget = RetryBudget(settings.retries)
+        self.dispatchers: dict[ServiceName, Dispatcher] = {}
+        self.scope = Scope(1, 1)
+        self._charges: dict[TicketKey, Charge] = {}
+
+    def use_settings(self, settings: GatewaySettings) -> None:
+        """Replace the bounds from now on."""
+        self._settings = settings
+        self.quotas.use_settings(settings.quotas)
+        self.budget.use_settings(settings.retries)
+
+    def dispatcher(self, service: ServiceName) -> Dispatcher:
+        """Return the dispatcher of a service, made when it is first asked for."""
+        found = self.dispatchers.get(service)
+        if found is None:
+            found = Dispatcher(service, self._settings.dispatch, self._rng)
+            self.dispatchers[service] = found
+        return found
+
+    def model(self, report: Report | RunningTicket) -> UpstreamModel | None:
+        """Return the upstream that a message names, if it takes work."""
+        return self.dispatcher(report.service).model(report.upstream)
+
+    def update(self, config: RoutingConfig | None, fleet: Fleet) -> None:
+        """Take in the present configuration and upstreams."""
+        services = set(self.dispatchers) | (set(config.services) if config else set())
+        for service in services:
+            slots = config.slots_of(service) if config else None
+            self.dispatcher(service).set_upstreams(fleet.of_service(service), slots)
+
+    def submit(self, ticket: Ticket, now_s: float) -> Decision | None:
+        """Return the decision about a new ticket, or ``None`` when it has to wait."""
+        refused = self._take_budget(ticket, now_s) or self._take_quota(ticket, now_s)
+        if refused is not None:
+            return refused
+        decision = self.dispatcher(ticket.service).submit(ticket, now_s)
+        self._settle(ticket, decision, now_s)
+        return decision
+
+    def poll(self, service: ServiceName, now_s: float) -> list[tuple[Ticket, Decision]]:
+        """Return the decisions about waiting tickets that can be made now."""
+        decided = self.dispatcher(service).poll(now_s)
+        for ticket, decision in decided:
+            self._settle(ticket, decision, now_s)
+        return decided
+
+    def report(self, node: IncarnationId, report: Report, now_s: float) -> None:
+        """Take in what happened to a node's request."""
+        key = TicketKey(node, report.number)
+        model = self.model(report)
+        if model is None:
+            return
+        if report.first_event_s >= 0:
+            model.first_event(key, report.first_event_s, now_s)
+            model.unblock()
+        if report.gap_ms >= 0:
+            model.record.note_gap(report.gap_ms, now_s)
+        if report.failure >= 0:
+            model.record.note_result(report.failure, now_s)
+        if report.unreachable:
+            model.block(now_s)
+        if report.ended:
+            model.end(key)
+
+    def refresh(self, refresh: LoadRefresh, now_s: float) -> None:
+        """Take in everything that a node has running."""
+        by_model: dict[int, set[TicketKey]] = {}
+        for running in refresh.running:
+            model = self.model(running)
+            if model is None:
+                continue
+            key = TicketKey(refresh.node, running.number)
+            by_model.setdefault(id(model), set()).add(key)
+            if key not in model.requests:
+                model.requests[key] = RunningRequest(
+                    prompt_tokens=running.prompt_tokens,
+                    work_tokens=running.work_tokens,
+                    sent_s=now_s - running.age_s,
+                    has_first_event=running.has_first_event,
+                )
+        for dispatcher in self.dispatchers.values():
+            for model in dispatcher.models():
+                model.keep_only(
+                    refresh.node, by_model.get(id(model), set()), now_s - GRANT_IN_FLIGHT_S
+                )
+
+    def own_refresh(self, node: IncarnationId, now_s: float) -> LoadRefresh:
+        """Return what this node has running, for the coordinator."""
+        running = tuple(
+            RunningTicket(
+                number=key.number,
+                service=service,
+                upstream=model.listing.upstream,
+                prompt_tokens=item.prompt_tokens,
+                work_tokens=item.work_tokens,
+                age_s=now_s - item.sent_s,
+                has_first_event=item.has_first_event,
+            )
+            for service, dispatcher in self.dispatchers.items()
+            for model in dispatcher.models()
+            for key, item in model.requests.items()
+            if key.node == node
+        )
+        return LoadRefresh(node, running)
+
+    def drop(self, service: ServiceName, key: TicketKey, now_s: float) -> None:
+        """Drop a ticket, waiting or placed, whose node does not wait for the answer any more."""
+        dispatcher = self.dispatcher(service)
+        dispatcher.drop(key)
+        self._give_back(key, now_s)
+
+    def forget_node(self, node: IncarnationId) -> None:
+        """Drop everything of a node whose run is over."""
+        for dispatcher in self.dispatchers.values():
+            dispatcher.forget_node(node)
+
+    def digest(self, now_s: float) -> FleetDigest:
+        """Return what is known here, for nodes that may have to do without the coordinator."""
+        loads = [load for each in self.dispatchers.values() for load in each.loads(now_s)]
+        usage = self.quotas.totals(now_s)
+        return FleetDigest(
+            upstreams=tuple(loads),
+            accounts=tuple(AccountUsage(account, used) for account, used in usage.items()),
+        )
+
+    def take_digest(self, digest: FleetDigest, now_s: float) -> None:
+        """Take in the coordinator's digest."""
+        loads = {load.upstream: load for load in digest.upstreams}
+        for dispatcher in self.dispatchers.values():
+            dispatcher.take_digest(loads, now_s)
+        self.quotas.take_totals({item.account: item.used for item in digest.accounts}, now_s)
+
+    def _take_budget(self, ticket: Ticket, now_s: float) -> Refused | None:
+        if not ticket.is_repeat:
+            self.budget.note_request(ticket.service, now_s)
+            return None
+        if self.budget.take(ticket.service, self.scope.share, now_s):
+            return None
+        return Refused(RefusalReason.NO_BUDGET, NO_BUDGET_RETRY_S)
+
+    def _take_quota(self, ticket: Ticket, now_s: float) -> Refused | None:
+        if ticket.account is None or ticket.is_repeat:
+            return None
+        account, cost = ticket.account, ticket.cost
+        charge = self.quotas.admit(account, cost, self.scope.share, now_s)
+        if charge is None:
+            wait_s = self.quotas.retry_after_s(account, cost, self.scope.share, now_s)
+            return Refused(RefusalReason.OVER_QUOTA, wait_s)
+        self._charges[ticket.key] = charge
+        return None
+
+    def _settle(self, ticket: Ticket, decision: Decision | None, now_s: float) -> None:
+        if isinstance(decision, Refused):
+            self._give_back(ticket.key, now_s)
+        elif decision is not None:
+            self._charges.pop(ticket.key, None)
+
+    def _give_back(self, key: TicketKey, now_s: float) -> None:
+        charge = self._charges.pop(key, None)
+        if charge is not None:
+            self.quotas.give_back(charge, now_s)
+
+    def note_granted(self, ticket: Ticket, now_s: float) -> None:
+        """Count a ticket of this node that the coordinator has placed."""
+        if ticket.is_repeat:
+            self.budget.spend(ticket.service, now_s)
+        else:
+            self.budget.note_request(ticket.service, now_s)
+            if ticket.account is not None:
+                self.quotas.record(ticket.account, ticket.cost, now_s)
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -21,6 +21,8 @@
 """How often a copy's age is looked at; a small part of the poll interval."""
 RETRY_INTERVAL_S = 0.3
 """Pause after a read that failed, so that an outage costs few calls."""
+MAX_NEWS_BYTES = 8_192
+"""Larger changes are read by each node itself: bytes between zones cost more than a call."""
 PAUSE_S = 0.5
 """A loop that was held up for longer than this, or clocks that differ by more, mean a pause."""
 
@@ -120,6 +122,8 @@
         changed = table.take_rows(taken, base is None, after_outage)
         if base is None:
             return
+        size = sum(len(row.value or b"") for row in changed)
+        is_partial = size > MAX_NEWS_BYTES
         news = TableNews(
             table_name=table.copy.table,
             base=base,
@@ -127,8 +131,9 @@
             age_s=self._context.now_s() - asked_s,
             rows=tuple(
                 NewsRow(row.key, row.version, row.value or b"", row.value is None)
-                for row in changed
+                for row in (() if is_partial else changed)
             ),
+            is_partial=is_partial,
             after_outage=after_outage,
         )
         self._context.broadcast(news)
@@ -137,6 +142,10 @@
         table = self._tables.get(news.table_name)
         if table is None:
             return
+        if news.is_partial:
+            if news.version > (table.copy.version or 0):
+                table.copy.distrust()
+            return
         as_of_s = self._context.now_s() - news.age_s
         if not table.copy.note_news(news.base, news.version, as_of_s):
             return
@@ -181,7 +190,6 @@
             if context.config is not None and config.version <= context.config.version:
                 continue
             context.config = config
-            context.quotas.set_accounts(config.accounts)
             log_event(
                 Event.CONFIG_IN_FORCE,
                 version=config.version,
--- a/lentilchute/gateway/retry_budget.py
+++ b/lentilchute/gateway/retry_budget.py
@@ -1,7 +1,8 @@
 """The budget for sending requests once more, which all nodes share; free of I/O.
 
-Each node spends at most its part: the ratio applies to its own requests, the slack is divided by
-the number of nodes. Counts are kept in buckets of a tenth of the window.
+The ratio applies to the requests that a node has counted: all of them at the coordinator, its own
+at a node that has to do without it and may spend only its share of the slack. Counts are kept in
+buckets of a tenth of the window.
 """
 
 from collections import deque
@@ -29,33 +30,32 @@
     def __init__(self, settings: RetrySettings) -> None:
         self._settings = settings
         self._buckets: dict[ServiceName, deque[_Bucket]] = {}
-        self._nodes = 1
 
     def use_settings(self, settings: RetrySettings) -> None:
         """Replace the budget's bounds from now on."""
         self._settings = settings
 
-    def set_nodes(self, nodes: int) -> None:
-        """Set how many nodes share the slack."""
-        self._nodes = max(1, nodes)
-
     def note_request(self, service: ServiceName, now_s: float) -> None:
         """Count a caller's request for a service."""
         self._bucket(service, now_s).requests += 1
 
-    def take(self, service: ServiceName, now_s: float) -> bool:
-        """Count one more send of a request if the budget allows it."""
-        if self.left(service, now_s) < 1.0:
+    def take(self, service: ServiceName, share: float, now_s: float) -> bool:
+        """Count one more send of a request if this node's share of the slack allows it."""
+        if self.left(service, share, now_s) < 1.0:
             return False
-        self._bucket(service, now_s).repeats += 1
+        self.spend(service, now_s)
         return True
 
-    def left(self, service: ServiceName, now_s: float) -> float:
-        """Return how many repeats this node may still send now."""
+    def spend(self, service: ServiceName, now_s: float) -> None:
+        """Count a repeat that the coordinator has allowed."""
+        self._bucket(service, now_s).repeats += 1
+
+    def left(self, service: ServiceName, share: float, now_s: float) -> float:
+        """Return how many repeats may still be sent now."""
         buckets = self._recent(service, now_s)
         requests = sum(bucket.requests for bucket in buckets)
         repeats = sum(bucket.repeats for bucket in buckets)
-        allowed = self._settings.ratio * requests + self._settings.slack / self._nodes
+        allowed = self._settings.ratio * requests + self._settings.slack * share
         return SAFETY * allowed - repeats
 
     def _bucket(self, service: ServiceName, now_s: float) -> _Bucket:
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -71,17 +71,19 @@
     """Tokens that it tolerates besides."""
     tolerance_share: Share
     """Part of that tolerance that is used; the rest covers usage of peers not heard of yet."""
-    peer_silent_after_s: Seconds
-    """A peer without a digest for this long counts as using its even share."""
 
 
 class DispatchSettings(Part):
     """Bounds of the choice of an upstream."""
 
+    reply_timeout_s: Seconds
+    """A node that hears nothing from the coordinator for this long decides by itself."""
+    report_interval_s: Seconds
+    """Time between two batches of reports to the coordinator."""
+    refresh_interval_s: Seconds
+    """Time between two full accounts of what a node has running."""
     digest_interval_s: Seconds
-    """Time between two load digests to peers while the load changes."""
-    idle_digest_interval_s: Seconds
-    """Time between two load digests while nothing changes."""
+    """Time between two of the coordinator's digests to all nodes."""
     hold_share: Share
     """A request waits for a place at most this part of its latency objective."""
     retry_after_min_s: Seconds
@@ -90,6 +92,15 @@
     """Longest such time."""
 
 
+class MachineSettings(Part):
+    """What the node may use of its machine."""
+
+    cores: Annotated[float, Field(gt=0)] = 1.0
+    """Speed of a core, against a usual one."""
+    core_share: Annotated[float, Field(gt=0)] = 1.0
+    """Part of a core that the node gets."""
+
+
 class StopSettings(Part):
     """A planned stop."""
 
@@ -124,6 +135,8 @@
     """Choice of an upstream."""
     stop: StopSettings
     """A planned stop."""
+    machine: MachineSettings = MachineSettings()
+    """What the node may use of its machine."""
     membership: MembershipSettings = MembershipSettings()
     """Pace of heartbeats."""
 
--- a/lentilchute/gateway/tickets.py
+++ b/lentilchute/gateway/tickets.py
@@ -2,17 +2,26 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
-from ..ids import ServiceName, Tier, UpstreamId
+from ..ids import AvailabilityZone, ClientAccountId, IncarnationId, ServiceName, Tier, UpstreamId
 from .fleet import UpstreamListing
 
 
+class TicketKey(NamedTuple):
+    """Names a request of any node."""
+
+    node: IncarnationId
+    number: int
+
+
 @dataclass(slots=True)
 class Ticket:
     """What the dispatcher knows about one request; never its body."""
 
-    number: int
-    """Order of arrival at this node."""
+    key: TicketKey
+    zone: AvailabilityZone
+    """Where the request's node is."""
     service: ServiceName
     tier: Tier
     prompt_tokens: int
@@ -23,18 +32,25 @@
     objective_s: float
     deadline_s: float
     may_repeat: bool
+    account: ClientAccountId | None = None
+    cost: float = 0.0
+    """What the request uses of its account's quota."""
+    is_repeat: bool = False
+    """An upstream has had the request already, so that sending it again uses the retry budget."""
     excluded: set[UpstreamId] = field(default_factory=set)
     """Upstreams that have had the request already."""
 
 
 class RefusalReason(Enum):
-    """Why the dispatcher gave a ticket up."""
+    """Why a ticket was given up."""
 
     NO_UPSTREAM = "no-upstream"
     """No upstream of the service is known to take work."""
     OVERLOADED = "overloaded"
     """No upstream had room in time."""
     DEADLINE = "deadline"
+    OVER_QUOTA = "over-quota"
+    NO_BUDGET = "no-retry-budget"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +68,6 @@
     running: int
     pace_ms: float
     failure_rate: float
-    digest_age_s: float
-    """Age of the oldest peer's digest behind the choice."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -1,5 +1,6 @@
 """One upstream as the dispatcher sees it: what runs there, and what a request may expect."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..ids import IncarnationId
@@ -12,32 +13,29 @@
 )
 from .fleet import UpstreamListing
 from .messages import UpstreamLoad
+from .tickets import TicketKey
 
 FIXED_WORK_TOKENS = 4_000
 """A request's fixed cost in tokens of prompt: an engine's first step takes about as long."""
-PEER_LOAD_LIFETIME_S = 3.0
+DIGEST_COUNTS_S = 2.0
 """Counts in a digest older than this are of no use: requests have ended since."""
+DIGEST_LEARNED_S = 20.0
+"""What a digest says of an upstream's pace is of use for longer."""
 FIRST_BLOCK_S = 0.25
 LONGEST_BLOCK_S = 2.0
 """An upstream that cannot be connected to is left alone for this long, doubling each time."""
 
 
 @dataclass(slots=True)
-class _Running:
+class RunningRequest:
+    """One request at the upstream."""
+
     prompt_tokens: int
     work_tokens: int
     sent_s: float
     has_first_event: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLoad:
-    """A peer's word on an upstream."""
-
-    load: UpstreamLoad
-    heard_s: float
-
-
 class UpstreamModel:
     """Load and learned figures of one run of an upstream."""
 
@@ -45,53 +43,25 @@
         self.listing = listing
         self.slots = slots
         self.record = UpstreamRecord()
-        self._own: dict[int, _Running] = {}
-        self._peers: dict[IncarnationId, PeerLoad] = {}
+        self.requests: dict[TicketKey, RunningRequest] = {}
+        self._digest: UpstreamLoad | None = None
+        self._digest_s = float("-inf")
         self._blocked_until_s = float("-inf")
         self._block_s = FIRST_BLOCK_S
 
-    @property
-    def own_running(self) -> int:
-        """Requests of this node at the upstream."""
-        return len(self._own)
-
-    @property
-    def own_backlog_tokens(self) -> int:
-        """Prompt tokens of this node's requests that have not shown their first event."""
-        return sum(item.prompt_tokens for item in self._own.values() if not item.has_first_event)
-
     def is_blocked(self, now_s: float) -> bool:
         """Whether connecting failed a moment ago."""
         return now_s < self._blocked_until_s
 
     def running(self, now_s: float) -> int:
-        """Requests of all nodes at the upstream."""
-        return len(self._own) + sum(peer.load.running for peer in self._heard(now_s))
+        """Requests at the upstream: those counted here, or more where a digest told so."""
+        told = self._digest.running if self._digest and self._counts_are_fresh(now_s) else 0
+        return max(len(self.requests), told)
 
     def backlog_tokens(self, now_s: float) -> int:
-        """Prompt tokens of all nodes that the upstream has still to read."""
-        return self.own_backlog_tokens + sum(
-            peer.load.backlog_tokens for peer in self._heard(now_s)
-        )
-
-    def oldest_digest_s(self, now_s: float) -> float:
-        """Age of the oldest digest that counts."""
-        return max((now_s - peer.heard_s for peer in self._heard(now_s)), default=0.0)
-
-    def learned_parts(self, now_s: float) -> list[Learned]:
-        """Return this node's figures and its peers'."""
-        peers = [
-            Learned(
-                pace_ms=peer.load.pace_ms,
-                pace_weight=peer.load.pace_weight,
-                gap_ms=peer.load.gap_ms,
-                gap_weight=peer.load.gap_weight,
-                failures=peer.load.failures,
-                results=peer.load.results,
-            )
-            for peer in self._heard(now_s)
-        ]
-        return [self.record.learned(now_s), *peers]
+        """Prompt tokens that the upstream has still to read."""
+        told = self._digest.backlog_tokens if self._digest and self._counts_are_fresh(now_s) else 0
+        return max(self._counted_backlog(), told)
 
     def pace_ms(self, common_pace_ms: float, now_s: float) -> float:
         """Return milliseconds to the first event per thousand tokens of work."""
@@ -109,23 +79,36 @@
         """Return what stands before the first event of a request sent now, in tokens."""
         return FIXED_WORK_TOKENS + self.backlog_tokens(now_s) + prompt_tokens
 
-    def learn_peer(self, peer: IncarnationId, load: UpstreamLoad | None, now_s: float) -> None:
-        """Take in a peer's word; ``None`` when its digest does not name the upstream."""
-        if load is None:
-            self._peers.pop(peer, None)
-        else:
-            self._peers[peer] = PeerLoad(load, now_s)
+    def learned_parts(self, now_s: float) -> list[Learned]:
+        """Return what was reported here, and what a digest said."""
+        parts = [self.record.learned(now_s)]
+        age_s = now_s - self._digest_s
+        if self._digest is not None and age_s < DIGEST_LEARNED_S:
+            fading = 1.0 - age_s / DIGEST_LEARNED_S
+            parts.append(
+                Learned(
+                    pace_ms=self._digest.pace_ms,
+                    pace_weight=self._digest.pace_weight * fading,
+                    gap_ms=self._digest.gap_ms,
+                    gap_weight=self._digest.gap_weight * fading,
+                    failures=self._digest.failures * fading,
+                    results=self._digest.results * fading,
+                )
+            )
+        return parts
+
+    def take_digest(self, load: UpstreamLoad, now_s: float) -> None:
+        """Take in the coordinator's word on the upstream."""
+        self._digest = load
+        self._digest_s = now_s
 
-    def own_load(self, now_s: float) -> UpstreamLoad | None:
-        """Return this node's word for its peers; ``None`` when there is nothing to say."""
+    def load(self, now_s: float) -> UpstreamLoad:
+        """Return what is known here, for a digest."""
         learned = self.record.learned(now_s)
-        is_idle = not self._own and learned.pace_weight < 0.01 and learned.results < 0.01
-        if is_idle:
-            return None
         return UpstreamLoad(
             upstream=self.listing.upstream,
-            running=len(self._own),
-            backlog_tokens=self.own_backlog_tokens,
+            running=self.running(now_s),
+            backlog_tokens=self.backlog_tokens(now_s),
             pace_ms=learned.pace_ms,
             pace_weight=learned.pace_weight,
             gap_ms=learned.gap_ms,
@@ -134,24 +117,37 @@
             results=learned.results,
         )
 
-    def start(self, ticket: int, prompt_tokens: int, work_tokens: int, now_s: float) -> None:
+    def start(self, key: TicketKey, prompt_tokens: int, work_tokens: int, now_s: float) -> None:
         """Count a request that was placed here."""
-        self._own[ticket] = _Running(prompt_tokens, work_tokens, now_s)
+        self.requests[key] = RunningRequest(prompt_tokens, work_tokens, now_s)
 
-    def first_event(self, ticket: int, now_s: float) -> None:
+    def first_event(self, key: TicketKey, took_s: float, now_s: float) -> None:
         """Note a request's first event, or the whole answer of a plain service."""
-        item = self._own.get(ticket)
+        item = self.requests.get(key)
         if item is None or item.has_first_event:
             return
         item.has_first_event = True
-        self.record.note_pace((now_s - item.sent_s) * 1e6 / item.work_tokens, now_s)
+        self.record.note_pace(took_s * 1e6 / item.work_tokens, now_s)
 
-    def end(self, ticket: int) -> None:
+    def end(self, key: TicketKey) -> None:
         """Count a request as ended."""
-        self._own.pop(ticket, None)
+        self.requests.pop(key, None)
+
+    def keep_only(
+        self, node: IncarnationId, keys: Iterable[TicketKey], before_s: float = float("inf")
+    ) -> None:
+        """Drop a node's requests from before a time that it does not name any more."""
+        kept = set(keys)
+        self.requests = {
+            key: item
+            for key, item in self.requests.items()
+            if key.node != node or key in kept or item.sent_s >= before_s
+        }
 
     def block(self, now_s: float) -> None:
         """Leave the upstream alone for a while: it could not be connected to."""
+        if self.is_blocked(now_s):
+            return
         self._blocked_until_s = now_s + self._block_s
         self._block_s = min(2 * self._block_s, LONGEST_BLOCK_S)
 
@@ -160,7 +156,9 @@
         self._blocked_until_s = float("-inf")
         self._block_s = FIRST_BLOCK_S
 
-    def _heard(self, now_s: float) -> list[PeerLoad]:
-        return [
-            peer for peer in self._peers.values() if now_s - peer.heard_s < PEER_LOAD_LIFETIME_S
-        ]
+    def _counts_are_fresh(self, now_s: float) -> bool:
+        return now_s - self._digest_s < DIGEST_COUNTS_S
+
+    def _counted_backlog(self) -> int:
+        waiting = (item for item in self.requests.values() if not item.has_first_event)
+        return sum(item.prompt_tokens for item in waiting)
--- a/lentilchute/peer.thrift
+++ b/lentilchute/peer.thrift
@@ -119,6 +119,7 @@
   7: string region
   8: list<string> roles
   9: string operators_address
+  10: double strength
 }
 
 struct PeerState {
@@ -184,6 +185,83 @@
   2: string news
 }
 
+struct PlaceRequest {
+  1: string node
+  2: string zone
+  3: i64 number
+  4: string service_name
+  5: i16 tier
+  6: i32 prompt_tokens
+  7: double expected_events
+  8: double max_events
+  9: double waited_s
+  10: double objective_s
+  11: double time_left_s
+  12: bool may_repeat
+  13: bool is_repeat
+  14: list<string> excluded
+  15: string account
+  16: double cost
+}
+
+struct PlaceReply {
+  1: i64 number
+  2: string state
+  3: string upstream
+  4: i64 started_ms
+  5: double expected_s
+  6: double gap_s
+  7: double miss_probability
+  8: i64 work_tokens
+  9: i32 running
+  10: double pace_ms
+  11: double failure_rate
+  12: string reason
+  13: double retry_after_s
+}
+
+struct Report {
+  1: i64 number
+  2: string service_name
+  3: string upstream
+  4: double first_event_s
+  5: double gap_ms
+  6: double failure
+  7: bool ended
+  8: bool unreachable
+}
+
+struct TicketWithdrawal {
+  1: string node
+  2: i64 number
+  3: string service_name
+}
+
+struct LoadReports {
+  1: string node
+  2: list<Report> items
+}
+
+struct RunningTicket {
+  1: i64 number
+  2: string service_name
+  3: string upstream
+  4: i32 prompt_tokens
+  5: i64 work_tokens
+  6: double age_s
+  7: bool has_first_event
+}
+
+struct AccountUsage {
+  1: string account
+  2: double used
+}
+
+struct LoadRefresh {
+  1: string node
+  2: list<RunningTicket> running
+}
+
 struct UpstreamLoad {
   1: string upstream
   2: i32 running
@@ -196,15 +274,9 @@
   9: double results
 }
 
-struct AccountUsage {
-  1: string account
-  2: double used
-}
-
-struct LoadDigest {
-  1: string incarnation
-  2: list<UpstreamLoad> upstreams
-  3: list<AccountUsage> accounts
+struct FleetDigest {
+  1: list<UpstreamLoad> upstreams
+  2: list<AccountUsage> accounts
 }
 
 struct NewsRow {
@@ -220,7 +292,8 @@
   3: i64 version
   4: double age_s
   5: list<NewsRow> rows
-  6: bool after_outage
+  6: bool is_partial
+  7: bool after_outage
 }
 
 struct CrashNotice {
@@ -251,10 +324,15 @@
   16: optional UpstreamNotice upstream_notice
   17: optional ClaimQuestion claim_question
   18: optional ClaimReply claim_reply
-  19: optional LoadDigest load_digest
-  20: optional TableNews table_news
-  21: optional CrashNotice crash_notice
-  22: optional ClearedNotice cleared_notice
+  19: optional PlaceRequest place_request
+  20: optional PlaceReply place_reply
+  21: optional LoadReports load_reports
+  22: optional LoadRefresh load_refresh
+  23: optional FleetDigest fleet_digest
+  24: optional TableNews table_news
+  25: optional CrashNotice crash_notice
+  26: optional ClearedNotice cleared_notice
+  27: optional TicketWithdrawal ticket_withdrawal
 }
 
 struct Hello {
--- a/lentilchute/peers.py
+++ b/lentilchute/peers.py
@@ -33,6 +33,8 @@
     region: str
     roles: tuple[Role, ...]
     operators_address: str = ""
+    strength: float = 1.0
+    """Processor cores that the node may use."""
 
 
 @dataclass(frozen=True, slots=True)
