Scale what is assumed about quotas by a node's share

Cause: a node that had just started and lost its coordinator refused its callers by quota: the whole quota assumed as used was compared with its even share (test_killing_the_coordinator_stops_no_request, red in the commit before).

--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -3,7 +3,7 @@
 In any window an account may use its rate times the window, and its burst. The coordinator counts
 all requests. A node that has to do without it spends its even share, counted by its own requests;
 the coordinator leaves that share to nodes that it has lost sight of. A node that does not know
-what was used before it started counts the whole rate as used.
+what was used before it started counts the whole quota as used.
 """
 
 from collections import deque
@@ -22,6 +22,8 @@
 class _Bucket:
     start_s: float
     used: float = 0.0
+    assumed: float = 0.0
+    """What all nodes may have used that this node does not know of."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +38,8 @@
 @dataclass(slots=True)
 class _Usage:
     buckets: deque[_Bucket] = field(default_factory=deque)
-    total: float = 0.0
+    used: float = 0.0
+    assumed: float = 0.0
 
 
 class QuotaBook:
@@ -68,27 +71,29 @@
         limit = self._accounts.get(account)
         if limit is None or limit.quota_per_s is None:
             return Charge(account, 0.0, now_s)
-        if self._used(account, now_s) + cost > self._allowed(limit) * share:
+        usage = self._current(account, now_s)
+        if usage.used + usage.assumed * share + cost > self._allowed(limit) * share:
             return None
-        self._add(account, cost, now_s)
+        self._bucket(account, now_s).used += cost
+        usage.used += cost
         return Charge(account, cost, now_s)
 
     def record(self, account: ClientAccountId, cost: float, now_s: float) -> None:
         """Count a request that the coordinator has admitted."""
         if account in self._accounts:
-            self._used(account, now_s)
-            self._add(account, cost, now_s)
+            self._bucket(account, now_s).used += cost
+            self._usage[account].used += cost
 
     def give_back(self, charge: Charge, now_s: float) -> None:
         """Return the cost of a request that was not sent upstream."""
         usage = self._usage.get(charge.account)
         if usage is None or not charge.cost:
             return
-        self._used(charge.account, now_s)
+        self._current(charge.account, now_s)
         for bucket in reversed(usage.buckets):
             if bucket.start_s <= charge.charged_s:
                 bucket.used -= charge.cost
-                usage.total -= charge.cost
+                usage.used -= charge.cost
                 return
 
     def retry_after_s(
@@ -98,16 +103,21 @@
         limit = self._accounts.get(account)
         if limit is None or limit.quota_per_s is None:
             return 0.0
-        excess = self._used(account, now_s) + cost - self._allowed(limit) * share
-        for bucket in self._usage[account].buckets:
+        usage = self._current(account, now_s)
+        excess = usage.used + usage.assumed * share + cost - self._allowed(limit) * share
+        for bucket in usage.buckets:
             if excess <= 0:
                 return max(0.0, bucket.start_s + self._settings.window_s - now_s)
-            excess -= bucket.used
+            excess -= bucket.used + bucket.assumed * share
         return self._settings.window_s
 
     def totals(self, now_s: float) -> dict[ClientAccountId, float]:
         """Return what was used of each quota in the last window, as far as is known here."""
-        return {name: self._used(name, now_s) for name in self._usage}
+        totals = {}
+        for name in self._usage:
+            usage = self._current(name, now_s)
+            totals[name] = usage.used + usage.assumed
+        return totals
 
     def take_totals(self, totals: dict[ClientAccountId, float], _now_s: float) -> None:
         """Remember the coordinator's totals, in case this node has to take its place."""
@@ -118,20 +128,24 @@
         for name, total in self._told.items():
             if name not in self._usage:
                 continue
-            missing = total - self._used(name, now_s)
+            usage = self._current(name, now_s)
+            missing = total - usage.used - usage.assumed
             if missing > 0:
-                self._add(name, missing, now_s)
+                self._bucket(name, now_s).assumed += missing
+                usage.assumed += missing
         self._told = {}
 
     def _assume_full_use(self, now_s: float) -> None:
         width_s = self._settings.window_s / BUCKETS_PER_WINDOW
         for name, account in self._accounts.items():
+            if account.quota_per_s is None:
+                continue
+            usage = self._usage[name]
+            part = account.quota_per_s * width_s
             for number in range(BUCKETS_PER_WINDOW, 0, -1):
-                bucket = _Bucket(now_s - number * width_s, (account.quota_per_s or 0.0) * width_s)
-                self._usage[name].buckets.append(bucket)
-                self._usage[name].total += bucket.used
-            if account.quota_per_s is not None:
-                self._add(name, account.quota_burst, now_s)
+                usage.buckets.append(_Bucket(now_s - number * width_s, assumed=part))
+            usage.buckets[-1].assumed += account.quota_burst
+            usage.assumed += BUCKETS_PER_WINDOW * part + account.quota_burst
 
     def _allowed(self, account: Account) -> float:
         settings = self._settings
@@ -139,19 +153,21 @@
         tolerance = settings.overrun * quota + (settings.slack if account.counts_tokens else 0.0)
         return quota + settings.tolerance_share * tolerance
 
-    def _used(self, account: ClientAccountId, now_s: float) -> float:
-        """Return what was used in the last window."""
+    def _current(self, account: ClientAccountId, now_s: float) -> _Usage:
+        """Return an account's usage without what has left the window."""
         usage = self._usage[account]
         width_s = self._settings.window_s / BUCKETS_PER_WINDOW
         oldest_s = now_s - self._settings.window_s - width_s
         while usage.buckets and usage.buckets[0].start_s < oldest_s:
-            usage.total -= usage.buckets.popleft().used
-        return usage.total
-
-    def _add(self, account: ClientAccountId, amount: float, now_s: float) -> None:
-        usage = self._usage[account]
+            bucket = usage.buckets.popleft()
+            usage.used -= bucket.used
+            usage.assumed -= bucket.assumed
+        return usage
+
+    def _bucket(self, account: ClientAccountId, now_s: float) -> _Bucket:
+        """Return the bucket of the present time."""
+        usage = self._current(account, now_s)
         width_s = self._settings.window_s / BUCKETS_PER_WINDOW
         if not usage.buckets or now_s - usage.buckets[-1].start_s >= width_s:
             usage.buckets.append(_Bucket(now_s))
-        usage.buckets[-1].used += amount
-        usage.total += amount
+        return usage.buckets[-1]
