--- a/test/ui/test_call.py
+++ b/test/ui/test_call.py
@@ -23,7 +23,7 @@
 
 
 def parse(*argv: str) -> Call:
-    command = cappa.parse(ui.Root, argv=["call", *argv]).command
+    command = cappa.parse(ui.root_command("call"), argv=["call", *argv]).command
     assert isinstance(command, Call)
     return command
 
