Serve metrics of a gateway, and finish the books of a request whose caller closes at once

Change: OpenTelemetry counters, histograms and gauges on the address of the settings; the table of peer events has a module of its own, so that a gateway does not import the other node's context.

--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -14,6 +14,7 @@
 from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
 from .fleet import Fleet
+from .metrics import GatewayMetrics
 from .placement_book import PlacementBook
 from .routes import RoutingConfig
 from .settings import GatewaySettings
@@ -49,6 +50,7 @@
     book: PlacementBook
     choice: CoordinatorChoice
     crash_guard: CrashGuard
+    metrics: GatewayMetrics
     config: RoutingConfig | None = None
     controllers: list[GatewayController] = field(default_factory=list)
     is_stopping: bool = False
--- a/lentilchute/gateway/desk.py
+++ b/lentilchute/gateway/desk.py
@@ -132,6 +132,7 @@
         self, coordinator: InstanceId, ticket: Ticket, reply: PlaceReply | None
     ) -> None:
         self._context.choice.is_silent(self._context.now_s())
+        self._context.metrics.coordinator_silent()
         log_event(
             Event.COORDINATOR_SILENT,
             coordinator=coordinator,
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -128,14 +128,19 @@
         self.in_progress += 1
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watch_caller, call, nursery.cancel_scope)
+                nursery.start_soon(self._watch_caller, call, responder, nursery.cancel_scope)
                 await self._run(self._new_run(call, responder))
                 nursery.cancel_scope.cancel()
         finally:
             self.in_progress -= 1
 
-    async def _watch_caller(self, call: Call, scope: trio.CancelScope) -> None:
+    async def _watch_caller(
+        self, call: Call, responder: Responder, scope: trio.CancelScope
+    ) -> None:
         await call.request.caller_gone.wait()
+        if responder.is_complete:
+            # A caller may close its connection as soon as it has its answer.
+            return
         log_event(Event.CALLER_GONE, request_id=call.log_id)
         scope.cancel()
 
@@ -204,6 +209,8 @@
         failure = NOT_MEASURED
         try:
             end = await self._exchange(run, placement)
+            is_repeat = run.ticket.is_repeat
+            self._context.metrics.attempt(run.ticket.service, end.value, is_repeat=is_repeat)
             if end is not AttemptEnd.NOT_SENT:
                 failure = _failure(run, end)
         finally:
@@ -386,7 +393,9 @@
         if run.has_first_event:
             return
         run.has_first_event = True
-        took_s = self._context.now_s() - run.attempt_s
+        now_s = self._context.now_s()
+        took_s = now_s - run.attempt_s
+        self._context.metrics.first_event(run.ticket.service, now_s - run.call.arrived_s)
         self._desk.report(run.ticket, placement, first_event_s=took_s)
         if run.call.content is not None:
             self._crash_news.report_completed(run.call.content)
@@ -405,6 +414,7 @@
             run.responder.break_off()
         elif step is NextStep.PASS_ON and run.failure is not None:
             status, headers, body = run.failure
+            self._context.metrics.request(run.ticket.service, "upstream-error")
             log_event(Event.REQUEST_FINISHED, request_id=run.log_id, status=status, tried=run.tried)
             await run.responder.answer(status, headers, body)
         elif step is NextStep.REFUSE:
@@ -429,6 +439,7 @@
     async def _refuse(
         self, call: Call, refusal: CallRefusal, responder: Responder, run: _Run | None = None
     ) -> None:
+        self._context.metrics.request(call.service, refusal.cause.value)
         log_event(
             Event.REQUEST_REFUSED,
             request_id=call.log_id,
@@ -445,6 +456,8 @@
 
     def _log_attempt(self, run: _Run, placement: Placement) -> None:
         run.tried.append(placement.listing.upstream)
+        waited_s = self._context.now_s() - run.call.arrived_s
+        self._context.metrics.waited(run.ticket.service, waited_s)
         log_event(
             Event.ATTEMPT_STARTED,
             request_id=run.log_id,
@@ -452,7 +465,7 @@
             attempt=len(run.tried),
             route=run.route.name,
             config_version=run.call.config.version if run.call.config else None,
-            waited_s=round(self._context.now_s() - run.call.arrived_s, 4),
+            waited_s=round(waited_s, 4),
             expected_s=round(placement.expected_s, 4),
             work_tokens=placement.work_tokens,
             running=placement.running,
@@ -478,6 +491,9 @@
         )
 
     def _log_finished(self, run: _Run, placement: Placement) -> None:
+        self._context.metrics.request(run.ticket.service, "delivered")
+        if run.relay.passed_events:
+            self._context.metrics.longest_pause(run.ticket.service, run.pauses.longest_s)
         log_event(
             Event.REQUEST_FINISHED,
             request_id=run.log_id,
@@ -490,6 +506,7 @@
         )
 
     def _log_broken(self, run: _Run, reason: str) -> None:
+        self._context.metrics.request(run.ticket.service, "broken")
         log_event(
             Event.REQUEST_BROKEN,
             request_id=run.log_id,
--- /dev/null
+++ b/lentilchute/gateway/gauges.py
@@ -0,0 +1,35 @@
+"""Reads a node's gauges for its metrics page."""
+
+from collections.abc import Iterator
+
+from .context import GatewayContext
+from .metrics import Gauge
+from .reading import ReadingController
+
+PREFIX = "lentilchute.gateway."
+
+
+def read_gauges(context: GatewayContext, open_requests: int, loop_lag_s: float) -> Iterator[Gauge]:
+    """Yield all gauges of a node as they are now."""
+    now_s = context.now_s()
+    yield Gauge(f"{PREFIX}ready", float(context.is_ready))
+    yield Gauge(f"{PREFIX}coordinating", float(context.choice.is_own))
+    yield Gauge(f"{PREFIX}requests.open", open_requests)
+    yield Gauge(f"{PREFIX}nodes.alive", len(context.membership.alive(now_s)))
+    yield Gauge(f"{PREFIX}loop.lag", loop_lag_s)
+    if context.config is not None:
+        yield Gauge(f"{PREFIX}config.version", context.config.version)
+    for table, age_s in context.controller(ReadingController).ages_s(now_s).items():
+        yield Gauge(f"{PREFIX}knowledge.age", age_s, (("table", table),))
+    for service, dispatcher in context.book.dispatchers.items():
+        labels = (("service", str(service)),)
+        yield Gauge(f"{PREFIX}tickets.waiting", dispatcher.waiting, labels)
+        left = context.book.budget.left(service, context.book.scope.share, now_s)
+        yield Gauge(f"{PREFIX}retry_budget.left", left, labels)
+        for model in dispatcher.models():
+            load = model.load(now_s)
+            named = (*labels, ("upstream", str(load.upstream)))
+            yield Gauge(f"{PREFIX}upstream.running", load.running, named)
+            yield Gauge(f"{PREFIX}upstream.failure_rate", model.failure_rate(now_s), named)
+            if load.pace_weight > 0.1:
+                yield Gauge(f"{PREFIX}upstream.pace", load.pace_ms, named)
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -6,7 +6,7 @@
 
 import random
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import trio
@@ -30,6 +30,8 @@
 from .crash_guard import CrashGuard
 from .fleet import Fleet
 from .forwarder import Forwarder
+from .gauges import read_gauges
+from .metrics import METRICS_PATH, PAGE_CONTENT_TYPE, GatewayMetrics, Gauge
 from .peering import PeeringController
 from .placement_book import PlacementBook
 from .routes import RoutingConfig
@@ -48,6 +50,8 @@
 """Some callers keep an answer where to connect three times as long as it says (platform)."""
 STOP_MARGIN_S = 0.7
 """Work that is left ends this long before the process would be killed."""
+LAG_INTERVAL_S = 1.0
+"""Often enough to see an overloaded loop, rarely enough to cost nothing."""
 STOP_POLL_S = 0.05
 LEAVE_NOTICES = 3
 """Heartbeats that announce a planned stop at once; one may be lost with a breaking link."""
@@ -67,6 +71,9 @@
         self._callers = HttpServer(_server_settings(None), self._forwarder.handle)
         self._readiness = HttpServer(HttpServerSettings(), self._answer_ready)
         self._directory = HttpServer(HttpServerSettings(), self._answer_resolve)
+        self._metrics = HttpServer(HttpServerSettings(), self._answer_metrics)
+        self._loop_lag_s = 0.0
+        self.context.metrics.read_gauges = self._read_gauges
         self.context.config_listeners.append(self._use_limits)
 
     def stop(self) -> None:
@@ -93,6 +100,7 @@
                 for controller in context.controllers:
                     nursery.start_soon(controller.run)
                 nursery.start_soon(self._log_ready)
+                nursery.start_soon(self._measure_lag)
                 log_event(
                     Event.NODE_STARTED,
                     instance=context.instance,
@@ -103,6 +111,7 @@
                 await self._finish()
                 nursery.cancel_scope.cancel()
         finally:
+            context.metrics.close()
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
                 await context.store.aclose()
 
@@ -112,6 +121,7 @@
             (self._callers, listen.callers),
             (self._readiness, listen.readiness),
             (self._directory, listen.directory),
+            (self._metrics, listen.metrics),
         ):
             await nursery.start(server.serve, await open_listeners(address))
 
@@ -121,6 +131,22 @@
             await trio.sleep(STOP_POLL_S)
         log_event(Event.NODE_READY, after_s=round(self.context.now_s() - started_s, 3))
 
+    async def _measure_lag(self) -> None:
+        while True:
+            due_s = self.context.now_s() + LAG_INTERVAL_S
+            await trio.sleep_until(due_s)
+            self._loop_lag_s = self.context.now_s() - due_s
+
+    def _read_gauges(self) -> Iterable[Gauge]:
+        return read_gauges(self.context, self._forwarder.in_progress, self._loop_lag_s)
+
+    async def _answer_metrics(self, request: HttpRequest, responder: Responder) -> None:
+        if endpoints.path_of(request.path) != METRICS_PATH:
+            await responder.answer(404, (), b"")
+            return
+        page = self.context.metrics.render()
+        await responder.answer(200, (("content-type", PAGE_CONTENT_TYPE),), page)
+
     async def _finish(self) -> None:
         """Leave the answers to callers, serve those who still come, then end."""
         context, stop = self.context, self.settings.stop
@@ -199,6 +225,7 @@
         book=PlacementBook(settings, rng),
         choice=CoordinatorChoice(instance),
         crash_guard=CrashGuard(),
+        metrics=GatewayMetrics(instance, settings.zone),
     )
 
 
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -9,7 +9,7 @@
 
 from ..events import Event, log_event
 from ..ids import InstanceId
-from ..membership_controller import PEER_EVENTS
+from ..peer_events import PEER_EVENTS
 from ..peers import Heartbeat, PeerAddress, PeerChange
 from ..platform import rows
 from ..platform.store import RowWrite
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -58,6 +58,11 @@
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
         return {TableNews: self._on_news}
 
+    def ages_s(self, now_s: float) -> dict[str, float]:
+        """Return the age of each table's copy; a table that was never read is left out."""
+        ages = {name: table.copy.age_s(now_s) for name, table in self._tables.items()}
+        return {name: age_s for name, age_s in ages.items() if age_s != float("inf")}
+
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_pauses)
@@ -104,8 +109,10 @@
         else:
             answered = await self._context.store.read_changes(copy.table, base)
         if isinstance(answered, Err):
+            self._context.metrics.store_call(f"read-{copy.table}", answered.err_value.value)
             self._note_fault(table, answered.err_value)
             return False
+        self._context.metrics.store_call(f"read-{copy.table}", "ok")
         self._note_answer(table)
         page = answered.ok_value
         copy.note_read(page.version, asked_s, self._context.now_s())
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -23,6 +23,8 @@
     """Address at which callers ask where to connect."""
     peers: Address
     """Address that other nodes connect to."""
+    metrics: Address
+    """Address of the metrics page, `/metrics`."""
 
 
 class StoreSettings(Part):
--- a/lentilchute/membership_controller.py
+++ b/lentilchute/membership_controller.py
@@ -3,18 +3,11 @@
 from collections.abc import Mapping
 from typing import Any
 
-from .events import Event, log_event
+from .events import log_event
 from .ids import InstanceId
 from .node_context import MessageHandler, NodeContext, node_controller, repeat
-from .peers import Heartbeat, PeerChange, PeerChangeKind
-
-PEER_EVENTS = {
-    PeerChangeKind.ALIVE: Event.PEER_ALIVE,
-    PeerChangeKind.SUSPECT: Event.PEER_SUSPECT,
-    PeerChangeKind.LEAVING: Event.PEER_LEAVING,
-    PeerChangeKind.GONE: Event.PEER_GONE,
-    PeerChangeKind.SELF_REPLACED: Event.PEER_GONE,
-}
+from .peer_events import PEER_EVENTS
+from .peers import Heartbeat, PeerChange
 
 
 @node_controller(None)
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -353,6 +353,23 @@
     run_world(scenario)
 
 
+def test_the_metrics_page_tells_what_happened() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for number in range(3):
+            await world.call(f"/view/{number}")
+        await world.call("/drafts/1", **DRAFT)
+        await world.call("/nowhere/1")
+        page = (await body_of(world.nodes[0].settings.listen.metrics, "/metrics")).decode()
+        served = [line for line in page.splitlines() if "gateway_requests_total{" in line]
+        assert any('"delivered"' in line and line.endswith(" 3.0") for line in served)
+        assert any('"no-route"' in line and line.endswith(" 1.0") for line in served)
+        for name in ("first_event_duration_seconds_bucket", "knowledge_age", "upstream_running"):
+            assert f"lentilchute_gateway_{name}" in page
+        assert "key-1" not in page
+
+    run_world(scenario)
+
+
 async def status_of(address: str, path: str) -> int:
     client = HttpClient(address)
     try:
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -184,6 +184,7 @@
   readiness: 127.0.0.1:{free_port()}
   directory: 127.0.0.1:{free_port()}
   peers: 127.0.0.1:{free_port()}
+  metrics: 127.0.0.1:{free_port()}
 store:
   address: {store_address}
 shared_key: key-of-the-test-world
