--- /dev/null
+++ b/lentilchute/request_story.py
@@ -0,0 +1,139 @@
+"""One request's story, put together from the logs of several nodes; free of I/O.
+
+A log line may stand behind a prefix, as collectors add one; the story begins at its first brace.
+Lines of other programs are left out; a line that begins like an event and cannot be read is named.
+"""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+MESSAGE_PREFIX = "lentilchute:"
+_TECHNICAL = frozenset({"message_type", "number", "timestamp", "task_uuid", "task_level"})
+
+_ENDINGS = frozenset({"request_finished", "request_refused", "request_broken", "caller_gone"})
+
+_REFUSALS = {
+    "no-configuration": "the node knew no configuration yet",
+    "no-route": "no route of the configuration in force takes its host and path",
+    "unknown-key": "its key belongs to no account of the configuration in force",
+    "crashes-upstreams": "its content was in flight at two crashes of upstreams",
+    "over-quota": "its account's quota was used up",
+    "stopping": "the node was at the end of a planned stop",
+    "no-upstream": "no upstream of its service was known to take work",
+    "overloaded": "no upstream had a free place in time",
+    "not-executed": "every upstream that was asked said that it did not run it",
+    "upstream-failed": "an upstream may have run it and its answer was lost",
+    "timed-out": "its time ran out at an upstream",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class StoryLine:
+    """One event of the request."""
+
+    at_s: float
+    node: str
+    event: str
+    fields: dict[str, Any]
+
+
+@dataclass(slots=True)
+class Story:
+    """All events of one request in the order of time."""
+
+    request_id: str
+    lines: list[StoryLine] = field(default_factory=list)
+    unreadable: list[str] = field(default_factory=list)
+    """Places of lines that look like events and are none."""
+
+    @property
+    def cause(self) -> str:
+        """What the request came to, in one sentence."""
+        endings = [line for line in self.lines if line.event in _ENDINGS]
+        if not endings:
+            return "no end of the request is logged: the node ended, or its log is not here"
+        return _cause(endings[-1], self.lines)
+
+
+def read_story(request_id: str, sources: Iterable[tuple[str, Iterable[str]]]) -> Story:
+    """Collect the request's events from named logs; a log's name stands for its node."""
+    story = Story(request_id)
+    for name, lines in sources:
+        for number, text in enumerate(lines, start=1):
+            line = _read_line(text, name)
+            if line is None:
+                if MESSAGE_PREFIX in text:
+                    story.unreadable.append(f"{name}:{number}")
+            elif line.fields.get("request_id") == request_id:
+                story.lines.append(line)
+    story.lines.sort(key=lambda line: line.at_s)
+    return story
+
+
+def describe(line: StoryLine) -> str:
+    """Return the line's fields as text."""
+    shown = {name: value for name, value in line.fields.items() if name != "request_id"}
+    return " ".join(f"{name}={_text(value)}" for name, value in shown.items())
+
+
+def _read_line(text: str, name: str) -> StoryLine | None:
+    start = text.find("{")
+    if start < 0 or MESSAGE_PREFIX not in text:
+        return None
+    try:
+        message = json.loads(text[start:])
+    except ValueError:
+        return None
+    kind = message.get("message_type")
+    if not isinstance(kind, str) or not kind.startswith(MESSAGE_PREFIX):
+        return None
+    prefix = text[:start].split()
+    fields = {key: value for key, value in message.items() if key not in _TECHNICAL}
+    return StoryLine(
+        at_s=float(message.get("timestamp", 0.0)),
+        node=prefix[-1] if prefix else name,
+        event=kind.removeprefix(MESSAGE_PREFIX),
+        fields=fields,
+    )
+
+
+def _cause(ending: StoryLine, lines: list[StoryLine]) -> str:
+    fields = ending.fields
+    if ending.event == "request_finished":
+        return f"it was answered after {fields.get('took_s', '?')} s{_lateness(fields, lines)}"
+    if ending.event == "caller_gone":
+        return f"its caller left{_last_attempt(lines)}"
+    if ending.event == "request_broken":
+        reason = fields.get("reason")
+        return f"its stream was cut after {fields.get('events')} events: {reason}" + _last_attempt(
+            lines
+        )
+    reason = str(fields.get("reason"))
+    known = _REFUSALS.get(reason, reason)
+    return f"it was answered {fields.get('status')}: {known}{_last_attempt(lines)}"
+
+
+def _lateness(fields: dict[str, Any], lines: list[StoryLine]) -> str:
+    first_s, pause_s = fields.get("first_event_s"), fields.get("longest_pause_s")
+    if first_s is None:
+        return _last_attempt(lines)
+    expected = [line.fields.get("expected_s") for line in lines if line.event == "attempt_started"]
+    told = f", expected {expected[-1]} s" if expected else ""
+    return f": first event at {first_s} s{told}, longest pause {pause_s} s" + _last_attempt(lines)
+
+
+def _last_attempt(lines: list[StoryLine]) -> str:
+    started = [line for line in lines if line.event == "attempt_started"]
+    ended = [line for line in lines if line.event == "attempt_ended"]
+    if not started:
+        return ""
+    text = f"; sent to {len(started)} upstream(s), last {started[-1].fields.get('upstream')}"
+    if ended:
+        text += f", where the attempt ended {ended[-1].fields.get('end')}"
+    return text
+
+
+def _text(value: Any) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
--- a/lentilchute/ui/__init__.py
+++ b/lentilchute/ui/__init__.py
@@ -27,6 +27,7 @@
     "history": "List the accepted versions of a service document.",
     "status": "Show nodes, versions in force, upstreams and waiting work.",
     "drain": "Give an upstream no new work and wait until it is idle.",
+    "explain": "Tell one request's story from the logs of gateway nodes.",
     "operator-key": "Print the operator key that belongs to node settings.",
 }
 """All commands with their help texts, in the order of the program's own help."""
--- /dev/null
+++ b/test/ui/test_explain.py
@@ -0,0 +1,87 @@
+"""Tests of ``lentilchute explain`` on logs that gateways write."""
+
+import json
+from pathlib import Path
+
+import eliot
+import pytest
+from gateway_world import GatewayWorld, run_world
+
+from lentilchute import ui
+from lentilchute.errors import ExitCode
+from lentilchute.logs import as_line
+
+DRAFT = {"method": "POST", "tokens": "1000,60", "body": b"prompt"}
+
+
+@pytest.fixture
+def log(tmp_path: Path):  # type: ignore[no-untyped-def]
+    """Collect what the nodes of a test log, in one file."""
+    path = tmp_path / "nodes.log"
+    lines: list[str] = []
+
+    def keep(message: dict[str, object]) -> None:
+        lines.append(as_line(message))
+
+    eliot.add_destinations(keep)
+    yield path, lines
+    eliot.remove_destination(keep)
+
+
+def explain(log, *argv: str, capsys: pytest.CaptureFixture[str]) -> str:  # type: ignore[no-untyped-def]
+    path, lines = log
+    path.write_text("".join(lines))
+    assert ui.run(["explain", *argv, str(path)]) == ExitCode.OK
+    return capsys.readouterr().out
+
+
+def test_a_refusal_though_upstreams_had_room(log, capsys) -> None:  # type: ignore[no-untyped-def]
+    async def scenario(world: GatewayWorld) -> None:
+        world.list_upstream("a0", state="draining")
+        world.list_upstream("a1", state="draining")
+        await world.until(
+            lambda: not world.nodes[0].node.context.book.dispatchers["agenda"].models()
+        )
+        answer = await world.call("/view/1", attempt="refused")
+        assert answer is not None and answer.status == 503
+
+    run_world(scenario)
+    story = explain(log, "refused", capsys=capsys)
+    assert "request_refused" in story and "config_version=7" in story
+    assert "Cause: it was answered 503: no upstream of its service was known" in story
+
+
+def test_a_502_after_a_lost_answer(log, capsys) -> None:  # type: ignore[no-untyped-def]
+    async def scenario(world: GatewayWorld) -> None:
+        for name in ("a0", "a1"):
+            world.upstreams[name].standin.behaviour.loses_answer = True
+        await world.call("/book/1", method="POST", attempt="lost")
+
+    run_world(scenario)
+    story = explain(log, "lost", capsys=capsys)
+    assert "attempt_started" in story and "running=" in story
+    assert "Cause: it was answered 502: an upstream may have run it" in story
+    assert "where the attempt ended broken" in story
+
+
+def test_a_late_stream(log, capsys) -> None:  # type: ignore[no-untyped-def]
+    async def scenario(world: GatewayWorld) -> None:
+        world.upstreams["d0"].standin.behaviour.first_event_s = 0.9
+        await world.call("/drafts/1", attempt="late", **DRAFT)
+
+    run_world(scenario, drafters=1)
+    story = json.loads(explain(log, "late", "--json", capsys=capsys))
+    assert "first event at 0.9" in story["cause"]
+    assert [line["event"] for line in story["lines"]] == ["attempt_started", "request_finished"]
+
+
+def test_an_unknown_id_and_unreadable_lines_are_told(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "broken.log"
+    path.write_text('other program\n{"message_type": "lentilchute:request_fin\n')
+    assert ui.run(["explain", "x", str(path)]) == ExitCode.FAILED
+    error = capsys.readouterr().err
+    assert "no event names the request x; 1 lines cannot be read, the first at broken:2" in error
+    assert ui.run(["explain", "x", str(tmp_path / "missing.log")]) == ExitCode.FAILED
+    assert "cannot read" in capsys.readouterr().err
