--- a/lentilchute/util/catalogue.py
+++ b/lentilchute/util/catalogue.py
@@ -11,6 +11,7 @@
 
 from ..document import ServiceDocument
 from ..events import Event
+from ..gateway.settings import GatewaySettings
 from ..metrics_catalogue import LABEL_MEANINGS, Metric
 from ..settings import NodeSettings
 from .markdown import table
@@ -37,6 +38,12 @@
 `lentilchute/config_default.yaml`, mapping by mapping. `lentilchute check FILE` reports all findings
 with their places."""
 
+_GATEWAY_SETTINGS_INTRO = """\
+The keys of a gateway node's settings, in YAML. A settings file is laid over the defaults in
+`lentilchute/gateway/gateway_default.yaml`, mapping by mapping; on the users' platform the file is
+rendered from `deploy/gateway.yaml.template`. A node that finds faults in it prints all of them with
+their places and does not start."""
+
 
 def events_page() -> str:
     """Return the page of numbered log events."""
@@ -69,8 +76,14 @@
     return _page("Node settings", _SETTINGS_INTRO, reference(NodeSettings))
 
 
+def gateway_settings_page() -> str:
+    """Return the page of a gateway node's settings."""
+    return _page("Gateway settings", _GATEWAY_SETTINGS_INTRO, reference(GatewaySettings))
+
+
 PAGES: dict[str, Callable[[], str]] = {
     "events.md": events_page,
+    "gateway-settings.md": gateway_settings_page,
     "metrics.md": metrics_page,
     "service-document.md": document_page,
     "settings.md": settings_page,
--- a/test/util/test_catalogue.py
+++ b/test/util/test_catalogue.py
@@ -6,6 +6,7 @@
 
 from lentilchute.document import ServiceDocument
 from lentilchute.events import Event
+from lentilchute.gateway.settings import GatewaySettings
 from lentilchute.metrics_catalogue import LABEL_MEANINGS, Label, Metric
 from lentilchute.settings import NodeSettings
 from lentilchute.util.catalogue import PAGES
@@ -25,7 +26,7 @@
     assert set(LABEL_MEANINGS) == set(Label)
 
 
-@pytest.mark.parametrize("model", [ServiceDocument, NodeSettings])
+@pytest.mark.parametrize("model", [ServiceDocument, NodeSettings, GatewaySettings])
 def test_every_key_has_its_meaning(model: type) -> None:
     rows = [line for line in reference(model).splitlines() if line.startswith("| `")]
     assert [row for row in rows if row.endswith("|  |")] == []
