Work out learned figures ten times a second instead of for each ticket

Change: learned figures and the common pace are kept for 0.1 s; full upstreams are left out before anything is worked out; the normal distribution by math.erfc.

--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -10,7 +10,6 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
-from statistics import NormalDist
 
 from ..ids import IncarnationId, ServiceName, UpstreamId
 from .estimates import DEFAULT_GAP_MS, DEFAULT_PACE_MS, Learned
@@ -18,7 +17,7 @@
 from .messages import UpstreamLoad
 from .settings import DispatchSettings
 from .tickets import Decision, Placement, RefusalReason, Refused, Ticket, TicketKey
-from .upstream_model import UpstreamModel
+from .upstream_model import LEARNED_LIFETIME_S, UpstreamModel
 
 OTHER_ZONE_S = 0.004
 """What an upstream in another zone must be better by: the way, and the price of bytes between
@@ -46,6 +45,8 @@
         self._rng = rng
         self._models: dict[UpstreamId, UpstreamModel] = {}
         self._waiting: list[Ticket] = []
+        self._common_figures = _Common(DEFAULT_PACE_MS, DEFAULT_GAP_MS)
+        self._common_s = float("-inf")
 
     @property
     def waiting(self) -> int:
@@ -95,11 +96,14 @@
     def poll(self, now_s: float) -> list[tuple[Ticket, Decision]]:
         """Return decisions about waiting tickets; call it after each change and at intervals."""
         decided: list[tuple[Ticket, Decision]] = []
-        for ticket in list(self._waiting):
+        waiting: list[Ticket] = []
+        for ticket in self._waiting:
             decision = self._decide_waiting(ticket, now_s)
-            if decision is not None:
-                self._waiting.remove(ticket)
+            if decision is None:
+                waiting.append(ticket)
+            else:
                 decided.append((ticket, decision))
+        self._waiting = waiting
         return decided
 
     def take_digest(self, loads: dict[UpstreamId, UpstreamLoad], now_s: float) -> None:
@@ -147,13 +151,18 @@
         return any(upstream not in ticket.excluded for upstream in self._models)
 
     def _place(self, ticket: Ticket, now_s: float) -> Placement | None:
+        open_models = [
+            model
+            for model in self._models.values()
+            if model.running(now_s) < model.slots
+            and not model.is_blocked(now_s)
+            and model.listing.upstream not in ticket.excluded
+        ]
+        if not open_models:
+            return None
         common = self._common(now_s)
         best: tuple[float, UpstreamModel, Placement] | None = None
-        for model in self._models.values():
-            if model.listing.upstream in ticket.excluded or model.is_blocked(now_s):
-                continue
-            if model.running(now_s) >= model.slots:
-                continue
+        for model in open_models:
             placement = self._expectation(model, ticket, common, now_s)
             cost_s = self._cost_s(placement, ticket)
             if best is None or cost_s < best[0]:
@@ -191,8 +200,12 @@
         return (placement.expected_s + failure_s + miss_s) * jitter + zone_s
 
     def _common(self, now_s: float) -> "_Common":
-        parts = [part for model in self._models.values() for part in model.learned_parts(now_s)]
-        return _Common(_common_pace_ms(parts), _common_gap_ms(parts))
+        if now_s - self._common_s >= LEARNED_LIFETIME_S:
+            models = self._models.values()
+            parts = [part for model in models for part in model.learned_parts(now_s)]
+            self._common_figures = _Common(_common_pace_ms(parts), _common_gap_ms(parts))
+            self._common_s = now_s
+        return self._common_figures
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,7 +240,7 @@
     if room_events <= 0:
         return 1.0
     deviations = math.log(room_events / ticket.expected_events) / LENGTH_SPREAD
-    return 1.0 - NormalDist().cdf(deviations)
+    return 0.5 * math.erfc(deviations / math.sqrt(2.0))
 
 
 def _order(ticket: Ticket) -> tuple[int, float]:
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -21,6 +21,8 @@
 """Counts in a digest older than this are of no use: requests have ended since."""
 DIGEST_LEARNED_S = 20.0
 """What a digest says of an upstream's pace is of use for longer."""
+LEARNED_LIFETIME_S = 0.1
+"""Learned figures fade over seconds, so that they are worked out at most ten times a second."""
 FIRST_BLOCK_S = 0.25
 LONGEST_BLOCK_S = 2.0
 """An upstream that cannot be connected to is left alone for this long, doubling each time."""
@@ -48,6 +50,10 @@
         self._digest_s = float("-inf")
         self._blocked_until_s = float("-inf")
         self._block_s = FIRST_BLOCK_S
+        self._learned: list[Learned] = []
+        self._learned_s = float("-inf")
+        self._failure_rate = 0.0
+        self._failure_rate_s = float("-inf")
 
     def is_blocked(self, now_s: float) -> bool:
         """Whether connecting failed a moment ago."""
@@ -73,14 +79,23 @@
 
     def failure_rate(self, now_s: float) -> float:
         """Return the part of recent requests that failed."""
-        return merged_failure_rate(self.learned_parts(now_s))
+        if now_s - self._failure_rate_s >= LEARNED_LIFETIME_S:
+            self._failure_rate = merged_failure_rate(self.learned_parts(now_s))
+            self._failure_rate_s = now_s
+        return self._failure_rate
 
     def work_tokens(self, prompt_tokens: int, now_s: float) -> int:
         """Return what stands before the first event of a request sent now, in tokens."""
         return FIXED_WORK_TOKENS + self.backlog_tokens(now_s) + prompt_tokens
 
     def learned_parts(self, now_s: float) -> list[Learned]:
-        """Return what was reported here, and what a digest said."""
+        """Return what was reported here, and what a digest said; kept for a moment."""
+        if now_s - self._learned_s >= LEARNED_LIFETIME_S:
+            self._learned = self._read_learned(now_s)
+            self._learned_s = now_s
+        return self._learned
+
+    def _read_learned(self, now_s: float) -> list[Learned]:
         parts = [self.record.learned(now_s)]
         age_s = now_s - self._digest_s
         if self._digest is not None and age_s < DIGEST_LEARNED_S:
@@ -101,6 +116,8 @@
         """Take in the coordinator's word on the upstream."""
         self._digest = load
         self._digest_s = now_s
+        self._learned_s = float("-inf")
+        self._failure_rate_s = float("-inf")
 
     def load(self, now_s: float) -> UpstreamLoad:
         """Return what is known here, for a digest."""
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -188,6 +188,9 @@
 store:
   address: {store_address}
 shared_key: key-of-the-test-world
+quotas:
+  overrun: 0.1
+  slack: 140000
 stop:
   grace_s: 2.0
   answer_lifetime_s: 0.2
