Keep accounts' usage in the store, so that a kill of all nodes does not forget it

Ruled out: assuming the whole quota as used just now (refuses all accounts that send at half of their rate for seconds after each restart of the whole system).

Change: the coordinator writes totals once a second, each with its growth in advance; a node reads them at its start and counts full use until it has. A test plays a hot account with a kill between two writes.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -68,6 +68,7 @@
     CONFIG_APPLIED = EventInfo(602, "An operator's change was accepted.")
     CONFIG_CONFLICT = EventInfo(603, "An operator's change lost against another one.")
     ROW_REJECTED = EventInfo(604, "A row of the store could not be read; it names nothing to use.")
+    QUOTAS_READ = EventInfo(605, "A node that starts read what accounts have used.")
     CLAIM_GRANTED = EventInfo(700, "An idempotency key was claimed for a request.")
     CLAIM_REFUSED = EventInfo(701, "An idempotency key could not be claimed.")
     CLAIM_RELEASED = EventInfo(702, "A claimant released a key whose request did not run.")
--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -45,6 +45,7 @@
         self._context = context
         self._own_waits: dict[TicketKey, _OwnWait] = {}
         self._remote_waits: dict[TicketKey, InstanceId] = {}
+        self._has_waits = trio.Event()
         context.config_listeners.append(self._on_config)
         context.fleet_listeners.append(self._update_upstreams)
         context.coordinator_listeners.append(self._on_coordinator)
@@ -70,6 +71,7 @@
         if decision is not None:
             return decision
         wait = self._own_waits[ticket.key] = _OwnWait()
+        self._has_waits.set()
         try:
             await wait.decided.wait()
         finally:
@@ -86,10 +88,12 @@
 
     async def _poll_waiting(self) -> None:
         while True:
+            await self._has_waits.wait()
             await trio.sleep(POLL_INTERVAL_S)
-            if self._own_waits or self._remote_waits:
-                for service in list(self._context.book.dispatchers):
-                    self.poll(service)
+            for service in list(self._context.book.dispatchers):
+                self.poll(service)
+            if not self._own_waits and not self._remote_waits:
+                self._has_waits = trio.Event()
 
     async def _tell_digest(self) -> None:
         while True:
@@ -116,6 +120,7 @@
         decision = context.book.submit(ticket, context.now_s())
         if decision is None:
             self._remote_waits[ticket.key] = sender
+            self._has_waits.set()
             context.post(sender, _bare_reply(request.number, PlaceState.WAITING))
         else:
             context.post(sender, _reply(request.number, decision))
--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -27,6 +27,10 @@
 right in the median and often far off (platform)."""
 MISS_OBJECTIVES = 4.0
 """A stream that misses its deadline is lost; that costs as much as this many latency objectives."""
+EPISODE_GAP_S = 1.0
+"""Refusals further apart than a busy second belong to two overloads."""
+RETURN_JITTER = 0.5
+"""Part of the time to come back that is drawn, so that callers do not return together."""
 JITTER = 0.05
 """Part of the expected time that is drawn, so that nodes with one view do not all choose alike."""
 
@@ -47,6 +51,8 @@
         self._waiting: list[Ticket] = []
         self._common_figures = _Common(DEFAULT_PACE_MS, DEFAULT_GAP_MS)
         self._common_s = float("-inf")
+        self._first_refusal_s = float("-inf")
+        self._last_refusal_s = float("-inf")
 
     @property
     def waiting(self) -> int:
@@ -78,7 +84,7 @@
     def submit(self, ticket: Ticket, now_s: float) -> Decision | None:
         """Return the decision about a new ticket, or ``None`` when it has to wait."""
         if not self._has_candidate(ticket):
-            return self._refuse(RefusalReason.NO_UPSTREAM)
+            return self._refuse(RefusalReason.NO_UPSTREAM, now_s)
         if not self._waiting_before(ticket):
             placement = self._place(ticket, now_s)
             if placement is not None:
@@ -128,21 +134,29 @@
 
     def _decide_waiting(self, ticket: Ticket, now_s: float) -> Decision | None:
         if now_s >= ticket.deadline_s:
-            return self._refuse(RefusalReason.DEADLINE)
+            return self._refuse(RefusalReason.DEADLINE, now_s)
         if not self._has_candidate(ticket):
-            return self._refuse(RefusalReason.NO_UPSTREAM)
+            return self._refuse(RefusalReason.NO_UPSTREAM, now_s)
         placement = self._place(ticket, now_s)
         if placement is not None:
             return placement
         if now_s - ticket.arrived_s >= self._settings.hold_share * ticket.objective_s:
-            return self._refuse(RefusalReason.OVERLOADED)
+            return self._refuse(RefusalReason.OVERLOADED, now_s)
         return None
 
-    def _refuse(self, reason: RefusalReason) -> Refused:
+    def _refuse(self, reason: RefusalReason, now_s: float) -> Refused:
         settings = self._settings
-        rounds = 1 + len(self._waiting) / max(1, sum(m.slots for m in self._models.values()))
-        retry_after_s = min(settings.retry_after_min_s * rounds, settings.retry_after_max_s)
-        return Refused(reason, retry_after_s * (1 + self._rng.random()))
+        # An overload goes on about as long as it has lasted already.
+        lasted_s = self._note_refusal(now_s)
+        retry_after_s = min(settings.retry_after_min_s + lasted_s, settings.retry_after_max_s)
+        return Refused(reason, retry_after_s * (1 + RETURN_JITTER * self._rng.random()))
+
+    def _note_refusal(self, now_s: float) -> float:
+        """Return how long refusals have followed each other."""
+        if now_s - self._last_refusal_s > EPISODE_GAP_S:
+            self._first_refusal_s = now_s
+        self._last_refusal_s = now_s
+        return now_s - self._first_refusal_s
 
     def _waiting_before(self, ticket: Ticket) -> bool:
         return bool(self._waiting) and _order(self._waiting[0]) < _order(ticket)
--- a/lentilchute/gateway/knowledge.py
+++ b/lentilchute/gateway/knowledge.py
@@ -11,6 +11,8 @@
 from ..platform.store import StoreRow
 from .settings import ReadingSettings
 
+MIN_WAIT_S = 0.02
+"""Shortest pause between two looks at a copy's age."""
 MAX_STAGGERED_RANK = 5
 """Nodes further back all wait equally long, so that knowledge stays within its bound."""
 
@@ -53,9 +55,13 @@
         """Tell whether the node with this place in the order should read now."""
         if self._freshness is None or self._is_doubtful:
             return True
-        step_s = min(rank, MAX_STAGGERED_RANK) * self._settings.stagger_s
-        own_s = self._settings.poll_interval_s if rank == 0 else self._settings.self_read_after_s
-        return self.age_s(now_s) >= own_s + step_s
+        return self.age_s(now_s) >= self._threshold_s(rank)
+
+    def due_in_s(self, rank: int, now_s: float) -> float:
+        """Return how long the node with this place may wait before it looks again."""
+        if self.is_due(rank, now_s):
+            return MIN_WAIT_S
+        return max(MIN_WAIT_S, self._threshold_s(rank) - self.age_s(now_s))
 
     def distrust(self) -> None:
         """Count the copy as old: this process did not run for a while."""
@@ -97,6 +103,12 @@
             self._versions[row.key] = row.version
         return newer
 
+    def _threshold_s(self, rank: int) -> float:
+        """Return the age at which the node with this place reads."""
+        step_s = min(rank, MAX_STAGGERED_RANK) * self._settings.stagger_s
+        own_s = self._settings.poll_interval_s if rank == 0 else self._settings.self_read_after_s
+        return own_s + step_s
+
     def _advance(self, freshness: Freshness) -> None:
         known = self._freshness
         if known is None or freshness.version >= known.version:
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -24,7 +24,7 @@
 from ..platform import endpoints
 from ..platform.store import StoreClient
 from ..settings import Role
-from . import coordinator, crash_news, desk, peering, reading
+from . import coordinator, crash_news, desk, peering, quota_keeping, reading
 from .context import GatewayContext, MessageHandler, build_controllers
 from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
@@ -37,7 +37,7 @@
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 
-REGISTERED = (node_messages, coordinator, crash_news, desk, peering, reading)
+REGISTERED = (node_messages, coordinator, crash_news, desk, peering, quota_keeping, reading)
 """Modules that register peer messages and controllers when they are imported."""
 
 MAX_READING_BYTES = 24 * 1024 * 1024
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -50,6 +50,7 @@
         self._accounts: dict[ClientAccountId, Account] = {}
         self._usage: dict[ClientAccountId, _Usage] = {}
         self._told: dict[ClientAccountId, float] = {}
+        self._last_totals: dict[ClientAccountId, float] = {}
         self._has_accounts = False
 
     def use_settings(self, settings: QuotaSettings) -> None:
@@ -135,6 +136,30 @@
                 usage.assumed += missing
         self._told = {}
 
+    def likely_totals(self, now_s: float) -> dict[ClientAccountId, float]:
+        """Return what may have been used until the next call, for a node that starts after a kill.
+
+        Each account is taken to go on as since the last call, up to its quota.
+        """
+        totals = self.totals(now_s)
+        likely = {}
+        for name, account in self._accounts.items():
+            growth = max(0.0, totals[name] - self._last_totals.get(name, 0.0))
+            likely[name] = min(totals[name] + growth, self._allowed(account))
+        self._last_totals = totals
+        return likely
+
+    def learn_history(self, used: dict[ClientAccountId, float], age_s: float, now_s: float) -> None:
+        """Replace what was assumed at the start by what the last coordinator has written down."""
+        for name in self._usage:
+            usage = self._current(name, now_s)
+            for bucket in usage.buckets:
+                usage.assumed -= bucket.assumed
+                bucket.assumed = 0.0
+            if age_s < self._settings.window_s and used.get(name, 0.0) > 0.0:
+                usage.buckets.appendleft(_Bucket(now_s - age_s, assumed=used[name]))
+                usage.assumed += used[name]
+
     def _assume_full_use(self, now_s: float) -> None:
         width_s = self._settings.window_s / BUCKETS_PER_WINDOW
         for name, account in self._accounts.items():
--- /dev/null
+++ b/lentilchute/gateway/quota_keeping.py
@@ -0,0 +1,84 @@
+"""Controller that keeps accounts' usage in the platform's store, so that a kill of all nodes at
+once does not make them forget it."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+from result import Err
+
+from ..events import Event, log_event
+from ..platform import rows
+from ..platform.store import RowWrite
+from .context import GatewayContext, MessageHandler, gateway_controller
+
+WRITE_INTERVAL_S = 1.0
+"""An account's growth over this time is written down in advance, so a kill between two writes is
+safe."""
+READ_RETRY_S = 0.3
+"""Until the row is read, the whole quota counts as used."""
+
+
+@gateway_controller
+class QuotaKeepingController:
+    """Reads the usage row at the start, and writes it while this node coordinates."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        self._store_ahead_s = 0.0
+        """What the store's clock shows beyond this process's."""
+        self._is_away = False
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {}
+
+    async def run(self) -> None:
+        while self._context.config is None:
+            await trio.sleep(READ_RETRY_S)
+        while not await self._read():
+            await trio.sleep(READ_RETRY_S * (1 + self._context.rng.random()))
+        while True:
+            await trio.sleep(WRITE_INTERVAL_S)
+            if self._context.choice.is_own:
+                await self._write()
+
+    async def _read(self) -> bool:
+        asked_s = self._context.now_s()
+        page = await self._context.store.read_table(rows.QUOTAS_TABLE)
+        if isinstance(page, Err):
+            self._note(page.err_value.value)
+            return False
+        self._note(None)
+        self._store_ahead_s = page.ok_value.now_s - asked_s
+        found = [row for row in page.ok_value.rows if row.key == rows.QUOTAS_KEY]
+        usage = rows.decode_quota_usage(found[0].value or b"") if found else None
+        if isinstance(usage, Err):
+            log_event(
+                Event.ROW_REJECTED, table="quotas", row=rows.QUOTAS_KEY, error=usage.err_value
+            )
+            return True
+        now_s = self._context.now_s()
+        used = {} if usage is None else usage.ok_value.used
+        age_s = 0.0 if usage is None else now_s + self._store_ahead_s - usage.ok_value.at_s
+        self._context.book.quotas.learn_history(used, max(0.0, age_s), now_s)
+        log_event(Event.QUOTAS_READ, accounts=len(used), age_s=round(age_s, 3))
+        return True
+
+    async def _write(self) -> None:
+        now_s = self._context.now_s()
+        used = self._context.book.quotas.likely_totals(now_s)
+        if not any(used.values()):
+            return
+        value = rows.encode_quota_usage(rows.QuotaUsage(now_s + self._store_ahead_s, used))
+        written = await self._context.store.write(
+            (RowWrite(rows.QUOTAS_TABLE, rows.QUOTAS_KEY, value),)
+        )
+        self._note(written.err_value.value if isinstance(written, Err) else None)
+
+    def _note(self, fault: str | None) -> None:
+        self._context.metrics.store_call("quotas", fault or "ok")
+        if fault is not None and not self._is_away:
+            log_event(Event.PLATFORM_DOWN, call="quotas", fault=fault)
+        elif fault is None and self._is_away:
+            log_event(Event.PLATFORM_BACK, call="quotas")
+        self._is_away = fault is not None
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import trio
@@ -17,8 +17,8 @@
 from .knowledge import TableCopy
 from .messages import NewsRow, TableNews
 
-CHECK_INTERVAL_S = 0.05
-"""How often a copy's age is looked at; a small part of the poll interval."""
+CHECK_INTERVAL_S = 0.2
+"""How often a pause of the process is looked for; a small part of what knowledge may lag."""
 RETRY_INTERVAL_S = 0.3
 """Pause after a read that failed, so that an outage costs few calls."""
 MAX_NEWS_BYTES = 8_192
@@ -41,6 +41,13 @@
     """Takes new rows, whether they are the whole table, and whether the store was away; returns
     those that peers have to know."""
     is_away: bool = False
+    distrusted: trio.Event = field(default_factory=trio.Event)
+    """Set when the copy has to be read before it would be due."""
+
+    def distrust(self) -> None:
+        """Have the copy read as soon as possible."""
+        self.copy.distrust()
+        self.distrusted.set()
 
 
 @gateway_controller
@@ -74,7 +81,8 @@
             is_due = table.copy.is_due(self._rank(), self._context.now_s())
             if is_due and not await self._read(table):
                 await trio.sleep(RETRY_INTERVAL_S * (1 + self._context.rng.random()))
-            await trio.sleep(CHECK_INTERVAL_S)
+            with trio.move_on_after(table.copy.due_in_s(self._rank(), self._context.now_s())):
+                await table.distrusted.wait()
 
     async def _watch_pauses(self) -> None:
         last_s = self._context.now_s()
@@ -87,7 +95,7 @@
             if held_s > PAUSE_S:
                 log_event(Event.NODE_PAUSED, paused_s=round(held_s, 3))
                 for table in self._tables.values():
-                    table.copy.distrust()
+                    table.distrust()
             self._expire_upstreams(now_s)
 
     def _expire_upstreams(self, now_s: float) -> None:
@@ -114,6 +122,7 @@
             return False
         self._context.metrics.store_call(f"read-{copy.table}", "ok")
         self._note_answer(table)
+        table.distrusted = trio.Event()
         page = answered.ok_value
         copy.note_read(page.version, asked_s, self._context.now_s())
         after_outage = copy.is_after_outage(self._context.now_s())
@@ -151,7 +160,7 @@
             return
         if news.is_partial:
             if news.version > (table.copy.version or 0):
-                table.copy.distrust()
+                table.distrust()
             return
         as_of_s = self._context.now_s() - news.age_s
         if not table.copy.note_news(news.base, news.version, as_of_s):
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -6,6 +6,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from result import Err, Ok, Result
@@ -32,6 +33,10 @@
 NODES_TABLE = "lentilchute-nodes"
 """The table in which nodes of this system register themselves."""
 
+QUOTAS_TABLE = "lentilchute-quotas"
+"""The table in which the coordinator keeps what accounts have used."""
+QUOTAS_KEY = "used"
+
 Decoded = TypeVar("Decoded")
 
 _KINDS = {
@@ -59,6 +64,31 @@
     return _decode(value, lambda row: PeerAddress(InstanceId(key), _text(row["peers"])))
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaUsage:
+    """What accounts had used in the last window, by the store's clock."""
+
+    at_s: float
+    used: dict[ClientAccountId, float]
+
+
+def decode_quota_usage(value: bytes) -> Result[QuotaUsage, str]:
+    """Decode the coordinator's row."""
+    return _decode(
+        value,
+        lambda row: QuotaUsage(
+            at_s=_number(row["at-s"]),
+            used={ClientAccountId(_text(k)): _number(v) for k, v in row["used"].items()},
+        ),
+    )
+
+
+def encode_quota_usage(usage: QuotaUsage) -> bytes:
+    """Return the value of the coordinator's row."""
+    used = {account: round(amount) for account, amount in usage.used.items()}
+    return json.dumps({"at-s": usage.at_s, "used": used}).encode()
+
+
 def encode_node(peers_address: str) -> bytes:
     """Return the value of this node's own row."""
     return json.dumps({"peers": peers_address}).encode()
--- a/lentilchute/platform/store.py
+++ b/lentilchute/platform/store.py
@@ -58,6 +58,8 @@
 
     rows: tuple[StoreRow, ...]
     version: int
+    now_s: float
+    """The store's steady clock when it answered."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,8 +110,9 @@
             rows += page.ok_value.rows
             # Later pages may show newer rows; changes are followed from the first page's version.
             version = page.ok_value.version if version is None else version
+            now_s = page.ok_value.now_s
             if not answered.ok_value.get("truncated") or not page.ok_value.rows:
-                return Ok(TablePage(tuple(rows), version))
+                return Ok(TablePage(tuple(rows), version, now_s))
             start = page.ok_value.rows[-1].key + "\0"
 
     async def read_changes(self, table: str, after_version: int) -> Result[TablePage, StoreFault]:
@@ -187,10 +190,12 @@
 
 
 def _decode_page(body: dict[str, Any]) -> Result[TablePage, StoreFault]:
-    rows, version = body.get("rows"), body.get("ver")
+    rows, version, now_ms = body.get("rows"), body.get("ver"), body.get("now-ms")
     if not isinstance(rows, list) or not isinstance(version, int):
         return Err(StoreFault.UNREADABLE)
-    return Ok(TablePage(tuple(_decode_row(row) for row in rows if _is_row(row)), version))
+    now_s = now_ms / 1000 if isinstance(now_ms, (int, float)) else 0.0
+    decoded = tuple(_decode_row(row) for row in rows if _is_row(row))
+    return Ok(TablePage(decoded, version, now_s))
 
 
 def _is_row(row: Any) -> bool:
--- a/test/gateway/test_quota.py
+++ b/test/gateway/test_quota.py
@@ -95,6 +95,42 @@
         assert used <= 1.1 * (10.0 * 8.0 + 10.0) + 14.0
 
 
+def test_a_hot_account_and_a_kill_between_two_writes_stay_within_the_bound() -> None:
+    """Five times the rate from the start of a window, and a kill of all processes in its middle."""
+    tolerance = {"overrun": 0.1, "slack": 14.0, "tolerance_share": 0.5}
+    tolerant = SETTINGS.model_copy(update=tolerance)
+    quotas = book(account(burst=10.0), tolerant)
+    admitted: list[float] = []
+    written: tuple[float, dict[ClientAccountId, float]] = (0.0, {})
+    for tick in range(900):
+        now_s = tick * 0.02
+        if tick % 50 == 0 and tick <= 200:
+            written = now_s, quotas.likely_totals(now_s)
+        if tick == 240:
+            quotas = book(account(burst=10.0), tolerant, started_s=now_s + 1.0)
+            quotas.learn_history(written[1], now_s + 1.0 - written[0], now_s + 1.0)
+        is_down = 240 <= tick < 290
+        if not is_down and quotas.admit(ACCOUNT, 1.0, 1.0, now_s) is not None:
+            admitted.append(now_s)
+    for end_s in admitted:
+        used = sum(1.0 for at_s in admitted if end_s - 8.0 < at_s <= end_s)
+        assert used <= 1.1 * (10.0 * 8.0 + 10.0) + 14.0
+
+
+def test_what_was_written_down_replaces_what_was_assumed() -> None:
+    quotas = book(account(), started_s=0.0)
+    quotas.learn_history({ACCOUNT: 30.0}, 1.0, 0.0)
+    assert quotas.admit(ACCOUNT, 71.0, 1.0, 0.0) is None
+    assert quotas.admit(ACCOUNT, 70.0, 1.0, 0.0) is not None
+    assert quotas.admit(ACCOUNT, 30.0, 1.0, 7.5) is not None
+
+
+def test_an_old_note_counts_nothing() -> None:
+    quotas = book(account(), started_s=0.0)
+    quotas.learn_history({ACCOUNT: 90.0}, 9.0, 0.0)
+    assert quotas.admit(ACCOUNT, 100.0, 1.0, 0.0) is not None
+
+
 def test_an_account_that_is_added_later_has_used_nothing() -> None:
     quotas = book(account())
     other = ClientAccountId("other")
