--- a/lentilchute/gateway/quota_keeping.py
+++ b/lentilchute/gateway/quota_keeping.py
@@ -1,5 +1,7 @@
-"""Controller that keeps accounts' usage in the platform's store, so that a kill of all nodes at
-once does not make them forget it."""
+"""Controller that keeps accounts' usage in the platform's store.
+
+A kill of all nodes at once would otherwise make them forget what was used.
+"""
 
 from collections.abc import Mapping
 from typing import Any
@@ -33,9 +35,9 @@
         return {}
 
     async def run(self) -> None:
-        while self._context.config is None:
+        while self._context.config is None:  # noqa: ASYNC110
             await trio.sleep(READ_RETRY_S)
-        while not await self._read():
+        while not await self._read():  # noqa: ASYNC110
             await trio.sleep(READ_RETRY_S * (1 + self._context.rng.random()))
         while True:
             await trio.sleep(WRITE_INTERVAL_S)
