Let repeats wait anew and go first, and give a silent upstream longer

Ruled out: the retry budget (refused as overloaded, not for want of budget).

Change: a ticket's wait counts from when it began to wait; repeats go before first attempts; patience with a silent upstream is three objectives, or five longest pauses, where callers leave after eight. test_a_repeat_goes_first_and_waits_anew failed before.

--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -1,9 +1,9 @@
 """The choice of an upstream for each request of one service; free of I/O.
 
 An upstream gets no more requests than it runs at once, so that the order in which requests start is
-decided here and not in the upstream's own queue. Tickets that find no room wait, by tier and then
-by arrival, for a part of their latency objective; after that they are refused with the time to
-return.
+decided here and not in the upstream's own queue. Tickets that find no room wait, repeats first,
+then by tier and arrival, for a part of their latency objective; after that they are refused with
+the time to return.
 """
 
 import math
@@ -89,6 +89,7 @@
             placement = self._place(ticket, now_s)
             if placement is not None:
                 return placement
+        ticket.queued_s = now_s
         self._waiting.append(ticket)
         self._waiting.sort(key=_order)
         return None
@@ -140,7 +141,7 @@
         placement = self._place(ticket, now_s)
         if placement is not None:
             return placement
-        if now_s - ticket.arrived_s >= self._settings.hold_share * ticket.objective_s:
+        if now_s - ticket.queued_s >= self._settings.hold_share * ticket.objective_s:
             return self._refuse(RefusalReason.OVERLOADED, now_s)
         return None
 
@@ -257,5 +258,6 @@
     return 0.5 * math.erfc(deviations / math.sqrt(2.0))
 
 
-def _order(ticket: Ticket) -> tuple[int, float]:
-    return ticket.tier, ticket.arrived_s
+def _order(ticket: Ticket) -> tuple[bool, int, float]:
+    # What has been worked on already goes first: refusing it wastes that work.
+    return not ticket.is_repeat, ticket.tier, ticket.arrived_s
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -40,10 +40,11 @@
 """The final answer leaves this long before a request's deadline, to be there in time."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Bounds memory for an answer that is collected before it is passed on."""
-FIRST_EVENT_PATIENCE = 2.0
+FIRST_EVENT_PATIENCE = 3.0
 """A repeatable request without a first event for this many objectives is tried elsewhere."""
-PAUSE_PATIENCE = 2.5
-"""A resumable stream without an event for this many longest pauses is taken up elsewhere."""
+PAUSE_PATIENCE = 5.0
+"""A resumable stream without an event for this many longest pauses is taken up elsewhere, while its
+caller still waits: callers leave after eight (platform)."""
 EXPECTED_PATIENCE = 3.0
 """A request is not given up at an upstream before this many times what was expected there."""
 
--- a/lentilchute/gateway/tickets.py
+++ b/lentilchute/gateway/tickets.py
@@ -35,6 +35,8 @@
     account: ClientAccountId | None = None
     cost: float = 0.0
     """What the request uses of its account's quota."""
+    queued_s: float = 0.0
+    """When it began to wait for a place; later than its arrival where it is sent once more."""
     is_repeat: bool = False
     """An upstream has had the request already, so that sending it again uses the retry budget."""
     excluded: set[UpstreamId] = field(default_factory=set)
--- a/test/gateway/test_dispatcher.py
+++ b/test/gateway/test_dispatcher.py
@@ -101,6 +101,21 @@
     assert 0.2 <= decision.retry_after_s <= 10.0
 
 
+def test_a_repeat_goes_first_and_waits_anew() -> None:
+    """A stream that broke late in its time is not refused at once for want of a free place."""
+    made = dispatcher("a", slots=1)
+    made.submit(ticket(1, arrived_s=2.9), 2.9)
+    assert made.submit(ticket(2, arrived_s=2.95), 2.95) is None
+    assert made.submit(ticket(3, arrived_s=0.0, tier=2, is_repeat=True), 3.0) is None
+    assert made.poll(3.02) == []
+    model = made.model(UpstreamId("a"))
+    assert model is not None
+    model.end(key(1))
+    ((first, decision),) = made.poll(3.05)
+    assert first.key == key(3)
+    assert chosen(decision) == "a"
+
+
 def test_places_that_a_digest_tells_of_are_taken() -> None:
     made = dispatcher("a")
     learn(made, load("a", running=4))
