--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -11,7 +11,7 @@
 import trio
 
 from ..events import Event, log_event
-from ..ids import InstanceId, ServiceName, Tier, UpstreamId
+from ..ids import IncarnationId, InstanceId, ServiceName, Tier, UpstreamId
 from ..peers import PeerChangeKind
 from .context import GatewayContext, MessageHandler, gateway_controller
 from .messages import (
@@ -48,7 +48,7 @@
         self._has_waits = trio.Event()
         context.config_listeners.append(self._on_config)
         context.fleet_listeners.append(self._update_upstreams)
-        context.coordinator_listeners.append(self._on_coordinator)
+        context.coordinator_listeners.append(self._update_scope)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
         return {
@@ -145,7 +145,7 @@
         if sender == self._context.choice.coordinator:
             self._context.book.take_digest(digest, self._context.now_s())
 
-    def _on_coordinator(self) -> None:
+    def _update_scope(self) -> None:
         context = self._context
         present = context.membership.present()
         alive = {info.instance for info in context.membership.alive(context.now_s())}
@@ -159,7 +159,7 @@
         self._context.book.quotas.take_over(self._context.now_s())
         log_event(Event.COORDINATOR_CHOSEN, coordinator=self._context.instance, is_own=True)
 
-    def peer_changed(self, kind: PeerChangeKind, node: Any) -> None:
+    def peer_changed(self, kind: PeerChangeKind, node: IncarnationId) -> None:
         """Forget a node whose run is over."""
         if kind is PeerChangeKind.GONE:
             self._context.book.forget_node(node)
--- a/lentilchute/gateway/fleet.py
+++ b/lentilchute/gateway/fleet.py
@@ -40,7 +40,6 @@
     zone: AvailabilityZone
     slots: int
     state: UpstreamState
-    slow_start_left_s: float
     started_ms: int
     """Names the run: the same id with another start is another run."""
 
--- a/lentilchute/gateway/placement_book.py
+++ b/lentilchute/gateway/placement_book.py
@@ -177,7 +177,7 @@
         loads = {load.upstream: load for load in digest.upstreams}
         for dispatcher in self.dispatchers.values():
             dispatcher.take_digest(loads, now_s)
-        self.quotas.take_totals({item.account: item.used for item in digest.accounts}, now_s)
+        self.quotas.take_totals({item.account: item.used for item in digest.accounts})
 
     def _take_budget(self, ticket: Ticket, now_s: float) -> Refused | None:
         if not ticket.is_repeat:
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -120,7 +120,7 @@
             totals[name] = usage.used + usage.assumed
         return totals
 
-    def take_totals(self, totals: dict[ClientAccountId, float], _now_s: float) -> None:
+    def take_totals(self, totals: dict[ClientAccountId, float]) -> None:
         """Remember the coordinator's totals, in case this node has to take its place."""
         self._told = totals
 
--- a/lentilchute/gateway/routes.py
+++ b/lentilchute/gateway/routes.py
@@ -1,7 +1,6 @@
 """What the operator declares: routes, services, client accounts and bounds for callers."""
 
 import random
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -69,7 +68,6 @@
 
     slots: int
     """Requests that an engine runs at once."""
-    memory_tokens: int
     tokens_per_event: int
 
 
@@ -78,7 +76,6 @@
     """One service; ``model`` is ``None`` for a plain one."""
 
     name: ServiceName
-    max_connections: int | None
     model: ModelProfile | None
 
 
@@ -150,13 +147,3 @@
         """Return the slots that the declaration gives each upstream of a model service."""
         profile = self.services.get(service)
         return None if profile is None or profile.model is None else profile.model.slots
-
-
-def model_services(configs: Iterable[RoutingConfig]) -> set[ServiceName]:
-    """Return the names of the services that run models."""
-    return {
-        name
-        for config in configs
-        for name, profile in config.services.items()
-        if profile.model is not None
-    }
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -13,12 +13,10 @@
 EXPECTED_UPSTREAM = "lentilchute-expect-instance"
 UPSTREAM_ID = "lentilchute-instance-id"
 TOKENS = "lentilchute-token-counts"
-PROMPT_PARTS = "lentilchute-prompt-prefix"
 LENGTH_HINT = "lentilchute-length-hint"
 LAST_EVENT_ID = "last-event-id"
 STAMP = "lentilchute-engine-stamp"
 NOT_EXECUTED = "lentilchute-not-executed"
-LOAD = "lentilchute-engine-load"
 
 _NOT_PASSED_ON = HOP_BY_HOP_HEADERS | {
     "content-length",
@@ -35,17 +33,6 @@
 }
 """Headers of one connection, the caller's key, and those that only the system may set."""
 
-MAX_PROMPT_PARTS = 64
-"""Parts of a prompt that are looked at; real prompts have a handful."""
-
-
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """One part of a prompt, which other requests may share."""
-
-    part_id: str
-    tokens: int
-
 
 @dataclass(frozen=True, slots=True)
 class CallHeaders:
@@ -60,20 +47,10 @@
     has_token_counts: bool
     expected_output_tokens: int | None
     """The caller's estimate; right in the median and often far off."""
-    prompt_parts: tuple[PromptPart, ...]
     resume_after: int | None
     """The caller has the events up to this id already."""
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamLoadWord:
-    """What an upstream says about its load with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerHeaders:
     """What the headers of an upstream's answer say."""
@@ -83,7 +60,6 @@
     """The answer bears the upstream's signature, as every answer of a run does."""
     is_not_executed: bool
     """The upstream says that it did not run the request."""
-    load: UpstreamLoadWord | None
     has_encoding: bool
     """The body is not the upstream's own: callers ask for no encoding."""
 
@@ -100,7 +76,6 @@
         max_output_tokens=counts[1] if counts else 0,
         has_token_counts=counts is not None,
         expected_output_tokens=_whole(header_value(headers, LENGTH_HINT)),
-        prompt_parts=_prompt_parts(header_value(headers, PROMPT_PARTS)),
         resume_after=_whole(header_value(headers, LAST_EVENT_ID)),
     )
 
@@ -133,28 +108,15 @@
 
 def decode_answer(headers: Headers) -> AnswerHeaders:
     """Decode the headers of an upstream's answer."""
-    load = _numbers(header_value(headers, LOAD), 3)
     encoding = header_value(headers, "content-encoding")
     return AnswerHeaders(
         attempt_id=header_value(headers, ATTEMPT_ID),
         is_signed=header_value(headers, STAMP) is not None,
         is_not_executed=header_value(headers, NOT_EXECUTED) is not None,
-        load=None if load is None else UpstreamLoadWord(*load),
         has_encoding=encoding is not None and encoding.strip().lower() != "identity",
     )
 
 
-def _prompt_parts(text: str | None) -> tuple[PromptPart, ...]:
-    parts: list[PromptPart] = []
-    for item in (text or "").split(",")[:MAX_PROMPT_PARTS]:
-        part_id, _, tokens = item.strip().partition(":")
-        count = _whole(tokens)
-        if not part_id or count is None:
-            return tuple(parts)
-        parts.append(PromptPart(part_id, count))
-    return tuple(parts)
-
-
 def _numbers(text: str | None, count: int) -> list[int] | None:
     values = [_whole(item.strip()) for item in (text or "").split(",")]
     found = [value for value in values if value is not None]
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -145,7 +145,6 @@
     engine = item.get("engine")
     return ServiceProfile(
         name=ServiceName(_text(item["name"])),
-        max_connections=_whole(item.get("max-conns") or 0) or None,
         model=None if not engine else _model(engine),
     )
 
@@ -153,7 +152,6 @@
 def _model(engine: Any) -> ModelProfile:
     return ModelProfile(
         slots=max(1, _whole(engine["slots"])),
-        memory_tokens=max(1, _whole(engine["kv-tokens"])),
         # Tokens in one event of a stream; the name does not say of what it is the stride.
         tokens_per_event=max(1, _whole(engine.get("stride") or 1)),
     )
@@ -193,7 +191,6 @@
         zone=AvailabilityZone(_text(row["zone"])),
         slots=max(1, _whole(row["slots"])),
         state=_STATES[row["state"]],
-        slow_start_left_s=_number(row.get("cold-remaining-ms") or 0) / 1000,
         # When the upstream started: the same id with another start is another run.
         started_ms=_whole(row.get("born") or 0),
     )
--- a/test/gateway/test_quota.py
+++ b/test/gateway/test_quota.py
@@ -142,7 +142,7 @@
 def test_a_new_coordinator_counts_what_the_last_one_told() -> None:
     quotas = book(account())
     quotas.record(ACCOUNT, 10.0, 0.0)
-    quotas.take_totals({ACCOUNT: 90.0}, 0.0)
+    quotas.take_totals({ACCOUNT: 90.0})
     quotas.take_over(0.5)
     assert quotas.admit(ACCOUNT, 11.0, 1.0, 0.5) is None
     assert quotas.admit(ACCOUNT, 10.0, 1.0, 0.5) is not None
--- a/test/gateway_samples.py
+++ b/test/gateway_samples.py
@@ -54,7 +54,6 @@
         zone=zone,
         slots=slots,
         state=state,
-        slow_start_left_s=0.0,
         started_ms=started_ms,
     )
 
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -6,7 +6,6 @@
 from lentilchute.http_messages import header_value
 from lentilchute.ids import ClientAccountId, UpstreamId
 from lentilchute.platform.headers import (
-    PromptPart,
     decode_answer,
     decode_call,
     upstream_headers,
@@ -49,7 +48,6 @@
     assert call.attempt_id == "id-1"
     assert call.time_left_s == 1.5
     assert (call.prompt_tokens, call.max_output_tokens) == (1460, 80)
-    assert call.prompt_parts == (PromptPart("5c1e", 800), PromptPart("91bd", 660))
     assert call.expected_output_tokens == 40
     assert call.resume_after == 12
 
@@ -81,11 +79,9 @@
         (
             ("lentilchute-attempt-id", "id-1"),
             ("lentilchute-engine-stamp", "s"),
-            ("lentilchute-engine-load", "3,1,8"),
         )
     )
     assert answer.is_signed and not answer.is_not_executed and not answer.has_encoding
-    assert answer.load is not None and answer.load.waiting == 1
     refused = decode_answer((("lentilchute-not-executed", "1"), ("content-encoding", "gzip")))
     assert refused.is_not_executed and refused.has_encoding and not refused.is_signed
 
--- /dev/null
+++ b/test/platform/test_names.py
@@ -0,0 +1,46 @@
+"""The platform's names stand in its adapter alone."""
+
+import re
+from pathlib import Path
+
+from lentilchute.platform import endpoints, headers, rows, store
+
+PACKAGE = Path(__file__).parents[2] / "lentilchute"
+ROW_FIELDS = (
+    "path-prefix",
+    "target-latency-ms",
+    "gap-target-ms",
+    "traffic-split",
+    "max-attempts",
+    "api-keys",
+    "rate-per-s",
+    "plain-tokens",
+    "cold-remaining-ms",
+    "expected-rev",
+    "set-keys",
+    "start-after",
+    "ttl-s",
+)
+
+
+def names() -> set[str]:
+    """Return the headers and paths that the adapter names, and fields that only it may decode."""
+    found = set(ROW_FIELDS)
+    for module in (endpoints, headers, rows, store):
+        for name, value in vars(module).items():
+            if name.isupper() and isinstance(value, str) and re.search(r"[/-]", value):
+                found.add(value)
+    return found
+
+
+def test_no_other_module_names_what_only_the_adapter_knows() -> None:
+    known = names()
+    assert {"lentilchute-attempt-id", "/api/rows-feed", "/api/resolve"} <= known
+    leaks = [
+        f"{path.relative_to(PACKAGE)}: {name}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.parent.name not in ("platform", "standins")
+        for name in known
+        if f'"{name}"' in path.read_text(encoding="utf-8").lower()
+    ]
+    assert leaks == []
--- a/test/platform/test_rows.py
+++ b/test/platform/test_rows.py
@@ -69,7 +69,6 @@
 def test_an_upstream_is_decoded() -> None:
     listing = decode_upstream("i-1", json.dumps(UPSTREAM).encode()).unwrap()
     assert listing.state is UpstreamState.READY
-    assert listing.slow_start_left_s == 1.5
     assert listing.started_ms == 1773938630927
 
 
