--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -28,6 +28,7 @@
 from .crash_news import CrashNewsController
 from .desk import DispatchDesk
 from .event_relay import EventRelay
+from .log_limit import LogLimit
 from .messages import NOT_MEASURED
 from .routes import RequestKind, Route
 from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
@@ -113,6 +114,7 @@
         self._desk = context.controller(DispatchDesk)
         self._crash_news = context.controller(CrashNewsController)
         self._numbers = 0
+        self._log_limit = LogLimit()
         self._client_settings = HttpClientSettings(
             connect_timeout_s=CONNECT_TIMEOUT_S, accepts_unframed=True
         )
@@ -441,6 +443,13 @@
         self, call: Call, refusal: CallRefusal, responder: Responder, run: _Run | None = None
     ) -> None:
         self._context.metrics.request(call.service, refusal.cause.value)
+        self._log_refused(call, refusal, run)
+        await responder.answer(refusal.status, refusal.headers, refusal.body)
+
+    def _log_refused(self, call: Call, refusal: CallRefusal, run: _Run | None) -> None:
+        left_out = self._log_limit.take(refusal.cause.value, self._context.now_s())
+        if left_out is None:
+            return
         log_event(
             Event.REQUEST_REFUSED,
             request_id=call.log_id,
@@ -452,8 +461,8 @@
             config_version=None if call.config is None else call.config.version,
             waited_s=round(self._context.now_s() - call.arrived_s, 4),
             tried=[] if run is None else run.tried,
+            left_out=left_out,
         )
-        await responder.answer(refusal.status, refusal.headers, refusal.body)
 
     def _log_attempt(self, run: _Run, placement: Placement) -> None:
         run.tried.append(placement.listing.upstream)
