--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -1,8 +1,6 @@
 """Forwards one request to an upstream and passes the answer on, with repeats where they are
 allowed."""
 
-from dataclasses import dataclass, field
-
 import trio
 from result import Err, Ok, Result
 
@@ -16,10 +14,9 @@
     HttpHead,
     open_tcp,
 )
-from ..http_messages import Headers
 from ..http_requests import HttpRequest
 from ..http_responder import Responder
-from ..ids import Tier, UpstreamId
+from ..ids import Tier
 from ..platform.headers import AnswerHeaders, decode_answer, decode_call, upstream_headers
 from .admission import admit
 from .attempts import AttemptBook, AttemptEnd, NextStep
@@ -28,9 +25,10 @@
 from .crash_news import CrashNewsController
 from .desk import DispatchDesk
 from .event_relay import EventRelay
-from .log_limit import LogLimit
 from .messages import NOT_MEASURED
-from .routes import RequestKind, Route
+from .request_log import RequestLog
+from .request_run import RequestRun
+from .routes import RequestKind
 from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
 
 CONNECT_TIMEOUT_S = 0.4
@@ -49,8 +47,6 @@
 EXPECTED_PATIENCE = 3.0
 """A request is not given up at an upstream before this many times what was expected there."""
 
-LATE_FAILURE = 0.5
-"""A stream with too long a pause earns about half of a good one (site sheets)."""
 MIN_GAP_EVENTS = 4
 """Shorter streams say little about the time between events."""
 _CAUSES = {
@@ -65,47 +61,6 @@
 """Statuses that tell a caller that its request did not run."""
 
 
-@dataclass(slots=True)
-class _Pauses:
-    """When events came, for what the log says and for the pace of an upstream."""
-
-    first_s: float | None = None
-    last_s: float = 0.0
-    longest_s: float = 0.0
-
-    def note(self, now_s: float) -> None:
-        """Note that events came."""
-        if self.first_s is None:
-            self.first_s = now_s
-        else:
-            self.longest_s = max(self.longest_s, now_s - self.last_s)
-        self.last_s = now_s
-
-
-@dataclass(slots=True)
-class _Run:
-    """The state of one request over its attempts."""
-
-    call: Call
-    route: Route
-    ticket: Ticket
-    book: AttemptBook
-    responder: Responder
-    relay: EventRelay
-    pauses: "_Pauses" = field(default_factory=lambda: _Pauses())
-    failure: tuple[int, Headers, bytes] | None = None
-    """The last whole failure that an upstream gave."""
-    tried: list[UpstreamId] = field(default_factory=list)
-    attempt_s: float = 0.0
-    """When the present attempt began."""
-    has_first_event: bool = False
-    """The present attempt has shown its first event."""
-
-    @property
-    def log_id(self) -> str:
-        return self.call.log_id
-
-
 class Forwarder:
     """Handles all callers' requests of one node."""
 
@@ -114,7 +69,7 @@
         self._desk = context.controller(DispatchDesk)
         self._crash_news = context.controller(CrashNewsController)
         self._numbers = 0
-        self._log_limit = LogLimit()
+        self._log = RequestLog(context)
         self._client_settings = HttpClientSettings(
             connect_timeout_s=CONNECT_TIMEOUT_S, accepts_unframed=True
         )
@@ -147,7 +102,7 @@
         log_event(Event.CALLER_GONE, request_id=call.log_id)
         scope.cancel()
 
-    def _new_run(self, call: Call, responder: Responder) -> _Run:
+    def _new_run(self, call: Call, responder: Responder) -> RequestRun:
         route, service = call.route, call.service
         assert route is not None and service is not None
         headers = call.headers
@@ -172,20 +127,20 @@
             cost=call.cost,
         )
         book = AttemptBook(route, deadline_s)
-        return _Run(call, route, ticket, book, responder, EventRelay(headers.resume_after))
+        return RequestRun(call, route, ticket, book, responder, EventRelay(headers.resume_after))
 
     def _tokens_per_event(self, call: Call) -> int:
         assert call.config is not None and call.service is not None
         profile = call.config.services.get(call.service)
         return 1 if profile is None or profile.model is None else profile.model.tokens_per_event
 
-    async def _run(self, run: _Run) -> None:
+    async def _run(self, run: RequestRun) -> None:
         with trio.CancelScope(deadline=run.book.deadline_s) as scope:
             await self._attempt_until_done(run)
         if scope.cancelled_caught:
             await self._time_out(run)
 
-    async def _attempt_until_done(self, run: _Run) -> None:
+    async def _attempt_until_done(self, run: RequestRun) -> None:
         while True:
             decision = await self._desk.place(run.ticket)
             if isinstance(decision, Refused):
@@ -194,9 +149,9 @@
             end = await self._attempt(run, decision)
             step = run.book.ended(end, self._context.now_s())
             if step is NextStep.FINISH:
-                self._log_finished(run, decision)
+                self._log.finished(run, decision)
                 return
-            self._log_attempt_end(run, decision, end, step)
+            self._log.attempt_ended(run, decision, end, step)
             if step is not NextStep.RETRY:
                 await self._finish_failed(run, step)
                 return
@@ -204,9 +159,9 @@
             run.ticket.is_repeat = run.book.sends > 0
             run.ticket.cost = 0.0
 
-    async def _attempt(self, run: _Run, placement: Placement) -> AttemptEnd:
+    async def _attempt(self, run: RequestRun, placement: Placement) -> AttemptEnd:
         """Send the request to the upstream of a placement and pass its answer on."""
-        self._log_attempt(run, placement)
+        self._log.attempt_started(run, placement)
         run.attempt_s = self._context.now_s()
         run.has_first_event = False
         failure = NOT_MEASURED
@@ -215,12 +170,12 @@
             is_repeat = run.ticket.is_repeat
             self._context.metrics.attempt(run.ticket.service, end.value, is_repeat=is_repeat)
             if end is not AttemptEnd.NOT_SENT:
-                failure = _failure(run, end)
+                failure = run.failure_share(end)
         finally:
             self._desk.report(run.ticket, placement, failure=failure, ended=True)
         return end
 
-    async def _exchange(self, run: _Run, placement: Placement) -> AttemptEnd:
+    async def _exchange(self, run: RequestRun, placement: Placement) -> AttemptEnd:
         client = HttpClient(placement.listing.address, self._client_settings)
         request = self._upstream_request(run, placement)
         was_asked = False
@@ -240,7 +195,7 @@
                 return await self._fault_end(run, placement, head.err_value, was_asked)
             return await self._take_answer(run, placement, exchange, head.ok_value)
 
-    def _upstream_request(self, run: _Run, placement: Placement) -> ClientRequest:
+    def _upstream_request(self, run: RequestRun, placement: Placement) -> ClientRequest:
         request, call = run.call.request, run.call
         resumed = run.relay.last_event_id if run.book.has_started_answer else None
         silence_s = self._silence_limit_s(run, placement)
@@ -259,7 +214,7 @@
             read_timeout_s=self._pause_limit_s(run),
         )
 
-    def _silence_limit_s(self, run: _Run, placement: Placement) -> float:
+    def _silence_limit_s(self, run: RequestRun, placement: Placement) -> float:
         """Return how long to wait for the beginning of an answer."""
         left_s = run.book.deadline_s - self._context.now_s()
         if not self._could_repeat(run):
@@ -267,18 +222,18 @@
         patience_s = FIRST_EVENT_PATIENCE * run.route.objective_s
         return min(left_s, max(patience_s, EXPECTED_PATIENCE * placement.expected_s))
 
-    def _pause_limit_s(self, run: _Run) -> float:
+    def _pause_limit_s(self, run: RequestRun) -> float:
         """Return how long to wait for the next part of an answer."""
         left_s = run.book.deadline_s - self._context.now_s()
         if not self._could_repeat(run) or run.route.max_pause_s is None:
             return left_s
         return min(left_s, PAUSE_PATIENCE * run.route.max_pause_s)
 
-    def _could_repeat(self, run: _Run) -> bool:
+    def _could_repeat(self, run: RequestRun) -> bool:
         return run.route.is_repeatable and run.book.sends + 1 < run.route.max_attempts
 
     async def _fault_end(
-        self, run: _Run, placement: Placement, fault: HttpFault, was_asked: bool
+        self, run: RequestRun, placement: Placement, fault: HttpFault, was_asked: bool
     ) -> AttemptEnd:
         if fault is HttpFault.NOT_SENT:
             if not was_asked:
@@ -290,7 +245,7 @@
             await self._check_crash(run, placement)
         return AttemptEnd.BROKEN
 
-    async def _check_crash(self, run: _Run, placement: Placement) -> None:
+    async def _check_crash(self, run: RequestRun, placement: Placement) -> None:
         """Find out whether a broken connection means that the upstream has crashed."""
         try:
             with trio.fail_after(CRASH_CHECK_TIMEOUT_S):
@@ -301,7 +256,7 @@
             self._desk.report(run.ticket, placement, unreachable=True)
             log_event(
                 Event.UPSTREAM_CRASHED,
-                request_id=run.log_id,
+                request_id=run.call.log_id,
                 upstream=placement.listing.upstream,
             )
             if run.call.content is not None:
@@ -310,7 +265,7 @@
         await trio.aclose_forcefully(stream)
 
     async def _take_answer(
-        self, run: _Run, placement: Placement, exchange: HttpExchange, head: HttpHead
+        self, run: RequestRun, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
         answer = decode_answer(head.headers)
         if answer.attempt_id is not None and answer.attempt_id != run.call.headers.attempt_id:
@@ -326,7 +281,7 @@
 
     async def _relay_whole(
         self,
-        run: _Run,
+        run: RequestRun,
         placement: Placement,
         exchange: HttpExchange,
         head: HttpHead,
@@ -350,7 +305,7 @@
         return AttemptEnd.DELIVERED
 
     async def _relay_events(
-        self, run: _Run, placement: Placement, exchange: HttpExchange, head: HttpHead
+        self, run: RequestRun, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
         """Pass a stream's events on as they come."""
         run.relay.start_run()
@@ -371,20 +326,22 @@
                 self._note_first_event(run, placement)
                 await self._send_events(run, head, passed.ok_value)
 
-    def _note_gap(self, run: _Run, placement: Placement, events: int, started_s: float) -> None:
+    def _note_gap(
+        self, run: RequestRun, placement: Placement, events: int, started_s: float
+    ) -> None:
         """Learn the time between events from a whole stream."""
         if events >= MIN_GAP_EVENTS:
             gap_ms = (self._context.now_s() - started_s) * 1000 / (events - 1)
             self._desk.report(run.ticket, placement, gap_ms=gap_ms)
 
-    async def _send_events(self, run: _Run, head: HttpHead, events: bytes) -> None:
+    async def _send_events(self, run: RequestRun, head: HttpHead, events: bytes) -> None:
         if run.book.has_started_answer:
             await run.responder.send(events)
             return
         run.book.has_started_answer = True
         await run.responder.start(head.status, head.headers, events)
 
-    async def _end_stream(self, run: _Run, head: HttpHead) -> AttemptEnd:
+    async def _end_stream(self, run: RequestRun, head: HttpHead) -> AttemptEnd:
         if run.relay.has_rest:
             return AttemptEnd.BROKEN
         if not run.book.has_started_answer:
@@ -392,7 +349,7 @@
         await run.responder.end()
         return AttemptEnd.DELIVERED
 
-    def _note_first_event(self, run: _Run, placement: Placement) -> None:
+    def _note_first_event(self, run: RequestRun, placement: Placement) -> None:
         if run.has_first_event:
             return
         run.has_first_event = True
@@ -403,7 +360,7 @@
         if run.call.content is not None:
             self._crash_news.report_completed(run.call.content)
 
-    async def _give_up(self, run: _Run, refused: Refused) -> None:
+    async def _give_up(self, run: RequestRun, refused: Refused) -> None:
         step = run.book.give_up(has_failure=run.failure is not None)
         if step is NextStep.REFUSE:
             cause = _CAUSES[refused.reason]
@@ -411,14 +368,13 @@
         else:
             await self._finish_failed(run, step)
 
-    async def _finish_failed(self, run: _Run, step: NextStep) -> None:
+    async def _finish_failed(self, run: RequestRun, step: NextStep) -> None:
         if step is NextStep.BREAK_OFF:
-            self._log_broken(run, "stream-lost")
+            self._log.broken(run, "stream-lost")
             run.responder.break_off()
         elif step is NextStep.PASS_ON and run.failure is not None:
             status, headers, body = run.failure
-            self._context.metrics.request(run.ticket.service, "upstream-error")
-            log_event(Event.REQUEST_FINISHED, request_id=run.log_id, status=status, tried=run.tried)
+            self._log.passed_on(run, status)
             await run.responder.answer(status, headers, body)
         elif step is NextStep.REFUSE:
             retry_after_s = self._context.settings.dispatch.retry_after_min_s
@@ -426,9 +382,9 @@
         else:
             await self._refuse_run(run, CallRefusal(RefusalCause.UPSTREAM_FAILED))
 
-    async def _time_out(self, run: _Run) -> None:
+    async def _time_out(self, run: RequestRun) -> None:
         if run.book.has_started_answer:
-            self._log_broken(run, "timeout")
+            self._log.broken(run, "timeout")
             run.responder.break_off()
         elif run.book.sends:
             await self._refuse_run(run, CallRefusal(RefusalCause.TIMED_OUT))
@@ -436,107 +392,15 @@
             retry_after_s = self._context.settings.dispatch.retry_after_min_s
             await self._refuse_run(run, CallRefusal(RefusalCause.OVERLOADED, retry_after_s))
 
-    async def _refuse_run(self, run: _Run, refusal: CallRefusal) -> None:
+    async def _refuse_run(self, run: RequestRun, refusal: CallRefusal) -> None:
         await self._refuse(run.call, refusal, run.responder, run)
 
     async def _refuse(
-        self, call: Call, refusal: CallRefusal, responder: Responder, run: _Run | None = None
+        self, call: Call, refusal: CallRefusal, responder: Responder, run: RequestRun | None = None
     ) -> None:
-        self._context.metrics.request(call.service, refusal.cause.value)
-        self._log_refused(call, refusal, run)
+        self._log.refused(call, refusal, run)
         await responder.answer(refusal.status, refusal.headers, refusal.body)
 
-    def _log_refused(self, call: Call, refusal: CallRefusal, run: _Run | None) -> None:
-        left_out = self._log_limit.take(refusal.cause.value, self._context.now_s())
-        if left_out is None:
-            return
-        log_event(
-            Event.REQUEST_REFUSED,
-            request_id=call.log_id,
-            status=refusal.status,
-            reason=refusal.cause.value,
-            retry_after_s=refusal.retry_after_s,
-            route=None if call.route is None else call.route.name,
-            account=None if call.account is None else call.account.name,
-            config_version=None if call.config is None else call.config.version,
-            waited_s=round(self._context.now_s() - call.arrived_s, 4),
-            tried=[] if run is None else run.tried,
-            left_out=left_out,
-        )
-
-    def _log_attempt(self, run: _Run, placement: Placement) -> None:
-        run.tried.append(placement.listing.upstream)
-        waited_s = self._context.now_s() - run.call.arrived_s
-        self._context.metrics.waited(run.ticket.service, waited_s)
-        log_event(
-            Event.ATTEMPT_STARTED,
-            request_id=run.log_id,
-            upstream=placement.listing.upstream,
-            attempt=len(run.tried),
-            route=run.route.name,
-            config_version=run.call.config.version if run.call.config else None,
-            waited_s=round(waited_s, 4),
-            expected_s=round(placement.expected_s, 4),
-            work_tokens=placement.work_tokens,
-            running=placement.running,
-            pace_ms=round(placement.pace_ms, 2),
-            gap_ms=round(placement.gap_s * 1000, 1),
-            miss_probability=round(placement.miss_probability, 3),
-            failure_rate=round(placement.failure_rate, 3),
-            coordinator=self._context.choice.coordinator,
-        )
-
-    def _log_attempt_end(
-        self, run: _Run, placement: Placement, end: AttemptEnd, step: NextStep
-    ) -> None:
-        now_s = self._context.now_s()
-        log_event(
-            Event.ATTEMPT_ENDED,
-            request_id=run.log_id,
-            upstream=placement.listing.upstream,
-            end=end.value,
-            next=step.value,
-            events=run.relay.passed_events,
-            left_s=round(run.book.deadline_s - now_s, 3),
-        )
-
-    def _log_finished(self, run: _Run, placement: Placement) -> None:
-        self._context.metrics.request(run.ticket.service, "delivered")
-        if run.relay.passed_events:
-            self._context.metrics.longest_pause(run.ticket.service, run.pauses.longest_s)
-        log_event(
-            Event.REQUEST_FINISHED,
-            request_id=run.log_id,
-            upstream=placement.listing.upstream,
-            took_s=round(self._context.now_s() - run.call.arrived_s, 4),
-            first_event_s=_rounded(run.pauses.first_s, run.call.arrived_s),
-            longest_pause_s=round(run.pauses.longest_s, 4),
-            events=run.relay.passed_events,
-            tried=run.tried,
-        )
-
-    def _log_broken(self, run: _Run, reason: str) -> None:
-        self._context.metrics.request(run.ticket.service, "broken")
-        log_event(
-            Event.REQUEST_BROKEN,
-            request_id=run.log_id,
-            reason=reason,
-            events=run.relay.passed_events,
-            tried=run.tried,
-        )
-
-
-def _failure(run: _Run, end: AttemptEnd) -> float:
-    """Return how much of a failure an attempt's end is for the record of its upstream."""
-    if end is not AttemptEnd.DELIVERED:
-        return 1.0
-    is_late = run.route.max_pause_s is not None and run.pauses.longest_s > run.route.max_pause_s
-    return LATE_FAILURE if is_late else 0.0
-
-
-def _rounded(at_s: float | None, start_s: float) -> float | None:
-    return None if at_s is None else round(at_s - start_s, 4)
-
 
 async def _collect(exchange: HttpExchange) -> Result[bytes, HttpFault]:
     body = bytearray()
--- a/lentilchute/gateway/log_limit.py
+++ b/lentilchute/gateway/log_limit.py
@@ -1,6 +1,6 @@
 """Bounds the log lines of bursts that repeat one cause; free of I/O.
 
-The first lines of each second are written; the next line that is written says how many were left out.
+The first lines of each second are written; the next one says how many were left out.
 """
 
 from dataclasses import dataclass
