--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -8,6 +8,7 @@
 
 from lentilchute.http_client import ClientRequest, HttpClient
 from lentilchute.http_messages import header_value
+from lentilchute.ids import ServiceName
 from lentilchute.platform import endpoints, rows
 from lentilchute.standins.routed_upstream import event
 from lentilchute.standins.store import StoreFaultMode
@@ -370,6 +371,17 @@
     run_world(scenario)
 
 
+def test_settings_that_are_read_again_change_the_bounds() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        node = world.nodes[0]
+        strict = node.settings.retries.model_copy(update={"ratio": 0.0, "slack": 0.0})
+        node.node.use_settings(node.settings.model_copy(update={"retries": strict}))
+        book = node.node.context.book
+        assert not book.budget.take(ServiceName("agenda"), 1.0, 0.0)
+
+    run_world(scenario)
+
+
 async def status_of(address: str, path: str) -> int:
     client = HttpClient(address)
     try:
