--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -6,9 +6,11 @@
 from gateway_samples import config_row
 from gateway_world import GatewayWorld, run_world
 
+from lentilchute.gateway.crash_guard import fingerprint
+from lentilchute.gateway.crash_news import CrashNewsController
 from lentilchute.http_client import ClientRequest, HttpClient
 from lentilchute.http_messages import header_value
-from lentilchute.ids import ServiceName
+from lentilchute.ids import ServiceName, UpstreamId
 from lentilchute.platform import endpoints, rows
 from lentilchute.standins.routed_upstream import event
 from lentilchute.standins.store import StoreFaultMode
@@ -336,9 +338,6 @@
     async def scenario(world: GatewayWorld) -> None:
         guard = world.nodes[0].node
         content_path = "/book/poison"
-        from lentilchute.gateway.crash_guard import fingerprint
-        from lentilchute.gateway.crash_news import CrashNewsController
-        from lentilchute.ids import UpstreamId
 
         content = fingerprint("POST", content_path, "key-1", b"x")
         news = guard.context.controller(CrashNewsController)
