--- a/lentilchute/claim_expiry_controller.py
+++ b/lentilchute/claim_expiry_controller.py
@@ -12,7 +12,8 @@
 
 from .claim_expiry import ClaimExpiry, DeleteExpired, ReadClaims, ScanExpired, SweepAction
 from .ids import ServiceName, shard_id
-from .node_context import MessageHandler, NodeContext, node_controller
+from .message_dispatch import MessageHandler
+from .node_context import NodeContext, node_controller
 from .settings import Role
 
 SWEEP_SHARD = shard_id(ServiceName("claim-expiry"))
--- a/lentilchute/claims_controller.py
+++ b/lentilchute/claims_controller.py
@@ -20,8 +20,9 @@
 from .claims import ClaimBook
 from .events import Event, log_event
 from .ids import InstanceId, RequestId, instance_of
+from .message_dispatch import MessageHandler
 from .messages import ClaimQuestion, ClaimReply
-from .node_context import MessageHandler, NodeContext, wait_until
+from .node_context import NodeContext, wait_until
 from .peers import PeerChange, PeerChangeKind
 
 QUERY_TIMEOUT_S = 1.0
--- a/lentilchute/configuration_controller.py
+++ b/lentilchute/configuration_controller.py
@@ -17,8 +17,9 @@
 from .configuration_records import INDEX_KEY
 from .events import Event, log_event
 from .ids import DocumentVersion, InstanceId, ServiceName
+from .message_dispatch import MessageHandler
 from .messages import ConfigNotice, ConfigVersions, ServiceVersion
-from .node_context import MessageHandler, NodeContext, node_controller
+from .node_context import NodeContext, node_controller
 from .peers import Heartbeat, PeerChange, PeerChangeKind
 
 MAX_SLEEP_S = 0.5
--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry_controller.py
@@ -39,6 +39,7 @@
 from .http_responder import Responder
 from .ids import Attempt, InstanceId, RequestId, ServiceName, UpstreamId, service_of, shard_id
 from .local_share import LocalUpstream
+from .message_dispatch import MessageHandler
 from .messages import (
     Declined,
     Dispatched,
@@ -53,7 +54,7 @@
     Submit,
     Withdraw,
 )
-from .node_context import MessageHandler, NodeContext, node_controller, repeat, wait_until
+from .node_context import NodeContext, node_controller, repeat, wait_until
 from .peers import PeerChange
 from .settings import Role
 from .upstream_exchanges import ExchangeHooks, UpstreamExchanges
--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -1,14 +1,15 @@
 """What the controllers of one gateway node share, and the registry that builds them."""
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol, TypeVar
+from typing import Any, TypeVar
 
 import trio
 
 from ..ids import AvailabilityZone, IncarnationId, InstanceId
 from ..membership import Membership
+from ..message_dispatch import Controller
 from ..peer_links import PeerLinks
 from ..platform.store import StoreClient
 from .coordination import CoordinatorChoice
@@ -19,23 +20,10 @@
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 
-MessageHandler = Callable[[InstanceId, Any], None]
 Added = TypeVar("Added", bound=Callable[..., Any])
 Wanted = TypeVar("Wanted")
 
 
-class GatewayController(Protocol):
-    """One of a gateway's controllers."""
-
-    def handlers(self) -> Mapping[type[Any], MessageHandler]:
-        """Return the peer messages that this controller takes, with what takes them."""
-        ...
-
-    async def run(self) -> None:
-        """Run until cancelled."""
-        ...
-
-
 @dataclass(slots=True)
 class GatewayContext:
     """The parts of a node that its controllers share."""
@@ -52,7 +40,7 @@
     crash_guard: CrashGuard
     metrics: GatewayMetrics
     config: RoutingConfig | None = None
-    controllers: list[GatewayController] = field(default_factory=list)
+    controllers: list[Controller] = field(default_factory=list)
     is_stopping: bool = False
     refuses_after_s: float | None = None
     """During a planned stop: when requests that still come are refused."""
@@ -99,7 +87,7 @@
             self.links.send(info.instance, info.address, message)
 
 
-_factories: list[Callable[[GatewayContext], GatewayController]] = []
+_factories: list[Callable[[GatewayContext], Controller]] = []
 
 
 def gateway_controller(factory: Added) -> Added:
@@ -108,6 +96,6 @@
     return factory
 
 
-def build_controllers(context: GatewayContext) -> list[GatewayController]:
+def build_controllers(context: GatewayContext) -> list[Controller]:
     """Return new controllers, in the order of their registration."""
     return [factory(context) for factory in _factories]
--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -12,8 +12,9 @@
 
 from ..events import Event, log_event
 from ..ids import IncarnationId, InstanceId, ServiceName, Tier, UpstreamId
+from ..message_dispatch import MessageHandler
 from ..peers import PeerChangeKind
-from .context import GatewayContext, MessageHandler, gateway_controller
+from .context import GatewayContext, gateway_controller
 from .messages import (
     FleetDigest,
     LoadRefresh,
--- a/lentilchute/gateway/crash_news.py
+++ b/lentilchute/gateway/crash_news.py
@@ -5,7 +5,8 @@
 
 from ..events import Event, log_event
 from ..ids import Fingerprint, InstanceId, UpstreamId
-from .context import GatewayContext, MessageHandler, gateway_controller
+from ..message_dispatch import MessageHandler
+from .context import GatewayContext, gateway_controller
 from .messages import ClearedNotice, CrashNotice
 
 
--- a/lentilchute/gateway/desk.py
+++ b/lentilchute/gateway/desk.py
@@ -12,7 +12,8 @@
 
 from ..events import Event, log_event
 from ..ids import ClientAccountId, InstanceId
-from .context import GatewayContext, MessageHandler, gateway_controller
+from ..message_dispatch import MessageHandler
+from .context import GatewayContext, gateway_controller
 from .coordinator import CoordinatorController
 from .messages import (
     NOT_MEASURED,
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -6,26 +6,27 @@
 
 import random
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Any
 
 import trio
 
 from .. import messages as node_messages
-from ..events import Event, error_place, log_event
+from ..events import Event, log_event
 from ..http_messages import JSON_HEADER
 from ..http_requests import HttpRequest, HttpServerSettings
 from ..http_responder import Responder
 from ..http_server import HttpServer, open_listeners
 from ..ids import IncarnationId, InstanceId
 from ..membership import Membership
+from ..message_dispatch import dispatch, handlers_of
 from ..peer_links import LinkIdentity, PeerLinks
 from ..peers import PeerInfo
 from ..platform import endpoints
 from ..platform.store import StoreClient
 from ..settings import Role
 from . import coordinator, crash_news, desk, peering, quota_keeping, reading
-from .context import GatewayContext, MessageHandler, build_controllers
+from .context import GatewayContext, build_controllers
 from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
 from .fleet import Fleet
@@ -91,8 +92,8 @@
         Raises ``OSError`` when an address of the settings cannot be bound.
         """
         context = self.context
-        handlers = _handlers(context)
-        context.links.receiver = lambda sender, message: _dispatch(handlers, sender, message)
+        handlers = handlers_of(context.controllers)
+        context.links.receiver = lambda sender, message: dispatch(handlers, sender, message)
         try:
             async with trio.open_nursery() as nursery:
                 await nursery.start(context.links.run, self.settings.listen.peers)
@@ -250,31 +251,5 @@
     )
 
 
-Handlers = Mapping[type[Any], list[MessageHandler]]
-
-
-def _handlers(context: GatewayContext) -> Handlers:
-    found: dict[type[Any], list[MessageHandler]] = {}
-    for controller in context.controllers:
-        for message_type, handler in controller.handlers().items():
-            found.setdefault(message_type, []).append(handler)
-    return found
-
-
-def _dispatch(handlers: Handlers, sender: InstanceId, message: Any) -> None:
-    """Give a message to its handlers; one that raises stops neither the others nor the node."""
-    for handler in handlers.get(type(message), []):
-        try:
-            handler(sender, message)
-        except Exception as error:
-            log_event(
-                Event.HANDLER_FAILED,
-                sender=sender,
-                message_class=type(message).__name__,
-                error=type(error).__name__,
-                place=error_place(error),
-            )
-
-
 def _drop(sender: InstanceId, message: Any) -> None:
     """Take a message that came before the node's controllers were there."""
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -9,11 +9,12 @@
 
 from ..events import Event, log_event
 from ..ids import InstanceId
+from ..message_dispatch import MessageHandler
 from ..peer_events import PEER_EVENTS
 from ..peers import Heartbeat, PeerAddress, PeerChange
 from ..platform import rows
 from ..platform.store import RowWrite
-from .context import GatewayContext, MessageHandler, gateway_controller
+from .context import GatewayContext, gateway_controller
 from .coordinator import CoordinatorController
 
 REGISTER_RETRY_S = 0.5
--- a/lentilchute/gateway/quota_keeping.py
+++ b/lentilchute/gateway/quota_keeping.py
@@ -10,9 +10,10 @@
 from result import Err
 
 from ..events import Event, log_event
+from ..message_dispatch import MessageHandler
 from ..platform import rows
 from ..platform.store import RowWrite
-from .context import GatewayContext, MessageHandler, gateway_controller
+from .context import GatewayContext, gateway_controller
 
 WRITE_INTERVAL_S = 1.0
 """An account's growth over this time is written down in advance."""
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -10,9 +10,10 @@
 
 from ..events import Event, log_event
 from ..ids import InstanceId, UpstreamId
+from ..message_dispatch import MessageHandler
 from ..platform import rows
 from ..platform.store import StoreFault, StoreRow, TablePage
-from .context import GatewayContext, MessageHandler, gateway_controller
+from .context import GatewayContext, gateway_controller
 from .fleet import UpstreamChange, UpstreamChangeKind, UpstreamListing
 from .knowledge import TableCopy
 from .messages import NewsRow, TableNews
--- a/lentilchute/membership_controller.py
+++ b/lentilchute/membership_controller.py
@@ -5,7 +5,8 @@
 
 from .events import log_event
 from .ids import InstanceId
-from .node_context import MessageHandler, NodeContext, node_controller, repeat
+from .message_dispatch import MessageHandler
+from .node_context import NodeContext, node_controller, repeat
 from .peer_events import PEER_EVENTS
 from .peers import Heartbeat, PeerChange
 
--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -24,14 +24,13 @@
 )
 from .configuration import ConfigBook
 from .entry_controller import EntryController
-from .events import Event, error_place, log_event
+from .events import Event, log_event
 from .ids import IncarnationId, InstanceId
 from .membership import Membership
+from .message_dispatch import Controller, Handlers, dispatch, handlers_of
 from .metered_platform import MeteredPlatform
 from .metrics import Gauges, Metrics
 from .node_context import (
-    Controller,
-    MessageHandler,
     NodeContext,
     check_document_text,
     controllers_for,
@@ -82,7 +81,7 @@
         context = self._running = self._context()
         controllers = controllers_for(context)
         context.controllers += controllers
-        handlers = _handlers(controllers)
+        handlers = handlers_of(controllers)
         context.links.receiver = lambda sender, message: dispatch(handlers, sender, message)
         try:
             async with trio.open_nursery() as nursery:
@@ -170,33 +169,6 @@
     )
 
 
-Handlers = dict[type[Any], list[MessageHandler]]
-
-
-def _handlers(controllers: list[Controller]) -> Handlers:
-    """Return all message handlers by message type; a message may have several."""
-    found: Handlers = {}
-    for controller in controllers:
-        for message_type, handler in controller.handlers().items():
-            found.setdefault(message_type, []).append(handler)
-    return found
-
-
-def dispatch(handlers: Handlers, sender: InstanceId, message: Any) -> None:
-    """Give a message to its handlers; one that raises stops neither the others nor the node."""
-    for handler in handlers.get(type(message), []):
-        try:
-            handler(sender, message)
-        except Exception as error:
-            log_event(
-                Event.HANDLER_FAILED,
-                sender=sender,
-                message_class=type(message).__name__,
-                error=type(error).__name__,
-                place=error_place(error),
-            )
-
-
 async def _deliver_local(context: NodeContext, handlers: Handlers) -> None:
     while True:
         for message in await context.take_local():
--- a/lentilchute/node_context.py
+++ b/lentilchute/node_context.py
@@ -6,9 +6,9 @@
 
 import random
 from collections import deque
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol, TypeVar
+from typing import Any, TypeVar
 
 import trio
 
@@ -17,6 +17,7 @@
 from .document import ServiceDocument
 from .ids import AvailabilityZone, IncarnationId, InstanceId, ServiceName, UpstreamId
 from .membership import Membership
+from .message_dispatch import Controller
 from .metrics import Metrics
 from .peer_links import PeerLinks
 from .peers import PeerChange
@@ -25,19 +26,6 @@
 from .upstream_directory import UpstreamDirectory
 
 Wanted = TypeVar("Wanted")
-MessageHandler = Callable[[InstanceId, Any], None]
-
-
-class Controller(Protocol):
-    """One of a node's controllers."""
-
-    def handlers(self) -> Mapping[type[Any], MessageHandler]:
-        """Return the messages that this controller takes, with what takes them."""
-        ...
-
-    async def run(self) -> None:
-        """Run until cancelled."""
-        ...
 
 
 @dataclass(slots=True)
--- a/lentilchute/operator_controller.py
+++ b/lentilchute/operator_controller.py
@@ -14,9 +14,10 @@
 from .events import Event, log_event
 from .http_server import HttpServer, HttpServerSettings, open_listeners
 from .ids import DocumentVersion, ServiceName, Tier, UpstreamId
+from .message_dispatch import MessageHandler
 from .messages import ConfigNotice
 from .metrics import DocumentInForce, Gauges, LearnedRates, Metrics
-from .node_context import MessageHandler, NodeContext, node_controller
+from .node_context import NodeContext, node_controller
 from .operator_api import (
     ChangeAnswer,
     ChangeRequest,
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler_controller.py
@@ -9,6 +9,7 @@
 from .document import ServiceDocument, UpstreamKind
 from .events import Event, error_place, log_event
 from .ids import InstanceId, ModelName, ServiceName, UpstreamId, shard_id
+from .message_dispatch import MessageHandler
 from .messages import (
     Declined,
     Dispatched,
@@ -23,7 +24,7 @@
     Submit,
     Withdraw,
 )
-from .node_context import MessageHandler, NodeContext, node_controller
+from .node_context import NodeContext, node_controller
 from .peers import PeerChange, PeerChangeKind
 from .scheduler import ShardScheduler
 from .settings import Role
--- a/lentilchute/upstream_controller.py
+++ b/lentilchute/upstream_controller.py
@@ -9,8 +9,9 @@
 from .events import Event, log_event
 from .ids import InstanceId, UpstreamId
 from .instance_watch import WatchChange, WatchedState
+from .message_dispatch import MessageHandler
 from .messages import UpstreamNews, UpstreamNotice
-from .node_context import MessageHandler, NodeContext, node_controller
+from .node_context import NodeContext, node_controller
 from .peers import PeerAddress, PeerChange, PeerChangeKind
 from .platform_services import ListedInstance, ListedState
 
