--- a/lentilchute/gateway/gauges.py
+++ b/lentilchute/gateway/gauges.py
@@ -21,6 +21,8 @@
         yield Gauge(f"{PREFIX}config.version", context.config.version)
     for table, age_s in context.controller(ReadingController).ages_s(now_s).items():
         yield Gauge(f"{PREFIX}knowledge.age", age_s, (("table", table),))
+    for account, share in context.book.quotas.used_shares(now_s).items():
+        yield Gauge(f"{PREFIX}quota.used", share, (("account", str(account)),))
     for service, dispatcher in context.book.dispatchers.items():
         labels = (("service", str(service)),)
         yield Gauge(f"{PREFIX}tickets.waiting", dispatcher.waiting, labels)
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -121,6 +121,15 @@
             totals[name] = usage.used + usage.assumed
         return totals
 
+    def used_shares(self, now_s: float) -> dict[ClientAccountId, float]:
+        """Return which part of its quota each limited account has used, as far as is known here."""
+        totals = self.totals(now_s)
+        return {
+            name: totals[name] / max(1.0, self._allowed(account))
+            for name, account in self._accounts.items()
+            if account.quota_per_s is not None
+        }
+
     def take_totals(self, totals: dict[ClientAccountId, float]) -> None:
         """Remember the coordinator's totals, in case this node has to take its place."""
         self._told = totals
