Let nodes that start together share quotas before they see each other

After a kill of all processes each node first sees itself alone, so all nine coordinated and each gave out the whole quota until heartbeats had met.

Change: for its first five seconds a node counts the nodes that have a row in the store, and ten before it has read them; quotas and budget are shared by that number. test_nodes_that_start_together_share_quotas_before_they_see_each_other sees the share; before, it was 1.

--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -39,7 +39,10 @@
     choice: CoordinatorChoice
     crash_guard: CrashGuard
     metrics: GatewayMetrics
+    started_s: float
     config: RoutingConfig | None = None
+    listed_nodes: int | None = None
+    """How many nodes have a row in the store; ``None`` before it was read."""
     controllers: list[Controller] = field(default_factory=list)
     is_stopping: bool = False
     refuses_after_s: float | None = None
--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -24,10 +24,13 @@
     PlaceState,
     TicketWithdrawal,
 )
-from .placement_book import Scope
+from .placement_book import FIRST_NODES, Scope
 from .routes import RoutingConfig
 from .tickets import Decision, Placement, Refused, Ticket, TicketKey
 
+JOIN_S = 5.0
+"""By then nodes that started together have found each other, even with the first heartbeats
+lost."""
 POLL_INTERVAL_S = 0.02
 """Waiting tickets are looked at this often besides each change; a fraction of any objective."""
 
@@ -49,7 +52,7 @@
         self._has_waits = trio.Event()
         context.config_listeners.append(self._on_config)
         context.fleet_listeners.append(self._update_upstreams)
-        context.coordinator_listeners.append(self._update_scope)
+        context.coordinator_listeners.append(self.update_scope)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
         return {
@@ -146,14 +149,20 @@
         if sender == self._context.choice.coordinator:
             self._context.book.take_digest(digest, self._context.now_s())
 
-    def _update_scope(self) -> None:
+    def update_scope(self) -> None:
+        """Take in how many nodes share quotas and budget, and for how many this one decides."""
         context = self._context
         present = context.membership.present()
         alive = {info.instance for info in context.membership.alive(context.now_s())}
-        nodes = len(present) + 1
+        known = len(present) + 1
         lost = sum(1 for info in present if info.instance not in alive)
+        # A node that has just started sees few peers: each of those that start with it may see as
+        # few.
+        is_joining = context.now_s() - context.started_s < JOIN_S
+        listed = FIRST_NODES if context.listed_nodes is None else context.listed_nodes
+        nodes = max(known, listed) if is_joining else known
         is_own = context.choice.is_own
-        context.book.scope = Scope(nodes, max(1, nodes - lost) if is_own else 1)
+        context.book.scope = Scope(nodes, max(1, known - lost) if is_own else 1)
 
     def take_over(self) -> None:
         """Begin to coordinate with what the last coordinator told."""
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -227,6 +227,7 @@
         choice=CoordinatorChoice(instance),
         crash_guard=CrashGuard(),
         metrics=GatewayMetrics(instance, settings.zone),
+        started_s=trio.current_time(),
     )
 
 
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -46,6 +46,7 @@
         while True:
             now_s = context.now_s()
             self._note(context.membership.tick(now_s))
+            context.controller(CoordinatorController).update_scope()
             self.send_heartbeats()
             await trio.sleep(context.settings.membership.heartbeat_interval_s)
 
@@ -86,6 +87,7 @@
                 continue
             found.append(node.ok_value)
         self._context.membership.learn_peers(found, self._context.now_s())
+        self._context.listed_nodes = len(found)
 
     def _on_heartbeat(self, _sender: InstanceId, heartbeat: Heartbeat) -> None:
         self._note(self._context.membership.received(heartbeat, self._context.now_s()))
--- a/lentilchute/gateway/placement_book.py
+++ b/lentilchute/gateway/placement_book.py
@@ -21,6 +21,8 @@
 
 GRANT_IN_FLIGHT_S = 0.5
 """A request that was placed this recently may be missing from its node's refresh."""
+FIRST_NODES = 10
+"""Nodes that may share quotas with one that has not read the list of nodes yet."""
 NO_BUDGET_RETRY_S = 1.0
 """The budget's window moves on by a tenth in about this time."""
 
@@ -49,7 +51,7 @@
         self.quotas = QuotaBook(settings.quotas)
         self.budget = RetryBudget(settings.retries)
         self.dispatchers: dict[ServiceName, Dispatcher] = {}
-        self.scope = Scope(1, 1)
+        self.scope = Scope(nodes=FIRST_NODES, covered=1)
         self._charges: dict[TicketKey, Charge] = {}
 
     def use_settings(self, settings: GatewaySettings) -> None:
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -353,6 +353,23 @@
     run_world(scenario)
 
 
+def test_nodes_that_start_together_share_quotas_before_they_see_each_other() -> None:
+    """Otherwise each of them would spend the whole quota after a kill of all."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        for node in world.nodes:
+            node.scope.cancel()
+        world.nodes.clear()
+        late = world.add_node("node-0")
+        assert late.node.context.book.scope.share < 0.2
+        await world.until(lambda: late.node.context.is_ready)
+        await world.until(lambda: late.node.context.listed_nodes == 3)
+        await trio.sleep(0.5)
+        assert late.node.context.book.scope.share == 1 / 3
+
+    run_world(scenario, nodes=3)
+
+
 def test_the_metrics_page_tells_what_happened() -> None:
     async def scenario(world: GatewayWorld) -> None:
         for number in range(3):
