Write down when accounts used their quotas, and do not pass assumptions on

A node that starts counts the whole quota as used; while it saw itself as coordinator it told that in its digest, the next one took it over as used just then, and so on. A change of coordinator also dated all usage anew, which refuses accounts at half of their rate after a few changes.

Ruled out: the row in the store (its totals were right).

Change: digests of the first five seconds leave quotas out; a new coordinator spreads what it was told over the window; the row holds eight parts of the window. test_an_account_within_its_rate_is_not_refused_after_changes_of_coordinator.

--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -4,6 +4,7 @@
 coordinator does not answer.
 """
 
+import dataclasses
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -103,7 +104,14 @@
         while True:
             await trio.sleep(self._context.settings.dispatch.digest_interval_s)
             if self._context.choice.is_own and self._context.is_ready:
-                self._context.broadcast(self._context.book.digest(self._context.now_s()))
+                digest = self._context.book.digest(self._context.now_s())
+                if self._is_joining():
+                    # What this node assumes about quotas must not become what others know.
+                    digest = dataclasses.replace(digest, accounts=())
+                self._context.broadcast(digest)
+
+    def _is_joining(self) -> bool:
+        return self._context.now_s() - self._context.started_s < JOIN_S
 
     def _hand_out(self, ticket: Ticket, decision: Decision) -> None:
         own = self._own_waits.get(ticket.key)
@@ -158,9 +166,8 @@
         lost = sum(1 for info in present if info.instance not in alive)
         # A node that has just started sees few peers: each of those that start with it may see as
         # few.
-        is_joining = context.now_s() - context.started_s < JOIN_S
         listed = FIRST_NODES if context.listed_nodes is None else context.listed_nodes
-        nodes = max(known, listed) if is_joining else known
+        nodes = max(known, listed) if self._is_joining() else known
         is_own = context.choice.is_own
         context.book.scope = Scope(nodes, max(1, known - lost) if is_own else 1)
 
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -16,6 +16,8 @@
 
 BUCKETS_PER_WINDOW = 32
 """A request is counted up to this part of a window longer than it must be."""
+HISTORY_PARTS = 8
+"""Parts of a window that are told apart in what is written down."""
 
 
 @dataclass(slots=True)
@@ -142,39 +144,42 @@
             usage = self._current(name, now_s)
             missing = total - usage.used - usage.assumed
             if missing > 0:
-                self._bucket(name, now_s).assumed += missing
-                usage.assumed += missing
+                # The digest does not say when it was used.
+                self._assume(name, [missing / HISTORY_PARTS] * HISTORY_PARTS, now_s)
         self._told = {}
 
-    def likely_totals(self, now_s: float) -> dict[ClientAccountId, float]:
+    def likely_history(self, now_s: float) -> dict[ClientAccountId, list[float]]:
         """Return what may have been used until the next call, for a node that starts after a kill.
 
-        Each account is taken to go on as since the last call, up to its quota.
+        The sums are those of the parts of the window, the oldest first. Each account is taken to go
+        on as since the last call, up to its quota.
         """
         totals = self.totals(now_s)
-        likely = {}
+        history = {}
         for name, account in self._accounts.items():
-            growth = max(0.0, totals[name] - self._last_totals.get(name, 0.0))
-            likely[name] = min(totals[name] + growth, self._allowed(account))
+            growth = max(0.0, totals[name] - self._last_totals.get(name, totals[name]))
+            growth = min(growth, max(0.0, self._allowed(account) - totals[name]))
+            history[name] = self._parts(name, now_s)
+            history[name][-1] += growth
         self._last_totals = totals
-        self._last_likely = likely
-        return likely
+        self._last_likely = {name: sum(parts) for name, parts in history.items()}
+        return history
 
     def exceeds_likely(self, now_s: float) -> bool:
         """Tell whether an account has used more than was likely at the last call."""
         totals = self.totals(now_s)
         return any(total > self._last_likely.get(name, 0.0) for name, total in totals.items())
 
-    def learn_history(self, used: dict[ClientAccountId, float], age_s: float, now_s: float) -> None:
+    def learn_history(
+        self, history: dict[ClientAccountId, list[float]], age_s: float, now_s: float
+    ) -> None:
         """Replace what was assumed at the start by what the last coordinator has written down."""
         for name in self._usage:
             usage = self._current(name, now_s)
             for bucket in usage.buckets:
                 usage.assumed -= bucket.assumed
                 bucket.assumed = 0.0
-            if age_s < self._settings.window_s and used.get(name, 0.0) > 0.0:
-                usage.buckets.appendleft(_Bucket(now_s - age_s, assumed=used[name]))
-                usage.assumed += used[name]
+            self._assume(name, history.get(name, []), now_s - age_s)
 
     def _assume_full_use(self, now_s: float) -> None:
         width_s = self._settings.window_s / BUCKETS_PER_WINDOW
@@ -188,6 +193,26 @@
             usage.buckets[-1].assumed += account.quota_burst
             usage.assumed += BUCKETS_PER_WINDOW * part + account.quota_burst
 
+    def _assume(self, account: ClientAccountId, parts: list[float], until_s: float) -> None:
+        """Count sums of parts of the window that ends at ``until_s``, the oldest first."""
+        usage = self._usage[account]
+        width_s = self._settings.window_s / HISTORY_PARTS
+        assumed = [
+            _Bucket(until_s - (len(parts) - index - 1) * width_s, assumed=part)
+            for index, part in enumerate(parts)
+        ]
+        usage.buckets = deque(sorted([*assumed, *usage.buckets], key=lambda item: item.start_s))
+        usage.assumed += sum(parts)
+
+    def _parts(self, account: ClientAccountId, now_s: float) -> list[float]:
+        """Return the sums of the parts of the window, the oldest first."""
+        parts = [0.0] * HISTORY_PARTS
+        width_s = self._settings.window_s / HISTORY_PARTS
+        for bucket in self._current(account, now_s).buckets:
+            index = HISTORY_PARTS - 1 - int((now_s - bucket.start_s) / width_s)
+            parts[min(max(index, 0), HISTORY_PARTS - 1)] += bucket.used + bucket.assumed
+        return parts
+
     def _allowed(self, account: Account) -> float:
         settings = self._settings
         quota = (account.quota_per_s or 0.0) * settings.window_s + account.quota_burst
--- a/lentilchute/gateway/quota_keeping.py
+++ b/lentilchute/gateway/quota_keeping.py
@@ -76,8 +76,8 @@
 
     async def _write(self) -> None:
         now_s = self._context.now_s()
-        used = self._context.book.quotas.likely_totals(now_s)
-        if not any(used.values()):
+        used = self._context.book.quotas.likely_history(now_s)
+        if not any(sum(parts) for parts in used.values()):
             return
         value = rows.encode_quota_usage(rows.QuotaUsage(now_s + self._store_ahead_s, used))
         written = await self._context.store.write(
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -69,7 +69,8 @@
     """What accounts had used in the last window, by the store's clock."""
 
     at_s: float
-    used: dict[ClientAccountId, float]
+    used: dict[ClientAccountId, list[float]]
+    """Sums of the parts of the window, the oldest first."""
 
 
 def decode_quota_usage(value: bytes) -> Result[QuotaUsage, str]:
@@ -78,14 +79,17 @@
         value,
         lambda row: QuotaUsage(
             at_s=_number(row["at-s"]),
-            used={ClientAccountId(_text(k)): _number(v) for k, v in row["used"].items()},
+            used={
+                ClientAccountId(_text(account)): [_number(part) for part in parts]
+                for account, parts in row["used"].items()
+            },
         ),
     )
 
 
 def encode_quota_usage(usage: QuotaUsage) -> bytes:
     """Return the value of the coordinator's row."""
-    used = {account: round(amount) for account, amount in usage.used.items()}
+    used = {account: [round(part) for part in parts] for account, parts in usage.used.items()}
     return json.dumps({"at-s": usage.at_s, "used": used}).encode()
 
 
