--- a/test/ui/test_explain.py
+++ b/test/ui/test_explain.py
@@ -68,6 +68,8 @@
     async def scenario(world: GatewayWorld) -> None:
         world.upstreams["d0"].standin.behaviour.first_event_s = 0.9
         await world.call("/drafts/1", attempt="late", **DRAFT)
+        # The node logs the end after the caller has its answer; the world must not end before.
+        await world.until(lambda: any("request_finished" in line for line in log[1]))
 
     run_world(scenario, drafters=1)
     story = json.loads(explain(log, "late", "--json", capsys=capsys))
