--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -17,7 +17,7 @@
 from ..http_requests import HttpRequest
 from ..http_responder import Responder
 from ..ids import Tier
-from ..platform.headers import AnswerHeaders, decode_answer, decode_call, upstream_headers
+from ..platform.headers import decode_answer, decode_call, upstream_headers
 from .admission import admit
 from .attempts import AttemptBook, AttemptEnd, NextStep
 from .calls import Call, CallRefusal, RefusalCause
@@ -277,15 +277,10 @@
             return AttemptEnd.BROKEN
         if is_success and run.route.kind is RequestKind.STREAM:
             return await self._relay_events(run, placement, exchange, head)
-        return await self._relay_whole(run, placement, exchange, head, answer)
+        return await self._relay_whole(run, placement, exchange, head)
 
     async def _relay_whole(
-        self,
-        run: RequestRun,
-        placement: Placement,
-        exchange: HttpExchange,
-        head: HttpHead,
-        answer: AnswerHeaders,
+        self, run: RequestRun, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
         """Collect the whole answer, then pass it on."""
         body = await _collect(exchange)
