--- /dev/null
+++ b/lentilchute/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The caller's side of the product's own interface."""
--- a/lentilchute/caller_attempt.py
+++ b/lentilchute/caller/attempt.py
@@ -7,9 +7,9 @@
 
 from result import Err
 
-from .http_client import ClientRequest, HttpClient, HttpExchange, HttpFault, HttpHead
-from .http_messages import OUTCOME_HEADER, RETRY_AFTER_HEADER, header_value
-from .tickets import Outcome
+from ..http.client import ClientRequest, HttpClient, HttpExchange, HttpFault, HttpHead
+from ..http.messages import OUTCOME_HEADER, RETRY_AFTER_HEADER, header_value
+from ..scheduler.tickets import Outcome
 
 MAX_REFUSAL_BYTES = 65_536
 
--- a/lentilchute/caller_client.py
+++ b/lentilchute/caller/client.py
@@ -11,16 +11,11 @@
 
 import trio
 
-from .caller_attempt import Attempt, BodySink, Deliver, make_attempt
-from .caller_entries import CallerEntries, KnownEntry
-from .http_client import ClientRequest, HttpClient, HttpFault, Opener, open_tcp
-from .http_messages import (
-    DEADLINE_HEADER,
-    IDEMPOTENCY_KEY_HEADER,
-    TIER_HEADER,
-    Headers,
-)
-from .tickets import Outcome, RefusalReason
+from ..http.client import ClientRequest, HttpClient, HttpFault, Opener, open_tcp
+from ..http.messages import DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, TIER_HEADER, Headers
+from ..scheduler.tickets import Outcome, RefusalReason
+from .attempt import Attempt, BodySink, Deliver, make_attempt
+from .entries import CallerEntries, KnownEntry
 
 ANSWER_GRACE_S = 5.0
 """Waited beyond the deadline, since the entry ends a request at its deadline by itself."""
--- a/lentilchute/caller_entries.py
+++ b/lentilchute/caller/entries.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, Field, ValidationError
 from result import Err
 
-from .http_client import ClientRequest, HttpClient
+from ..http.client import ClientRequest, HttpClient
 
 ASK_TIMEOUT_S = 3.0
 
--- a/lentilchute/demo.py
+++ b/lentilchute/demo.py
@@ -15,19 +15,19 @@
 import trio
 from prometheus_client.parser import text_string_to_metric_families
 
-from .caller_client import CallerClient, CallerSettings, CallRequest, CallResult, CallState
-from .configuration_apply import ApplyState, DocumentChange
-from .document_changes import apply_change
+from .caller.client import CallerClient, CallerSettings, CallRequest, CallResult, CallState
 from .errors import UserError
-from .http_client import ClientRequest, HttpClient
+from .http.client import ClientRequest, HttpClient
 from .ids import DocumentVersion, ServiceName
 from .metrics_catalogue import Metric
 from .node import Node
-from .operator_api import operator_key
-from .platform_services import platform_for
+from .operators.api import operator_key
 from .settings import Listen, NodeSettings, PeerSeed, PlatformSettings
 from .standins import engine, plain, platform
 from .standins.engine_settings import EngineStandinSettings
+from .state.configuration_apply import ApplyState, DocumentChange
+from .state.document_changes import apply_change
+from .state.platform_services import platform_for
 
 TIERS = ("signing", "client-answer", "summary", "sorting")
 CALLERS_BY_TIER = {"signing": 4, "client-answer": 8, "summary": 16, "sorting": 24}
--- /dev/null
+++ b/lentilchute/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Requests at the entry that accepted them, from acceptance to the final answer."""
--- a/lentilchute/entry_actions.py
+++ b/lentilchute/entry/actions.py
@@ -6,8 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from .claim_answers import ClaimRequest, KeptAnswer
-from .ids import (
+from ..ids import (
     Attempt,
     BlockHash,
     ClientAccountId,
@@ -21,8 +20,9 @@
     Tier,
     UpstreamId,
 )
-from .tickets import EndState, Grant, InFlight, Outcome, RefusalReason, Ticket
-from .upstreams import UpstreamRequest
+from ..scheduler.tickets import EndState, Grant, InFlight, Outcome, RefusalReason, Ticket
+from ..state.claim_answers import ClaimRequest, KeptAnswer
+from ..upstream.adapters import UpstreamRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/entry_admission.py
+++ b/lentilchute/entry/admission.py
@@ -1,10 +1,10 @@
 """Whether an entry takes a new request in, and what it displaces within its memory bound."""
 
-from .entry_actions import EntryAction, SendRefusal
+from ..scheduler.tickets import Outcome, RefusalReason
+from .actions import EntryAction, SendRefusal
 from .request_book import RequestBook
 from .request_endings import refuse
 from .request_state import HeldRequest, RequestState
-from .tickets import Outcome, RefusalReason
 
 
 def admit(book: RequestBook, held: HeldRequest, now_s: float) -> list[EntryAction]:
--- a/lentilchute/answer_relay.py
+++ b/lentilchute/entry/answer_relay.py
@@ -1,11 +1,11 @@
 """Passing an upstream's answer on to its caller: whole, in order, without gaps or repeats."""
 
-from .entry_actions import EntryAction, ReportProgress, ResumeUpstream, SendHead, SendPart
+from ..scheduler.tickets import EndState, RefusalReason
+from ..upstream.adapters import AnswerEnd, AnswerHead, AnswerItem, AnswerPart, UpstreamFault
+from .actions import EntryAction, ReportProgress, ResumeUpstream, SendHead, SendPart
 from .request_book import RequestBook
 from .request_endings import fail, finish
 from .request_state import ClaimHold, HeldRequest, RequestState
-from .tickets import EndState, RefusalReason
-from .upstreams import AnswerEnd, AnswerHead, AnswerItem, AnswerPart, UpstreamFault
 
 PROGRESS_INTERVAL_S = 0.5
 MAX_RESUMES_WITHOUT_PROGRESS = 3
--- a/lentilchute/caller_answer.py
+++ b/lentilchute/entry/caller_answer.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from .entry_actions import BreakAnswer, CallerAction, SendEnd, SendHead, SendPart, SendRefusal
-from .http_messages import OUTCOME_HEADER
-from .http_responder import Responder
+from ..http.messages import OUTCOME_HEADER
+from ..http.responder import Responder
+from .actions import BreakAnswer, CallerAction, SendEnd, SendHead, SendPart, SendRefusal
 from .refusal_answers import REQUEST_ID_HEADER, refusal_answer
 
 MAX_WAITING_PARTS = 64
--- a/lentilchute/caller_interface.py
+++ b/lentilchute/entry/caller_interface.py
@@ -6,22 +6,22 @@
 import trio
 from result import Err
 
-from .entry_actions import AcceptedRequest
-from .filters import FilterContext, FilterRefusal, RequestDraft, RequestHead
-from .filters import check_body as run_body_filters
-from .filters import check_head as run_head_filters
-from .http_messages import JSON_HEADER
-from .http_requests import HeadRefusal, HttpRequest, HttpServerSettings
-from .http_requests import RequestHead as HttpRequestHead
-from .http_responder import Responder
-from .http_server import HttpServer, open_listeners
-from .ids import ServiceName
-from .metrics import UNKNOWN
-from .node_context import NodeContext, wait_until
-from .peers import PeerInfo
+from ..filters import FilterContext, FilterRefusal, RequestDraft, RequestHead
+from ..filters import check_body as run_body_filters
+from ..filters import check_head as run_head_filters
+from ..http.messages import JSON_HEADER
+from ..http.requests import HeadRefusal, HttpRequest, HttpServerSettings
+from ..http.requests import RequestHead as HttpRequestHead
+from ..http.responder import Responder
+from ..http.server import HttpServer, open_listeners
+from ..ids import ServiceName
+from ..metrics import UNKNOWN
+from ..node_context import NodeContext, wait_until
+from ..peers.heartbeats import PeerInfo
+from ..scheduler.tickets import Outcome
+from ..settings import Role
+from .actions import AcceptedRequest
 from .refusal_answers import RefusalAnswer, refusal_answer
-from .settings import Role
-from .tickets import Outcome
 
 ENTRIES_PATH = "/entries"
 MAX_NAMED_ENTRIES = 16
--- a/lentilchute/entry_controller.py
+++ b/lentilchute/entry/controller.py
@@ -5,11 +5,32 @@
 
 import trio
 
-from .caller_answer import CallerAnswer
-from .caller_interface import CallerInterface
-from .claims_controller import ClaimsController
-from .document import ServiceDocument
-from .entry_actions import (
+from ..document import ServiceDocument
+from ..events import Event, log_event
+from ..http.responder import Responder
+from ..ids import Attempt, InstanceId, RequestId, ServiceName, UpstreamId, service_of, shard_id
+from ..node_context import NodeContext, node_controller, repeat, wait_until
+from ..peers.heartbeats import PeerChange
+from ..peers.message_dispatch import MessageHandler
+from ..peers.messages import (
+    Declined,
+    Dispatched,
+    Ended,
+    GrantNotice,
+    Progress,
+    ProgressLine,
+    Refresh,
+    RefreshRequest,
+    RefusalNotice,
+    SchedulerAck,
+    Submit,
+    Withdraw,
+)
+from ..settings import Role
+from ..state.claims_controller import ClaimsController
+from ..upstream.adapters import AnswerItem
+from ..upstream.exchanges import ExchangeHooks, UpstreamExchanges
+from .actions import (
     AcceptedRequest,
     BreakAnswer,
     CancelUpstream,
@@ -34,31 +55,10 @@
     SubmitTicket,
     WithdrawTicket,
 )
-from .entry_requests import EntryRequests
-from .events import Event, log_event
-from .http_responder import Responder
-from .ids import Attempt, InstanceId, RequestId, ServiceName, UpstreamId, service_of, shard_id
+from .caller_answer import CallerAnswer
+from .caller_interface import CallerInterface
 from .local_share import LocalUpstream
-from .message_dispatch import MessageHandler
-from .messages import (
-    Declined,
-    Dispatched,
-    Ended,
-    GrantNotice,
-    Progress,
-    ProgressLine,
-    Refresh,
-    RefreshRequest,
-    RefusalNotice,
-    SchedulerAck,
-    Submit,
-    Withdraw,
-)
-from .node_context import NodeContext, node_controller, repeat, wait_until
-from .peers import PeerChange
-from .settings import Role
-from .upstream_exchanges import ExchangeHooks, UpstreamExchanges
-from .upstreams import AnswerItem
+from .requests import EntryRequests
 
 PROGRESS_INTERVAL_S = 0.1
 ORDER_INTERVAL_S = 0.5
--- a/lentilchute/grant_use.py
+++ b/lentilchute/entry/grant_use.py
@@ -2,20 +2,14 @@
 
 from dataclasses import replace
 
-from .claim_answers import ClaimRequest
-from .entry_actions import (
-    ClaimKey,
-    EntryAction,
-    ReportDispatched,
-    SendUpstream,
-    WithdrawTicket,
-)
-from .ids import Attempt, UpstreamId
+from ..ids import Attempt, UpstreamId
+from ..scheduler.tickets import Grant, RefusalReason
+from ..state.claim_answers import ClaimRequest
+from ..upstream.adapters import UpstreamRequest
+from .actions import ClaimKey, EntryAction, ReportDispatched, SendUpstream, WithdrawTicket
 from .request_book import RequestBook
 from .request_endings import decline, refuse
 from .request_state import ClaimHold, HeldRequest, RequestState
-from .tickets import Grant, RefusalReason
-from .upstreams import UpstreamRequest
 
 
 def is_awaited(held: HeldRequest, grant: Grant) -> bool:
--- a/lentilchute/local_share.py
+++ b/lentilchute/entry/local_share.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .ids import UpstreamId
+from ..ids import UpstreamId
+from ..scheduler.tickets import Grant
 from .request_state import HeldRequest, RequestState
-from .tickets import Grant
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/prompts.py
+++ b/lentilchute/entry/prompts.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from .ids import BlockHash, ModelName
+from ..ids import BlockHash, ModelName
 
 BYTES_PER_TOKEN = 4
 MAX_PREFIX_BLOCKS = 1_024
--- a/lentilchute/refusal_answers.py
+++ b/lentilchute/entry/refusal_answers.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .ids import RequestId
-from .tickets import Outcome, RefusalReason
+from ..ids import RequestId
+from ..scheduler.tickets import Outcome, RefusalReason
 
 OUTCOME_HEADER = "Lentilchute-Outcome"
 REQUEST_ID_HEADER = "Lentilchute-Request-Id"
--- a/lentilchute/request_book.py
+++ b/lentilchute/entry/request_book.py
@@ -5,8 +5,7 @@
 import random
 from collections.abc import Iterator
 
-from .entry_actions import AcceptedRequest, RefreshScheduler, SubmitTicket, WithdrawTicket
-from .ids import (
+from ..ids import (
     Attempt,
     IncarnationId,
     InstanceId,
@@ -17,10 +16,11 @@
     request_id,
     shard_id,
 )
+from ..scheduler.tickets import InFlight, Ticket
+from ..settings import NodeSettings
+from .actions import AcceptedRequest, RefreshScheduler, SubmitTicket, WithdrawTicket
 from .request_state import HeldRequest, RequestState
 from .scheduler_choice import SchedulerChoice
-from .settings import NodeSettings
-from .tickets import InFlight, Ticket
 
 
 class RequestBook:
--- a/lentilchute/request_endings.py
+++ b/lentilchute/entry/request_endings.py
@@ -4,8 +4,11 @@
 and count what the request cost.
 """
 
-from .claim_answers import KeptAnswer
-from .entry_actions import (
+from ..ids import UpstreamId
+from ..scheduler.tickets import EndState, Outcome, RefusalReason
+from ..state.claim_answers import KeptAnswer
+from ..upstream.adapters import AnswerEnd
+from .actions import (
     BreakAnswer,
     CancelUpstream,
     DeclineGrant,
@@ -21,11 +24,8 @@
     SendPart,
     SendRefusal,
 )
-from .ids import UpstreamId
 from .request_book import RequestBook
 from .request_state import ClaimHold, HeldRequest, RequestState
-from .tickets import EndState, Outcome, RefusalReason
-from .upstreams import AnswerEnd
 
 
 def refuse(
--- a/lentilchute/request_state.py
+++ b/lentilchute/entry/request_state.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .entry_actions import AcceptedRequest
-from .ids import Attempt, InstanceId, RequestId, ShardId, UpstreamId, shard_id
-from .tickets import Grant, InFlight, Outcome, Ticket
-from .upstreams import UpstreamFault
+from ..ids import Attempt, InstanceId, RequestId, ShardId, UpstreamId, shard_id
+from ..scheduler.tickets import Grant, InFlight, Outcome, Ticket
+from ..upstream.adapters import UpstreamFault
+from .actions import AcceptedRequest
 
 
 class RequestState(Enum):
--- a/lentilchute/entry_requests.py
+++ b/lentilchute/entry/requests.py
@@ -8,16 +8,24 @@
 import math
 import random
 
-from .answer_relay import relay_item, resume_if_due
-from .claim_answers import ClaimAnswer, ClaimState
-from .entry_actions import (
-    AcceptedRequest,
-    DeclineGrant,
-    EntryAction,
-    RefreshScheduler,
-    ReleaseKey,
+from ..ids import (
+    Attempt,
+    IncarnationId,
+    InstanceId,
+    RequestId,
+    ServiceName,
+    ShardId,
+    UpstreamId,
+    service_of,
+    shard_id,
 )
-from .entry_admission import admit
+from ..scheduler.tickets import EndState, Grant, InFlight, Outcome, Refusal, RefusalReason, Ticket
+from ..settings import NodeSettings
+from ..state.claim_answers import ClaimAnswer, ClaimState
+from ..upstream.adapters import AnswerItem
+from .actions import AcceptedRequest, DeclineGrant, EntryAction, RefreshScheduler, ReleaseKey
+from .admission import admit
+from .answer_relay import relay_item, resume_if_due
 from .grant_use import (
     ask_again,
     dispatch_reports,
@@ -28,17 +36,6 @@
     use_grant,
     wait_again,
 )
-from .ids import (
-    Attempt,
-    IncarnationId,
-    InstanceId,
-    RequestId,
-    ServiceName,
-    ShardId,
-    UpstreamId,
-    service_of,
-    shard_id,
-)
 from .local_share import LocalUpstream, local_grants
 from .request_book import RequestBook
 from .request_endings import (
@@ -50,9 +47,6 @@
     stop_answering,
 )
 from .request_state import ClaimHold, HeldRequest, RequestState
-from .settings import NodeSettings
-from .tickets import EndState, Grant, InFlight, Outcome, Refusal, RefusalReason, Ticket
-from .upstreams import AnswerItem
 
 KEY_WAIT_S = 60.0
 """How long a non-idempotent answer is awaited past its deadline, for the sake of its key."""
--- a/lentilchute/scheduler_choice.py
+++ b/lentilchute/entry/scheduler_choice.py
@@ -5,7 +5,7 @@
 a small share of the room.
 """
 
-from .ids import InstanceId
+from ..ids import InstanceId
 
 SILENT_FOR_S = 5.0
 
--- a/lentilchute/filters/account.py
+++ b/lentilchute/filters/account.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from ..tickets import RefusalReason
+from ..scheduler.tickets import RefusalReason
 from .chain import Stage, request_filter
 from .draft import FilterContext, FilterRefusal, RequestDraft
 
--- a/lentilchute/filters/body.py
+++ b/lentilchute/filters/body.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from ..ids import Fingerprint
-from ..tickets import RefusalReason
+from ..scheduler.tickets import RefusalReason
 from .chain import Stage, request_filter
 from .draft import FilterContext, FilterRefusal, RequestDraft
 
--- a/lentilchute/filters/chain.py
+++ b/lentilchute/filters/chain.py
@@ -14,9 +14,9 @@
 
 from result import Err, Ok, Result
 
-from ..entry_actions import AcceptedRequest
+from ..entry.actions import AcceptedRequest
 from ..ids import ClientAccountId
-from ..tickets import RefusalReason
+from ..scheduler.tickets import RefusalReason
 from .draft import FilterContext, FilterRefusal, RequestDraft, RequestHead
 
 Filter = Callable[[RequestDraft, FilterContext], FilterRefusal | None]
--- a/lentilchute/filters/draft.py
+++ b/lentilchute/filters/draft.py
@@ -4,16 +4,9 @@
 from dataclasses import dataclass, field
 
 from ..document import AccountEntry, ServiceDocument
-from ..ids import (
-    BlockHash,
-    Fingerprint,
-    IdempotencyKey,
-    ModelName,
-    ServiceName,
-    Tier,
-)
-from ..refusal_answers import RefusalFinding
-from ..tickets import RefusalReason
+from ..entry.refusal_answers import RefusalFinding
+from ..ids import BlockHash, Fingerprint, IdempotencyKey, ModelName, ServiceName, Tier
+from ..scheduler.tickets import RefusalReason
 
 HIGHEST_TIER = Tier(0)
 NO_MODEL = ModelName("")
--- a/lentilchute/filters/idempotency.py
+++ b/lentilchute/filters/idempotency.py
@@ -1,7 +1,7 @@
 """Filter: whether the request may be repeated, and its idempotency key."""
 
 from ..ids import IdempotencyKey
-from ..tickets import RefusalReason
+from ..scheduler.tickets import RefusalReason
 from .chain import Stage, request_filter
 from .draft import FilterContext, FilterRefusal, RequestDraft
 
--- a/lentilchute/filters/model_call.py
+++ b/lentilchute/filters/model_call.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from ..document import is_model_path
+from ..entry.prompts import estimate_tokens, prefix_hashes, prompt_text
 from ..ids import ModelName
-from ..prompts import estimate_tokens, prefix_hashes, prompt_text
-from ..tickets import RefusalReason
+from ..scheduler.tickets import RefusalReason
 from .chain import Stage, request_filter
 from .draft import FilterContext, FilterRefusal, RequestDraft
 
--- a/lentilchute/filters/readiness.py
+++ b/lentilchute/filters/readiness.py
@@ -1,6 +1,6 @@
 """Filter: a node that does not know its configuration admits nothing."""
 
-from ..tickets import RefusalReason
+from ..scheduler.tickets import RefusalReason
 from .chain import Stage, request_filter
 from .draft import FilterContext, FilterRefusal, RequestDraft
 
--- a/lentilchute/filters/service.py
+++ b/lentilchute/filters/service.py
@@ -1,7 +1,7 @@
 """Filter: the service and the path within it, from ``/services/{service}/{path}``."""
 
 from ..ids import ServiceName
-from ..tickets import RefusalReason
+from ..scheduler.tickets import RefusalReason
 from .chain import Stage, request_filter
 from .draft import FilterContext, FilterRefusal, RequestDraft
 
--- a/lentilchute/gateway/admission.py
+++ b/lentilchute/gateway/admission.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ..http_messages import header_value
+from ..http.messages import header_value
 from ..platform.endpoints import path_of
 from .calls import Call, CallRefusal, RefusalCause
 from .context import GatewayContext
--- a/lentilchute/gateway/calls.py
+++ b/lentilchute/gateway/calls.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..http_messages import JSON_HEADER, RETRY_AFTER_HEADER, Headers, error_body
-from ..http_requests import HttpRequest
+from ..http.messages import JSON_HEADER, RETRY_AFTER_HEADER, Headers, error_body
+from ..http.requests import HttpRequest
 from ..ids import Fingerprint, ServiceName
 from ..platform.headers import CallHeaders
 from .routes import Account, Route, RoutingConfig
--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -8,9 +8,9 @@
 import trio
 
 from ..ids import AvailabilityZone, IncarnationId, InstanceId
-from ..membership import Membership
-from ..message_dispatch import Controller
-from ..peer_links import PeerLinks
+from ..peers.links import PeerLinks
+from ..peers.membership import Membership
+from ..peers.message_dispatch import Controller
 from ..platform.store import StoreClient
 from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
--- a/lentilchute/gateway/coordination.py
+++ b/lentilchute/gateway/coordination.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 
 from ..ids import InstanceId
-from ..peers import PeerInfo
-from ..rendezvous import rendezvous_score
+from ..peers.heartbeats import PeerInfo
+from ..peers.rendezvous import rendezvous_score
 
 ORDER_KEY = "coordinator"
 STRENGTH_STEP = 0.25
--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -13,8 +13,8 @@
 
 from ..events import Event, log_event
 from ..ids import IncarnationId, InstanceId, ServiceName, Tier, UpstreamId
-from ..message_dispatch import MessageHandler
-from ..peers import PeerChangeKind
+from ..peers.heartbeats import PeerChangeKind
+from ..peers.message_dispatch import MessageHandler
 from .context import GatewayContext, gateway_controller
 from .messages import (
     FleetDigest,
--- a/lentilchute/gateway/crash_news.py
+++ b/lentilchute/gateway/crash_news.py
@@ -5,7 +5,7 @@
 
 from ..events import Event, log_event
 from ..ids import Fingerprint, InstanceId, UpstreamId
-from ..message_dispatch import MessageHandler
+from ..peers.message_dispatch import MessageHandler
 from .context import GatewayContext, gateway_controller
 from .messages import ClearedNotice, CrashNotice
 
--- a/lentilchute/gateway/desk.py
+++ b/lentilchute/gateway/desk.py
@@ -12,7 +12,7 @@
 
 from ..events import Event, log_event
 from ..ids import ClientAccountId, InstanceId
-from ..message_dispatch import MessageHandler
+from ..peers.message_dispatch import MessageHandler
 from .context import GatewayContext, gateway_controller
 from .coordinator import CoordinatorController
 from .messages import (
--- a/lentilchute/gateway/event_relay.py
+++ b/lentilchute/gateway/event_relay.py
@@ -2,7 +2,7 @@
 
 from result import Err, Ok, Result
 
-from ..sse import SseReader
+from ..http.sse import SseReader
 
 
 class EventRelay:
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from ..events import Event, log_event
-from ..http_client import (
+from ..http.client import (
     ClientRequest,
     HttpClient,
     HttpClientSettings,
@@ -14,8 +14,8 @@
     HttpHead,
     open_tcp,
 )
-from ..http_requests import HttpRequest
-from ..http_responder import Responder
+from ..http.requests import HttpRequest
+from ..http.responder import Responder
 from ..ids import Tier
 from ..platform.headers import decode_answer, decode_call, upstream_headers
 from .admission import admit
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -16,7 +16,7 @@
     ServiceName,
     UpstreamId,
 )
-from ..peer_codec import peer_message
+from ..peers.codec import peer_message
 
 NOT_MEASURED = -1.0
 """Stands for a figure that a report does not give."""
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -11,17 +11,17 @@
 
 import trio
 
-from .. import messages as node_messages
 from ..events import Event, log_event
-from ..http_messages import JSON_HEADER
-from ..http_requests import HttpRequest, HttpServerSettings
-from ..http_responder import Responder
-from ..http_server import HttpServer, open_listeners
+from ..http.messages import JSON_HEADER
+from ..http.requests import HttpRequest, HttpServerSettings
+from ..http.responder import Responder
+from ..http.server import HttpServer, open_listeners
 from ..ids import IncarnationId, InstanceId
-from ..membership import Membership
-from ..message_dispatch import dispatch, handlers_of
-from ..peer_links import LinkIdentity, PeerLinks
-from ..peers import PeerInfo
+from ..peers import messages as node_messages
+from ..peers.heartbeats import PeerInfo
+from ..peers.links import LinkIdentity, PeerLinks
+from ..peers.membership import Membership
+from ..peers.message_dispatch import dispatch, handlers_of
 from ..platform import endpoints
 from ..platform.store import StoreClient
 from ..settings import Role
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -9,9 +9,9 @@
 
 from ..events import Event, log_event
 from ..ids import InstanceId
-from ..message_dispatch import MessageHandler
-from ..peer_events import PEER_EVENTS
-from ..peers import Heartbeat, PeerAddress, PeerChange
+from ..peers.events import PEER_EVENTS
+from ..peers.heartbeats import Heartbeat, PeerAddress, PeerChange
+from ..peers.message_dispatch import MessageHandler
 from ..platform import rows
 from ..platform.store import RowWrite
 from .context import GatewayContext, gateway_controller
--- a/lentilchute/gateway/quota_keeping.py
+++ b/lentilchute/gateway/quota_keeping.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from ..events import Event, log_event
-from ..message_dispatch import MessageHandler
+from ..peers.message_dispatch import MessageHandler
 from ..platform import rows
 from ..platform.store import RowWrite
 from .context import GatewayContext, gateway_controller
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -10,7 +10,7 @@
 
 from ..events import Event, log_event
 from ..ids import InstanceId, UpstreamId
-from ..message_dispatch import MessageHandler
+from ..peers.message_dispatch import MessageHandler
 from ..platform import rows
 from ..platform.store import StoreFault, StoreRow, TablePage
 from .context import GatewayContext, gateway_controller
--- a/lentilchute/gateway/request_run.py
+++ b/lentilchute/gateway/request_run.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from ..http_messages import Headers
-from ..http_responder import Responder
+from ..http.messages import Headers
+from ..http.responder import Responder
 from ..ids import UpstreamId
 from .attempts import AttemptBook, AttemptEnd
 from .calls import Call
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -4,13 +4,7 @@
 from dataclasses import dataclass
 
 from ..ids import IncarnationId
-from .estimates import (
-    Learned,
-    UpstreamRecord,
-    merged_failure_rate,
-    merged_gap_ms,
-    merged_pace_ms,
-)
+from .estimates import Learned, UpstreamRecord, merged_failure_rate, merged_gap_ms, merged_pace_ms
 from .fleet import UpstreamListing
 from .messages import UpstreamLoad
 from .tickets import TicketKey
--- /dev/null
+++ b/lentilchute/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 on both sides, over h11 and trio."""
--- a/lentilchute/http_client.py
+++ b/lentilchute/http/client.py
@@ -14,7 +14,7 @@
 import trio
 from result import Err, Ok, Result
 
-from .http_messages import (
+from .messages import (
     READ_BYTES,
     Headers,
     detect_dead_peer,
--- a/lentilchute/http_connection.py
+++ b/lentilchute/http/connection.py
@@ -7,9 +7,9 @@
 import h11
 import trio
 
-from .events import Event, log_event
-from .http_messages import JSON_HEADER, OUTCOME_HEADER, READ_BYTES, error_body, from_wire, to_wire
-from .http_requests import (
+from ..events import Event, log_event
+from .messages import JSON_HEADER, OUTCOME_HEADER, READ_BYTES, error_body, from_wire, to_wire
+from .requests import (
     Handler,
     HeadCheck,
     HeadRefusal,
@@ -19,7 +19,7 @@
     RequestHead,
     input_error,
 )
-from .http_responder import Responder, headers_without_framing
+from .responder import Responder, headers_without_framing
 
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
--- a/lentilchute/http_messages.py
+++ b/lentilchute/http/messages.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from .errors import UserError
+from ..errors import UserError
 
 Headers = tuple[tuple[str, str], ...]
 """Header names in lower case with their values, in order."""
--- a/lentilchute/http_requests.py
+++ b/lentilchute/http/requests.py
@@ -5,14 +5,8 @@
 
 import trio
 
-from .http_messages import (
-    JSON_HEADER,
-    OUTCOME_HEADER,
-    RETRY_AFTER_HEADER,
-    Headers,
-    error_body,
-)
-from .http_responder import Responder
+from .messages import JSON_HEADER, OUTCOME_HEADER, RETRY_AFTER_HEADER, Headers, error_body
+from .responder import Responder
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/http_responder.py
+++ b/lentilchute/http/responder.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from .http_messages import HOP_BY_HOP_HEADERS, Headers, to_wire, without_headers
+from .messages import HOP_BY_HOP_HEADERS, Headers, to_wire, without_headers
 
 _FRAMING_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
 
--- a/lentilchute/http_server.py
+++ b/lentilchute/http/server.py
@@ -9,18 +9,11 @@
 
 import trio
 
-from .events import Event, log_event
-from .http_connection import ServerConnection
-from .http_messages import detect_dead_peer, split_address
-from .http_requests import (
-    Handler,
-    HeadCheck,
-    HeadRefusal,
-    HttpRequest,
-    HttpServerSettings,
-    RequestHead,
-)
-from .http_responder import Responder
+from ..events import Event, log_event
+from .connection import ServerConnection
+from .messages import detect_dead_peer, split_address
+from .requests import Handler, HeadCheck, HeadRefusal, HttpRequest, HttpServerSettings, RequestHead
+from .responder import Responder
 
 __all__ = [
     "Handler",
--- a/lentilchute/measure/baselines.py
+++ b/lentilchute/measure/baselines.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from ..tickets import CacheEvent, LoadReport
+from ..scheduler.tickets import CacheEvent, LoadReport
 from .job import Job
 from .world import ENTRY_COUNT, REPORT_INTERVAL_S, World
 
--- a/lentilchute/measure/capacity.py
+++ b/lentilchute/measure/capacity.py
@@ -17,7 +17,6 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from .. import messages
 from ..ids import (
     Attempt,
     AvailabilityZone,
@@ -32,12 +31,13 @@
     Tier,
     UpstreamId,
 )
-from ..membership import Membership
-from ..peer_codec import decode_message, encode_message
-from ..peer_frames import HEAD_BYTES
-from ..peers import PeerAddress, PeerInfo
+from ..peers import messages
+from ..peers.codec import decode_message, encode_message
+from ..peers.frames import HEAD_BYTES
+from ..peers.heartbeats import PeerAddress, PeerInfo
+from ..peers.membership import Membership
+from ..scheduler.tickets import EndState, Grant, InFlight, Ticket
 from ..settings import MembershipSettings, Role
-from ..tickets import EndState, Grant, InFlight, Ticket
 
 GROUP_SIZES = (3, 9, 16, 34, 100, 340)
 RUN_S = 30.0
--- a/lentilchute/measure/cost.py
+++ b/lentilchute/measure/cost.py
@@ -34,10 +34,10 @@
     Tier,
     UpstreamId,
 )
-from ..scheduler import ShardScheduler
+from ..scheduler.shard import ShardScheduler
+from ..scheduler.tickets import Decision, EndState, Grant, Ticket
 from ..settings import SchedulerSettings
-from ..tickets import Decision, EndState, Grant, Ticket
-from ..upstreams import Upstream
+from ..upstream.adapters import Upstream
 
 ENGINE_COUNTS = (10, 32, 100, 810)
 WAITING_COUNTS = (100, 1_000, 10_000, 100_000)
--- a/lentilchute/measure/fake_engine.py
+++ b/lentilchute/measure/fake_engine.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from ..ids import BlockHash, UpstreamId
-from ..tickets import CacheEvent, LoadReport
+from ..scheduler.tickets import CacheEvent, LoadReport
 from .clock import VirtualClock
 from .job import Job
 
--- a/lentilchute/measure/scheduled.py
+++ b/lentilchute/measure/scheduled.py
@@ -25,11 +25,20 @@
     Tier,
     UpstreamId,
 )
-from ..policy import Policy
-from ..scheduler import ShardScheduler
+from ..scheduler.policy import Policy
+from ..scheduler.shard import ShardScheduler
+from ..scheduler.tickets import (
+    CacheEvent,
+    Decision,
+    EndState,
+    Grant,
+    InFlight,
+    LoadReport,
+    Refusal,
+    Ticket,
+)
 from ..settings import SchedulerSettings
-from ..tickets import CacheEvent, Decision, EndState, Grant, InFlight, LoadReport, Refusal, Ticket
-from ..upstreams import Upstream
+from ..upstream.adapters import Upstream
 from .cases import Case
 from .job import Job, JobState
 from .workload import ACCOUNT_SHARES, TIER_SHARES
--- a/lentilchute/measure/variants.py
+++ b/lentilchute/measure/variants.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import fields
 
-from ..policy import Policy
+from ..scheduler.policy import Policy
 from .baselines import DirectRouter, least_load, round_robin, two_choices
 from .scheduled import ScheduledRouter
 from .world import Router
--- a/lentilchute/measure/world.py
+++ b/lentilchute/measure/world.py
@@ -3,7 +3,7 @@
 import random
 from typing import Protocol
 
-from ..tickets import CacheEvent
+from ..scheduler.tickets import CacheEvent
 from .cases import Case, Fault, FaultKind
 from .clock import VirtualClock
 from .fake_engine import BlockCensus, EngineEvents, FakeEngine
--- a/lentilchute/metrics.py
+++ b/lentilchute/metrics.py
@@ -23,7 +23,7 @@
 from .document import ServiceDocument
 from .ids import AvailabilityZone, DocumentVersion, InstanceId, ServiceName, Tier, UpstreamId
 from .metrics_catalogue import SECONDS_BUCKETS, Label, Metric, MetricKind
-from .tickets import RefusalReason
+from .scheduler.tickets import RefusalReason
 
 MAX_LABEL_VALUES = 256
 """Values of one label that a node tells apart; the rest count as ``other``."""
--- a/lentilchute/node.py
+++ b/lentilchute/node.py
@@ -10,37 +10,29 @@
 
 import trio
 
-from . import (
-    claim_expiry_controller,
-    configuration_controller,
-    entry_controller,
-    membership_controller,
-    operator_controller,
-    platform_http,
-    scheduler_controller,
-    upstream_controller,
-    upstream_engine,
-    upstream_plain,
-)
-from .configuration import ConfigBook
-from .entry_controller import EntryController
+from .entry import controller as entry_controller
+from .entry.controller import EntryController
 from .events import Event, log_event
 from .ids import IncarnationId, InstanceId
-from .membership import Membership
-from .message_dispatch import Controller, Handlers, dispatch, handlers_of
-from .metered_platform import MeteredPlatform
 from .metrics import Gauges, Metrics
-from .node_context import (
-    NodeContext,
-    check_document_text,
-    controllers_for,
-)
-from .operator_controller import read_gauges
-from .peer_links import LinkIdentity, PeerLinks
-from .peers import PeerAddress, PeerInfo
-from .platform_services import platform_for
+from .node_context import NodeContext, check_document_text, controllers_for
+from .operators import controller as operator_controller
+from .operators.controller import read_gauges
+from .peers import membership_controller
+from .peers.heartbeats import PeerAddress, PeerInfo
+from .peers.links import LinkIdentity, PeerLinks
+from .peers.membership import Membership
+from .peers.message_dispatch import Controller, Handlers, dispatch, handlers_of
+from .scheduler import controller as scheduler_controller
 from .settings import NodeSettings, PeerSeed
-from .upstream_directory import UpstreamDirectory
+from .state import claim_expiry_controller, configuration_controller, platform_http
+from .state.configuration import ConfigBook
+from .state.metered_platform import MeteredPlatform
+from .state.platform_services import platform_for
+from .upstream import controller as upstream_controller
+from .upstream import engine as upstream_engine
+from .upstream import plain as upstream_plain
+from .upstream.directory import UpstreamDirectory
 
 REGISTERED = (
     claim_expiry_controller,
--- a/lentilchute/node_context.py
+++ b/lentilchute/node_context.py
@@ -12,18 +12,18 @@
 
 import trio
 
-from .checked_yaml import load_document
-from .configuration import ConfigBook
 from .document import ServiceDocument
 from .ids import AvailabilityZone, IncarnationId, InstanceId, ServiceName, UpstreamId
-from .membership import Membership
-from .message_dispatch import Controller
 from .metrics import Metrics
-from .peer_links import PeerLinks
-from .peers import PeerChange
-from .platform_services import Platform
+from .peers.heartbeats import PeerChange
+from .peers.links import PeerLinks
+from .peers.membership import Membership
+from .peers.message_dispatch import Controller
 from .settings import NodeSettings, Role
-from .upstream_directory import UpstreamDirectory
+from .state.configuration import ConfigBook
+from .state.platform_services import Platform
+from .upstream.directory import UpstreamDirectory
+from .util.checked_yaml import load_document
 
 Wanted = TypeVar("Wanted")
 
--- /dev/null
+++ b/lentilchute/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface of a node."""
--- a/lentilchute/operator_api.py
+++ b/lentilchute/operators/api.py
@@ -12,8 +12,8 @@
 from pydantic import BaseModel, ConfigDict, Field
 from result import Result
 
-from .ids import DocumentVersion, InstanceId, ServiceName, UpstreamId
-from .platform_services import TableFault
+from ..ids import DocumentVersion, InstanceId, ServiceName, UpstreamId
+from ..state.platform_services import TableFault
 
 KEY_PURPOSE = b"lentilchute operator link 1"
 MAX_HISTORY_ENTRIES = 100
--- a/lentilchute/operator_client.py
+++ b/lentilchute/operators/client.py
@@ -13,10 +13,10 @@
 from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 
-from .http_client import ClientRequest, HttpClient, HttpClientSettings, HttpFault
-from .http_messages import JSON_HEADER
-from .ids import ServiceName, UpstreamId
-from .operator_api import (
+from ..http.client import ClientRequest, HttpClient, HttpClientSettings, HttpFault
+from ..http.messages import JSON_HEADER
+from ..ids import ServiceName, UpstreamId
+from .api import (
     ChangeAnswer,
     ChangeRequest,
     DocumentAnswer,
--- a/lentilchute/operator_cluster.py
+++ b/lentilchute/operators/cluster.py
@@ -9,9 +9,9 @@
 from pydantic import BaseModel
 from result import Err, Ok, Result
 
-from .ids import InstanceId, ServiceName
-from .operator_api import ChangeAnswer, ChangeRequest, ChangeState, StatusAnswer
-from .operator_client import FaultKind, OperatorClient, OperatorFault
+from ..ids import InstanceId, ServiceName
+from .api import ChangeAnswer, ChangeRequest, ChangeState, StatusAnswer
+from .client import FaultKind, OperatorClient, OperatorFault
 
 MAX_NODES = 1_000
 RETRY_INTERVAL_S = 0.2
--- a/lentilchute/operator_controller.py
+++ b/lentilchute/operators/controller.py
@@ -6,19 +6,23 @@
 
 from result import Err, Ok, Result
 
-from .configuration_apply import ApplyOperation, ApplyState, DocumentChange
-from .configuration_controller import ConfigurationController
-from .configuration_records import history_key, read_document
-from .document import ServiceDocument
-from .document_changes import apply_change
-from .events import Event, log_event
-from .http_server import HttpServer, HttpServerSettings, open_listeners
-from .ids import DocumentVersion, ServiceName, Tier, UpstreamId
-from .message_dispatch import MessageHandler
-from .messages import ConfigNotice
-from .metrics import DocumentInForce, Gauges, LearnedRates, Metrics
-from .node_context import NodeContext, node_controller
-from .operator_api import (
+from ..document import ServiceDocument
+from ..events import Event, log_event
+from ..http.server import HttpServer, HttpServerSettings, open_listeners
+from ..ids import DocumentVersion, ServiceName, Tier, UpstreamId
+from ..metrics import DocumentInForce, Gauges, LearnedRates, Metrics
+from ..node_context import NodeContext, node_controller
+from ..peers.message_dispatch import MessageHandler
+from ..peers.messages import ConfigNotice
+from ..scheduler.controller import SchedulerController
+from ..scheduler.shard_status import ShardStatus
+from ..state.configuration_apply import ApplyOperation, ApplyState, DocumentChange
+from ..state.configuration_controller import ConfigurationController
+from ..state.configuration_records import history_key, read_document
+from ..state.document_changes import apply_change
+from ..state.platform_services import TableFault
+from ..upstream.controller import UpstreamController
+from .api import (
     ChangeAnswer,
     ChangeRequest,
     ChangeState,
@@ -31,11 +35,7 @@
     UpstreamAnswer,
     operator_key,
 )
-from .operator_routes import OperatorApi
-from .platform_services import TableFault
-from .scheduler_controller import SchedulerController
-from .shard_status import ShardStatus
-from .upstream_controller import UpstreamController
+from .routes import OperatorApi
 
 CHANGE_TIMEOUT_S = 8.0
 MAX_CONNECTIONS = 64
--- /dev/null
+++ b/lentilchute/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Other nodes: who is alive, and the messages between nodes."""
--- a/lentilchute/peer_codec.py
+++ b/lentilchute/peers/codec.py
@@ -26,8 +26,8 @@
 from thriftpy2.thrift import TException
 from thriftpy2.transport import TCyMemoryBuffer
 
-from .ids import BlockHash
-from .util.thrift_bounds import check_struct
+from ..ids import BlockHash
+from ..util.thrift_bounds import check_struct
 
 RELATIVE_FIELDS = frozenset({"deadline_s", "expires_s", "dispatched_s"})
 """Fields that hold a time on the local clock here and a duration on the wire."""
--- a/lentilchute/peer_events.py
+++ b/lentilchute/peers/events.py
@@ -1,7 +1,7 @@
 """The log event for each change of a peer."""
 
-from .events import Event
-from .peers import PeerChangeKind
+from ..events import Event
+from .heartbeats import PeerChangeKind
 
 PEER_EVENTS = {
     PeerChangeKind.ALIVE: Event.PEER_ALIVE,
--- a/lentilchute/gossip.py
+++ b/lentilchute/peers/gossip.py
@@ -5,7 +5,7 @@
 size does not depend on the number of nodes.
 """
 
-from .ids import InstanceId
+from ..ids import InstanceId
 
 CHANGE_REPEATS = 3
 """A change is sent this many times for each doubling of the number of peers."""
--- a/lentilchute/hash_ring.py
+++ b/lentilchute/peers/hash_ring.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from .ids import InstanceId
+from ..ids import InstanceId
 from .rendezvous import rendezvous_score
 
 RING_KEY = "ring"
--- a/lentilchute/peers.py
+++ b/lentilchute/peers/heartbeats.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import AvailabilityZone, IncarnationId, InstanceId
-from .settings import Role
+from ..ids import AvailabilityZone, IncarnationId, InstanceId
+from ..settings import Role
 
 
 class PeerStatus(Enum):
--- a/lentilchute/peer_links.py
+++ b/lentilchute/peers/links.py
@@ -11,19 +11,12 @@
 
 import trio
 
-from .events import Event, log_event
-from .http_messages import READ_BYTES, split_address
-from .http_server import open_listeners
-from .ids import IncarnationId, InstanceId
-from .peer_codec import decode_message, encode_message, idl, read_struct, write_struct
-from .peer_frames import (
-    MAX_HELLO_BYTES,
-    NONCE_BYTES,
-    FrameError,
-    FrameReader,
-    FrameWriter,
-    derive_key,
-)
+from ..events import Event, log_event
+from ..http.messages import READ_BYTES, split_address
+from ..http.server import open_listeners
+from ..ids import IncarnationId, InstanceId
+from .codec import decode_message, encode_message, idl, read_struct, write_struct
+from .frames import MAX_HELLO_BYTES, NONCE_BYTES, FrameError, FrameReader, FrameWriter, derive_key
 
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
--- a/lentilchute/membership.py
+++ b/lentilchute/peers/membership.py
@@ -13,10 +13,10 @@
 import random
 from collections.abc import Iterable
 
+from ..ids import IncarnationId, InstanceId, ShardId
+from ..settings import MembershipSettings, Role
 from .hash_ring import Direction, HashRing
-from .ids import IncarnationId, InstanceId, ShardId
-from .peer_view import PeerView, run_order
-from .peers import (
+from .heartbeats import (
     Heartbeat,
     OutgoingHeartbeat,
     PeerAddress,
@@ -27,7 +27,7 @@
     PeerStatus,
 )
 from .rendezvous import rendezvous_order
-from .settings import MembershipSettings, Role
+from .view import PeerView, run_order
 
 JOIN_WINDOW_S = 10.0
 """A node may raise its own generation above an earlier run's until this long after a peer first
--- a/lentilchute/membership_controller.py
+++ b/lentilchute/peers/membership_controller.py
@@ -3,12 +3,12 @@
 from collections.abc import Mapping
 from typing import Any
 
-from .events import log_event
-from .ids import InstanceId
+from ..events import log_event
+from ..ids import InstanceId
+from ..node_context import NodeContext, node_controller, repeat
+from .events import PEER_EVENTS
+from .heartbeats import Heartbeat, PeerChange
 from .message_dispatch import MessageHandler
-from .node_context import NodeContext, node_controller, repeat
-from .peer_events import PEER_EVENTS
-from .peers import Heartbeat, PeerChange
 
 
 @node_controller(None)
--- a/lentilchute/message_dispatch.py
+++ b/lentilchute/peers/message_dispatch.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
-from .events import Event, error_place, log_event
-from .ids import InstanceId
+from ..events import Event, error_place, log_event
+from ..ids import InstanceId
 
 MessageHandler = Callable[[InstanceId, Any], None]
 Handlers = Mapping[type[Any], list[MessageHandler]]
--- a/lentilchute/messages.py
+++ b/lentilchute/peers/messages.py
@@ -7,19 +7,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .claim_actions import ClaimQuery, ClaimReplyState
-from .ids import (
-    Attempt,
-    DocumentVersion,
-    InstanceId,
-    RequestId,
-    ServiceName,
-    UpstreamId,
-)
-from .peer_codec import peer_message
-from .peers import Heartbeat
-from .suspects import PoisonVerdict
-from .tickets import EndState, Grant, InFlight, Refusal, Ticket
+from ..ids import Attempt, DocumentVersion, InstanceId, RequestId, ServiceName, UpstreamId
+from ..scheduler.suspects import PoisonVerdict
+from ..scheduler.tickets import EndState, Grant, InFlight, Refusal, Ticket
+from ..state.claim_actions import ClaimQuery, ClaimReplyState
+from .codec import peer_message
+from .heartbeats import Heartbeat
 
 peer_message("heartbeat")(Heartbeat)
 
--- a/lentilchute/peer_view.py
+++ b/lentilchute/peers/view.py
@@ -7,10 +7,10 @@
 import dataclasses
 from dataclasses import dataclass
 
+from ..ids import IncarnationId, InstanceId
+from ..settings import MembershipSettings
 from .gossip import GossipQueue
-from .ids import IncarnationId, InstanceId
-from .peers import PeerChange, PeerChangeKind, PeerInfo, PeerState, PeerStatus
-from .settings import MembershipSettings
+from .heartbeats import PeerChange, PeerChangeKind, PeerInfo, PeerState, PeerStatus
 
 UNWATCHED_FACTOR = 3.0
 """A new neighbour on the ring has this many times ``suspect_after_s`` for its first heartbeat."""
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..http_messages import HOP_BY_HOP_HEADERS, Headers, header_value, without_headers
+from ..http.messages import HOP_BY_HOP_HEADERS, Headers, header_value, without_headers
 from ..ids import ClientAccountId, UpstreamId
 
 # Names of the platform's headers, in lower case.
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -23,7 +23,7 @@
     WeightedService,
 )
 from ..ids import AvailabilityZone, ClientAccountId, InstanceId, ServiceName, Tier, UpstreamId
-from ..peers import PeerAddress
+from ..peers.heartbeats import PeerAddress
 
 CONFIG_TABLE = "op"
 """The operator's table."""
--- a/lentilchute/platform/store.py
+++ b/lentilchute/platform/store.py
@@ -10,7 +10,7 @@
 
 from result import Err, Ok, Result
 
-from ..http_client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings, HttpFault
+from ..http.client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings, HttpFault
 
 ROWS_GET_PATH = "/api/rows-get"
 ROWS_FEED_PATH = "/api/rows-feed"
--- /dev/null
+++ b/lentilchute/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Order and placement of the waiting requests of one shard."""
--- a/lentilchute/admission.py
+++ b/lentilchute/scheduler/admission.py
@@ -1,10 +1,10 @@
 """Admission to the waiting list, and what is shed when the list is full."""
 
-from .document import ServiceDocument
-from .ids import Tier
+from ..document import ServiceDocument
+from ..ids import Tier
+from ..settings import SchedulerSettings
 from .placing import UpstreamPool, deadline_margin
 from .policy import Policy
-from .settings import SchedulerSettings
 from .suspects import SuspectBook
 from .tickets import RefusalReason, Ticket
 from .tier_flow import TierFlow
--- a/lentilchute/scheduler_controller.py
+++ b/lentilchute/scheduler/controller.py
@@ -6,11 +6,13 @@
 
 import trio
 
-from .document import ServiceDocument, UpstreamKind
-from .events import Event, error_place, log_event
-from .ids import InstanceId, ModelName, ServiceName, UpstreamId, shard_id
-from .message_dispatch import MessageHandler
-from .messages import (
+from ..document import ServiceDocument, UpstreamKind
+from ..events import Event, error_place, log_event
+from ..ids import InstanceId, ModelName, ServiceName, UpstreamId, shard_id
+from ..node_context import NodeContext, node_controller
+from ..peers.heartbeats import PeerChange, PeerChangeKind
+from ..peers.message_dispatch import MessageHandler
+from ..peers.messages import (
     Declined,
     Dispatched,
     Ended,
@@ -24,15 +26,13 @@
     Submit,
     Withdraw,
 )
-from .node_context import NodeContext, node_controller
-from .peers import PeerChange, PeerChangeKind
-from .scheduler import ShardScheduler
-from .settings import Role
+from ..settings import Role
+from ..upstream.adapters import EngineState, UpstreamAdapter, UpstreamFault
+from ..upstream.controller import UpstreamController
+from ..upstream.directory import KnownUpstream
+from .shard import ShardScheduler
 from .shard_status import ShardStatus
 from .tickets import Decision, EndState, Grant, Refusal
-from .upstream_controller import UpstreamController
-from .upstream_directory import KnownUpstream
-from .upstreams import EngineState, UpstreamAdapter, UpstreamFault
 
 ACK_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 1.0
--- a/lentilchute/fair_queue.py
+++ b/lentilchute/scheduler/fair_queue.py
@@ -10,7 +10,7 @@
 
 from sortedcontainers import SortedList
 
-from .ids import ClientAccountId, RequestId
+from ..ids import ClientAccountId, RequestId
 
 
 class FairQueue:
--- a/lentilchute/forecast.py
+++ b/lentilchute/scheduler/forecast.py
@@ -1,6 +1,6 @@
 """Forecast of answer lengths from the lengths of earlier answers."""
 
-from .ids import Tier
+from ..ids import Tier
 from .tickets import Ticket
 
 MEMORY = 0.98
--- a/lentilchute/granting.py
+++ b/lentilchute/scheduler/granting.py
@@ -2,14 +2,14 @@
 
 import math
 
-from .document import ServiceDocument
+from ..document import ServiceDocument
+from ..ids import ClientAccountId, Tier, UpstreamId
+from ..settings import SchedulerSettings
 from .forecast import OutputForecast
-from .ids import ClientAccountId, Tier, UpstreamId
 from .placements import Placement, PlacementBook, PlacementState
 from .placing import Choice, UpstreamPool
 from .policy import Policy
 from .prefix_index import PrefixIndex
-from .settings import SchedulerSettings
 from .suspects import SuspectBook
 from .tickets import Decision, Grant, Ticket
 from .tier_flow import TierFlow
--- a/lentilchute/outcomes.py
+++ b/lentilchute/scheduler/outcomes.py
@@ -1,7 +1,7 @@
 """What becomes of granted requests: room given back, rates, caches and suspects learned."""
 
+from ..ids import RequestId, UpstreamId
 from .forecast import OutputForecast
-from .ids import RequestId, UpstreamId
 from .placements import Placement, PlacementBook, PlacementState
 from .placing import UpstreamPool
 from .policy import Policy
--- a/lentilchute/placements.py
+++ b/lentilchute/scheduler/placements.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import TypeVar
 
-from .ids import InstanceId, RequestId, UpstreamId
+from ..ids import InstanceId, RequestId, UpstreamId
 from .tickets import Ticket
 
 LONGEST_RUN_PAST_DEADLINE_S = 65.0
--- a/lentilchute/placing.py
+++ b/lentilchute/scheduler/placing.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from ..ids import Tier, UpstreamId
 from .forecast import OutputForecast
-from .ids import Tier, UpstreamId
 from .policy import Policy
 from .prefix_index import PrefixIndex
 from .suspects import SuspectBook
--- a/lentilchute/prefix_index.py
+++ b/lentilchute/scheduler/prefix_index.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from .ids import BlockHash, UpstreamId
+from ..ids import BlockHash, UpstreamId
 from .tickets import CacheEvent
 
 MAX_BLOCKS = 8_192
--- a/lentilchute/retry_after.py
+++ b/lentilchute/scheduler/retry_after.py
@@ -2,7 +2,7 @@
 
 import random
 
-from .settings import SchedulerSettings
+from ..settings import SchedulerSettings
 
 DRAIN_WINDOW_S = 5.0
 INITIAL_DRAIN_PER_S = 10.0
--- a/lentilchute/scheduler.py
+++ b/lentilchute/scheduler/shard.py
@@ -13,19 +13,20 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
+from ..document import ServiceDocument, UpstreamGroup
+from ..ids import Attempt, InstanceId, ModelName, RequestId, ShardId, Tier, UpstreamId
+from ..settings import SchedulerSettings
+from ..upstream.adapters import Upstream
 from .admission import Admission
 from .decline import mark_declined
-from .document import ServiceDocument, UpstreamGroup
 from .forecast import OutputForecast
 from .granting import Granter
-from .ids import Attempt, InstanceId, ModelName, RequestId, ShardId, Tier, UpstreamId
 from .outcomes import Outcomes
 from .placements import PlacementBook, PlacementState
 from .placing import UpstreamPool
 from .policy import FULL_POLICY, Policy
 from .prefix_index import PrefixIndex
 from .retry_after import DrainRate, RetryAfter
-from .settings import SchedulerSettings
 from .shard_status import ShardStatus
 from .suspects import PoisonVerdict, SuspectBook
 from .tickets import (
@@ -38,7 +39,6 @@
     RefusalReason,
     Ticket,
 )
-from .upstreams import Upstream
 from .waiting import Waiting, WaitingList
 
 REMEMBERED_ENDS = 4_096
--- a/lentilchute/shard_status.py
+++ b/lentilchute/scheduler/shard_status.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .ids import ShardId, Tier, UpstreamId
+from ..ids import ShardId, Tier, UpstreamId
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/suspects.py
+++ b/lentilchute/scheduler/suspects.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import Fingerprint, RequestId
+from ..ids import Fingerprint, RequestId
 
 CRASHES_TO_CONDEMN = 2
 CRASHES_IN_DOUBT = 3
--- a/lentilchute/tickets.py
+++ b/lentilchute/scheduler/tickets.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import (
+from ..ids import (
     Attempt,
     AvailabilityZone,
     BlockHash,
--- a/lentilchute/tier_flow.py
+++ b/lentilchute/scheduler/tier_flow.py
@@ -2,7 +2,7 @@
 
 import math
 
-from .ids import Tier
+from ..ids import Tier
 
 HALF_LIFE_S = 2.0
 SETTLED_S = 2.0
--- a/lentilchute/upstream_load.py
+++ b/lentilchute/scheduler/upstream_load.py
@@ -1,7 +1,7 @@
 """What a scheduler knows of one upstream: its room, its work in flight and its rates."""
 
-from .document import UpstreamGroup
-from .ids import ModelName, RequestId, Tier, UpstreamId
+from ..document import UpstreamGroup
+from ..ids import ModelName, RequestId, Tier, UpstreamId
 from .limits import AdaptiveLimits
 from .policy import Policy
 from .rates import UpstreamRates
--- a/lentilchute/waiting.py
+++ b/lentilchute/scheduler/waiting.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ..ids import ClientAccountId, InstanceId, RequestId, Tier
 from .fair_queue import FairQueue
-from .ids import ClientAccountId, InstanceId, RequestId, Tier
 from .policy import Policy
 from .tickets import Ticket
 
--- a/lentilchute/standins/engine.py
+++ b/lentilchute/standins/engine.py
@@ -11,11 +11,11 @@
 
 import trio
 
-from ..http_messages import REQUEST_ID_HEADER, header_value
-from ..http_responder import Responder
-from ..http_server import HttpRequest
+from ..entry.prompts import estimate_tokens, prefix_hashes, prompt_text
+from ..http.messages import REQUEST_ID_HEADER, header_value
+from ..http.responder import Responder
+from ..http.server import HttpRequest
 from ..ids import BlockHash, ModelName
-from ..prompts import estimate_tokens, prefix_hashes, prompt_text
 from .engine_orders import HeldState, OrderBody
 from .engine_runs import EngineRuns, Run, RunRecord, RunRequest
 from .engine_settings import EngineControl, EngineStandinSettings
--- a/lentilchute/standins/engine_stream.py
+++ b/lentilchute/standins/engine_stream.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..http_messages import JSON_HEADER, REQUEST_ID_HEADER, Headers
-from ..http_responder import Responder
+from ..http.messages import JSON_HEADER, REQUEST_ID_HEADER, Headers
+from ..http.responder import Responder
 from .engine_runs import Run, RunState
 
 EVENT_STREAM_HEADER = ("content-type", "text/event-stream")
--- a/lentilchute/standins/host.py
+++ b/lentilchute/standins/host.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from ..http_messages import join_address
-from ..http_server import Handler, HttpServer, HttpServerSettings, open_listeners
+from ..http.messages import join_address
+from ..http.server import Handler, HttpServer, HttpServerSettings, open_listeners
 
 
 class StandinHost:
--- a/lentilchute/standins/plain.py
+++ b/lentilchute/standins/plain.py
@@ -10,9 +10,9 @@
 
 import trio
 
-from ..http_messages import JSON_HEADER, REQUEST_ID_HEADER, Headers, header_value
-from ..http_responder import Responder
-from ..http_server import HttpRequest
+from ..http.messages import JSON_HEADER, REQUEST_ID_HEADER, Headers, header_value
+from ..http.responder import Responder
+from ..http.server import HttpRequest
 from .host import StandinHost
 from .routes import Router, WireModel, read_body, reply_json
 
--- a/lentilchute/standins/platform.py
+++ b/lentilchute/standins/platform.py
@@ -11,9 +11,16 @@
 
 import trio
 
-from ..http_responder import Responder
-from ..http_server import HttpRequest
-from ..platform_services import Condition, ListedInstance, ListedState, Row, Transaction, Write
+from ..http.responder import Responder
+from ..http.server import HttpRequest
+from ..state.platform_services import (
+    Condition,
+    ListedInstance,
+    ListedState,
+    Row,
+    Transaction,
+    Write,
+)
 from .host import StandinHost
 from .platform_state import Outage, PlatformControl, PlatformState, WriteFate
 from .routes import Route, Router, WireModel, read_body, reply_error, reply_json
--- a/lentilchute/standins/platform_state.py
+++ b/lentilchute/standins/platform_state.py
@@ -5,7 +5,7 @@
 
 from sortedcontainers import SortedDict
 
-from ..platform_services import Condition, ListedInstance, Row, Transaction
+from ..state.platform_services import Condition, ListedInstance, Row, Transaction
 from .routes import WireModel
 
 
--- a/lentilchute/standins/routed_upstream.py
+++ b/lentilchute/standins/routed_upstream.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from ..http_messages import Headers, header_value
-from ..http_requests import HttpRequest, HttpServerSettings
-from ..http_responder import Responder
-from ..http_server import HttpServer
+from ..http.messages import Headers, header_value
+from ..http.requests import HttpRequest, HttpServerSettings
+from ..http.responder import Responder
+from ..http.server import HttpServer
 from ..platform import headers as names
 
 
--- a/lentilchute/standins/routes.py
+++ b/lentilchute/standins/routes.py
@@ -6,9 +6,9 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from ..http_messages import JSON_HEADER, REQUEST_ID_HEADER, Headers, error_body, header_value
-from ..http_responder import Responder
-from ..http_server import HttpRequest
+from ..http.messages import JSON_HEADER, REQUEST_ID_HEADER, Headers, error_body, header_value
+from ..http.responder import Responder
+from ..http.server import HttpRequest
 
 Route = Callable[[HttpRequest, Responder], Awaitable[None]]
 Model = TypeVar("Model", bound=BaseModel)
--- a/lentilchute/standins/store.py
+++ b/lentilchute/standins/store.py
@@ -10,10 +10,10 @@
 
 import trio
 
-from ..http_messages import JSON_HEADER
-from ..http_requests import HttpRequest, HttpServerSettings
-from ..http_responder import Responder
-from ..http_server import HttpServer
+from ..http.messages import JSON_HEADER
+from ..http.requests import HttpRequest, HttpServerSettings
+from ..http.responder import Responder
+from ..http.server import HttpServer
 from ..platform import store as names
 
 
--- a/lentilchute/claim_actions.py
+++ b/lentilchute/state/claim_actions.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ..ids import IncarnationId, RequestId
 from .claim_answers import ClaimAnswer
-from .ids import IncarnationId, RequestId
 from .platform_services import Transaction
 
 
--- a/lentilchute/claim_answers.py
+++ b/lentilchute/state/claim_answers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import ClientAccountId, Fingerprint, IdempotencyKey, RequestId, ServiceName
+from ..ids import ClientAccountId, Fingerprint, IdempotencyKey, RequestId, ServiceName
 
 
 class ClaimState(Enum):
--- a/lentilchute/claim_expiry_controller.py
+++ b/lentilchute/state/claim_expiry_controller.py
@@ -10,11 +10,11 @@
 import trio
 from result import Ok
 
+from ..ids import ServiceName, shard_id
+from ..node_context import NodeContext, node_controller
+from ..peers.message_dispatch import MessageHandler
+from ..settings import Role
 from .claim_expiry import ClaimExpiry, DeleteExpired, ReadClaims, ScanExpired, SweepAction
-from .ids import ServiceName, shard_id
-from .message_dispatch import MessageHandler
-from .node_context import NodeContext, node_controller
-from .settings import Role
 
 SWEEP_SHARD = shard_id(ServiceName("claim-expiry"))
 CHECK_INTERVAL_S = 5.0
--- a/lentilchute/claim_index.py
+++ b/lentilchute/state/claim_index.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from .ids import RequestId
+from ..ids import RequestId
 from .key_claim import Intent, KeyClaim, Need
 
 
--- a/lentilchute/claim_records.py
+++ b/lentilchute/state/claim_records.py
@@ -14,8 +14,8 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from ..ids import IncarnationId, RequestId, incarnation_of
 from .claim_answers import ClaimRequest, KeptAnswer
-from .ids import IncarnationId, RequestId, incarnation_of
 
 EXPIRY_PREFIX = "claim-expiry/"
 SECONDS_PER_HOUR = 3_600
--- a/lentilchute/claim_writes.py
+++ b/lentilchute/state/claim_writes.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..settings import ClaimSettings
 from .claim_records import (
     ClaimRecord,
     ExpiryRecord,
@@ -13,7 +14,6 @@
 )
 from .key_claim import Intent, KeyClaim
 from .platform_services import Condition, Transaction, Write
-from .settings import ClaimSettings
 
 _STATE_OF_INTENT = {
     Intent.CLAIM: RecordState.CLAIMED,
--- a/lentilchute/claims.py
+++ b/lentilchute/state/claims.py
@@ -15,6 +15,8 @@
 
 from result import Err, Ok, Result
 
+from ..ids import IncarnationId, RequestId
+from ..settings import ClaimSettings
 from .claim_actions import (
     AskClaimant,
     ClaimAction,
@@ -31,10 +33,8 @@
 from .claim_index import ClaimIndex
 from .claim_records import answer_object_key, claim_key, decode_answer, encode_answer
 from .claim_writes import build_batch
-from .ids import IncarnationId, RequestId
 from .key_claim import Intent, KeyClaim, Need, Verdict, judge_row
 from .platform_services import Row, TableFault
-from .settings import ClaimSettings
 from .table_pace import TablePace
 
 RECHECK_DELAY_S = 0.25
--- a/lentilchute/claims_controller.py
+++ b/lentilchute/state/claims_controller.py
@@ -5,6 +5,12 @@
 
 import trio
 
+from ..events import Event, log_event
+from ..ids import InstanceId, RequestId, instance_of
+from ..node_context import NodeContext, wait_until
+from ..peers.heartbeats import PeerChange, PeerChangeKind
+from ..peers.message_dispatch import MessageHandler
+from ..peers.messages import ClaimQuestion, ClaimReply
 from .claim_actions import (
     AskClaimant,
     ClaimAction,
@@ -18,12 +24,6 @@
 )
 from .claim_answers import ClaimAnswer, ClaimRequest, ClaimState, KeptAnswer
 from .claims import ClaimBook
-from .events import Event, log_event
-from .ids import InstanceId, RequestId, instance_of
-from .message_dispatch import MessageHandler
-from .messages import ClaimQuestion, ClaimReply
-from .node_context import NodeContext, wait_until
-from .peers import PeerChange, PeerChangeKind
 
 QUERY_TIMEOUT_S = 1.0
 MIN_PAUSE_S = 0.005
--- a/lentilchute/configuration.py
+++ b/lentilchute/state/configuration.py
@@ -11,6 +11,9 @@
 
 from result import Err, Ok, Result
 
+from ..document import ServiceDocument
+from ..ids import DocumentVersion, InstanceId, ServiceName
+from ..settings import MembershipSettings
 from .configuration_records import (
     DocumentRecord,
     digest_of,
@@ -18,10 +21,7 @@
     read_document,
     read_index,
 )
-from .document import ServiceDocument
-from .ids import DocumentVersion, InstanceId, ServiceName
 from .platform_services import Row, TableFault
-from .settings import MembershipSettings
 
 BEHIND_LIMIT_S = 5.0
 """A node that knows of a higher version but cannot get it stops being ready after this long."""
--- a/lentilchute/configuration_apply.py
+++ b/lentilchute/state/configuration_apply.py
@@ -12,6 +12,7 @@
 
 from result import Err, Ok, Result
 
+from ..ids import DocumentVersion, ServiceName
 from .configuration_records import (
     INDEX_KEY,
     DocumentRecord,
@@ -21,7 +22,6 @@
     read_document,
     read_index,
 )
-from .ids import DocumentVersion, ServiceName
 from .platform_services import Condition, Row, TableFault, Transaction, Write
 
 RETRY_DELAY_S = 0.25
--- a/lentilchute/configuration_controller.py
+++ b/lentilchute/state/configuration_controller.py
@@ -5,6 +5,12 @@
 
 import trio
 
+from ..events import Event, log_event
+from ..ids import DocumentVersion, InstanceId, ServiceName
+from ..node_context import NodeContext, node_controller
+from ..peers.heartbeats import Heartbeat, PeerChange, PeerChangeKind
+from ..peers.message_dispatch import MessageHandler
+from ..peers.messages import ConfigNotice, ConfigVersions, ServiceVersion
 from .configuration import (
     ConfigAction,
     DocumentInForce,
@@ -15,12 +21,6 @@
     SendVersions,
 )
 from .configuration_records import INDEX_KEY
-from .events import Event, log_event
-from .ids import DocumentVersion, InstanceId, ServiceName
-from .message_dispatch import MessageHandler
-from .messages import ConfigNotice, ConfigVersions, ServiceVersion
-from .node_context import NodeContext, node_controller
-from .peers import Heartbeat, PeerChange, PeerChangeKind
 
 MAX_SLEEP_S = 0.5
 
--- a/lentilchute/configuration_records.py
+++ b/lentilchute/state/configuration_records.py
@@ -11,7 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
-from .ids import DocumentVersion, ServiceName
+from ..ids import DocumentVersion, ServiceName
 
 INDEX_KEY = "config-index"
 VERSION_DIGITS = 10
--- a/lentilchute/document_changes.py
+++ b/lentilchute/state/document_changes.py
@@ -2,12 +2,7 @@
 
 import trio
 
-from .configuration_apply import (
-    ApplyOperation,
-    CommitChange,
-    DocumentChange,
-    ReadRows,
-)
+from .configuration_apply import ApplyOperation, CommitChange, DocumentChange, ReadRows
 from .platform_services import Table
 
 
--- a/lentilchute/engine_orders.py
+++ b/lentilchute/state/engine_orders.py
@@ -26,11 +26,11 @@
 
 from result import Err, Result
 
-from .document import Fencing
-from .ids import FencingNumber, ModelName, ServiceName, UpstreamId
+from ..document import Fencing
+from ..ids import FencingNumber, ModelName, ServiceName, UpstreamId
+from ..upstream.adapters import EngineOrder, EngineState, UpstreamFault
 from .order_records import OrderRecord, order_fencing, order_key, order_prefix
 from .platform_services import Condition, Row, TableFault, Transaction, Write
-from .upstreams import EngineOrder, EngineState, UpstreamFault
 
 STATE_POLL_S = 2.0
 """Each engine is asked for its state at this interval."""
--- a/lentilchute/lease_records.py
+++ b/lentilchute/state/lease_records.py
@@ -2,7 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from .ids import FencingNumber, IncarnationId, ServiceName
+from ..ids import FencingNumber, IncarnationId, ServiceName
 
 
 class LeaseRecord(BaseModel):
--- a/lentilchute/leases.py
+++ b/lentilchute/state/leases.py
@@ -13,7 +13,7 @@
 
 from result import Err, Result
 
-from .ids import FencingNumber, IncarnationId, ServiceName
+from ..ids import FencingNumber, IncarnationId, ServiceName
 from .lease_records import LeaseRecord, lease_key, next_fencing, read_lease
 from .platform_services import Condition, Row, TableFault, Transaction, Write
 
--- a/lentilchute/metered_platform.py
+++ b/lentilchute/state/metered_platform.py
@@ -2,7 +2,7 @@
 
 from result import Err, Result
 
-from .metrics import Metrics
+from ..metrics import Metrics
 from .platform_services import (
     InstanceList,
     ObjectStore,
--- a/lentilchute/order_records.py
+++ b/lentilchute/state/order_records.py
@@ -2,7 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from .ids import FencingNumber, ServiceName, UpstreamId
+from ..ids import FencingNumber, ServiceName, UpstreamId
 
 ORDERS_PER_LEASE = 1 << 20
 """Orders that one holder can number; the lease's number fills the higher digits."""
--- a/lentilchute/platform_http.py
+++ b/lentilchute/state/platform_http.py
@@ -13,9 +13,10 @@
 from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from .events import Event, log_event
-from .http_client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings
-from .http_messages import JSON_HEADER
+from ..events import Event, log_event
+from ..http.client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings
+from ..http.messages import JSON_HEADER
+from ..settings import PlatformSettings
 from .platform_services import (
     InstanceList,
     ListedInstance,
@@ -26,7 +27,6 @@
     Transaction,
     register_platform,
 )
-from .settings import PlatformSettings
 
 Value = TypeVar("Value")
 
--- a/lentilchute/platform_services.py
+++ b/lentilchute/state/platform_services.py
@@ -11,8 +11,8 @@
 
 from result import Result
 
-from .errors import UserError
-from .settings import PlatformSettings
+from ..errors import UserError
+from ..settings import PlatformSettings
 
 
 class TableFault(Enum):
--- a/lentilchute/table_pace.py
+++ b/lentilchute/state/table_pace.py
@@ -6,9 +6,9 @@
 
 from result import Err, Result
 
+from ..settings import ClaimSettings
+from ..util.token_bucket import TokenBucket
 from .platform_services import TableFault
-from .settings import ClaimSettings
-from .token_bucket import TokenBucket
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0
--- a/lentilchute/ui/apply.py
+++ b/lentilchute/ui/apply.py
@@ -11,21 +11,15 @@
 from pydantic import ValidationError
 from result import Err
 
-from ..checked_yaml import load_document, read_text
 from ..document import ServiceDocument
 from ..errors import ExitCode, FindingsError, UserError
 from ..ids import DocumentVersion, ServiceName
-from ..operator_api import ChangeAnswer, ChangeRequest, ChangeState
-from ..operator_client import OperatorClient
-from ..operator_cluster import ClusterStatus, ask_all, submit_change
+from ..operators.api import ChangeAnswer, ChangeRequest, ChangeState
+from ..operators.client import OperatorClient
+from ..operators.cluster import ClusterStatus, ask_all, submit_change
+from ..util.checked_yaml import load_document, read_text
 from .document_texts import difference, document_in_force, split_version_line
-from .nodes import (
-    ConflictError,
-    NodeOptions,
-    UnknownOutcomeError,
-    UnreachableError,
-    open_cluster,
-)
+from .nodes import ConflictError, NodeOptions, UnknownOutcomeError, UnreachableError, open_cluster
 from .progress import Progress
 from .registry import register_command
 
--- a/lentilchute/ui/call.py
+++ b/lentilchute/ui/call.py
@@ -12,11 +12,11 @@
 import trio
 from result import Err
 
-from ..caller_client import CallerClient, CallerSettings, CallRequest, CallResult, CallState
+from ..caller.client import CallerClient, CallerSettings, CallRequest, CallResult, CallState
 from ..errors import ExitCode, UserError
-from ..http_messages import JSON_HEADER
-from ..sse import SseReader
-from ..tickets import Outcome
+from ..http.messages import JSON_HEADER
+from ..http.sse import SseReader
+from ..scheduler.tickets import Outcome
 from .registry import register_command
 
 KEY_VARIABLE = "LENTILCHUTE_KEY"
--- a/lentilchute/ui/check.py
+++ b/lentilchute/ui/check.py
@@ -8,8 +8,8 @@
 import cappa
 from result import Err, Result
 
-from ..checked_yaml import load_document, load_settings_text, read_bounded, read_text
 from ..errors import ExitCode, Finding
+from ..util.checked_yaml import load_document, load_settings_text, read_bounded, read_text
 from .registry import register_command
 
 
--- a/lentilchute/ui/document_texts.py
+++ b/lentilchute/ui/document_texts.py
@@ -6,9 +6,9 @@
 from result import Err
 
 from ..ids import DocumentVersion, ServiceName
-from ..operator_api import DocumentAnswer
-from ..operator_client import FaultKind, OperatorClient
-from ..operator_cluster import first_answer
+from ..operators.api import DocumentAnswer
+from ..operators.client import FaultKind, OperatorClient
+from ..operators.cluster import first_answer
 from .nodes import unwrap_first
 
 MAX_DIFF_LINES = 60
--- a/lentilchute/ui/drain.py
+++ b/lentilchute/ui/drain.py
@@ -10,7 +10,7 @@
 
 from ..errors import ExitCode, UserError
 from ..ids import UpstreamId
-from ..operator_cluster import ClusterStatus, ask_all
+from ..operators.cluster import ClusterStatus, ask_all
 from .nodes import Cluster, NodeOptions, open_cluster
 from .progress import Progress
 from .registry import register_command
--- a/lentilchute/ui/gateway.py
+++ b/lentilchute/ui/gateway.py
@@ -9,12 +9,12 @@
 import trio
 from result import Err
 
-from ..checked_yaml import default_settings, load_over_defaults, read_text
 from ..errors import ExitCode, FindingsError, UserError
 from ..events import Event, log_event
 from ..gateway.node import GatewayNode
 from ..gateway.settings import GatewaySettings
 from ..logs import LogWriter, open_log
+from ..util.checked_yaml import default_settings, load_over_defaults, read_text
 from .registry import register_command
 
 DEFAULTS_FILE = "gateway_default.yaml"
--- a/lentilchute/ui/history.py
+++ b/lentilchute/ui/history.py
@@ -8,8 +8,8 @@
 
 from ..errors import ExitCode
 from ..ids import ServiceName
-from ..operator_api import HistoryAnswer
-from ..operator_cluster import first_answer
+from ..operators.api import HistoryAnswer
+from ..operators.cluster import first_answer
 from .nodes import NodeOptions, open_cluster, unwrap_first
 from .registry import register_command
 from .text_table import columns
--- a/lentilchute/ui/nodes.py
+++ b/lentilchute/ui/nodes.py
@@ -10,12 +10,12 @@
 import cappa
 from result import Err, Ok, Result
 
-from ..checked_yaml import load_settings
 from ..errors import ExitCode, FindingsError, UserError
 from ..ids import InstanceId, ServiceName
-from ..operator_api import operator_key
-from ..operator_client import FaultKind, OperatorClient, OperatorFault
-from ..operator_cluster import ClusterStatus, ask_all
+from ..operators.api import operator_key
+from ..operators.client import FaultKind, OperatorClient, OperatorFault
+from ..operators.cluster import ClusterStatus, ask_all
+from ..util.checked_yaml import load_settings
 
 Answer = TypeVar("Answer")
 
--- a/lentilchute/ui/operator_key.py
+++ b/lentilchute/ui/operator_key.py
@@ -6,9 +6,9 @@
 import cappa
 from result import Err
 
-from ..checked_yaml import load_settings
 from ..errors import ExitCode, FindingsError
-from ..operator_api import operator_key
+from ..operators.api import operator_key
+from ..util.checked_yaml import load_settings
 from .registry import register_command
 
 
--- a/lentilchute/ui/serve.py
+++ b/lentilchute/ui/serve.py
@@ -8,11 +8,11 @@
 import trio
 from result import Err
 
-from ..checked_yaml import load_settings
 from ..errors import ExitCode, FindingsError, UserError
 from ..logs import LogWriter, open_log
 from ..node import Node
 from ..settings import NodeSettings
+from ..util.checked_yaml import load_settings
 from .registry import register_command
 
 
--- a/lentilchute/ui/show.py
+++ b/lentilchute/ui/show.py
@@ -8,8 +8,8 @@
 
 from ..errors import ExitCode
 from ..ids import ServiceName
-from ..operator_api import DocumentAnswer
-from ..operator_cluster import first_answer
+from ..operators.api import DocumentAnswer
+from ..operators.cluster import first_answer
 from .document_texts import with_version_line
 from .nodes import NodeOptions, open_cluster, unwrap_first
 from .registry import register_command
--- a/lentilchute/ui/status.py
+++ b/lentilchute/ui/status.py
@@ -10,8 +10,8 @@
 
 from ..errors import ExitCode
 from ..ids import DocumentVersion, ServiceName
-from ..operator_api import StatusAnswer, UpstreamAnswer
-from ..operator_cluster import ClusterStatus
+from ..operators.api import StatusAnswer, UpstreamAnswer
+from ..operators.cluster import ClusterStatus
 from .nodes import NodeOptions, open_cluster
 from .registry import register_command
 from .text_table import columns
--- /dev/null
+++ b/lentilchute/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: their states, and the adapters that talk to them."""
--- a/lentilchute/upstreams.py
+++ b/lentilchute/upstream/adapters.py
@@ -14,10 +14,10 @@
 
 from result import Result
 
-from .document import UpstreamKind
-from .errors import UserError
-from .ids import FencingNumber, RequestId, UpstreamId
-from .tickets import CacheEvent, LoadReport
+from ..document import UpstreamKind
+from ..errors import UserError
+from ..ids import FencingNumber, RequestId, UpstreamId
+from ..scheduler.tickets import CacheEvent, LoadReport
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/upstream_calls.py
+++ b/lentilchute/upstream/calls.py
@@ -5,8 +5,8 @@
 
 from result import Err, Ok, Result
 
-from .http_client import ClientRequest, HttpAnswer, HttpClient, HttpFault, HttpHead
-from .http_messages import (
+from ..http.client import ClientRequest, HttpAnswer, HttpClient, HttpFault, HttpHead
+from ..http.messages import (
     HOP_BY_HOP_HEADERS,
     JSON_HEADER,
     REQUEST_ID_HEADER,
@@ -14,9 +14,9 @@
     header_value,
     without_headers,
 )
-from .ids import RequestId, UpstreamId
-from .tickets import LoadReport
-from .upstreams import AnswerHead, UpstreamFault, UpstreamRequest
+from ..ids import RequestId, UpstreamId
+from ..scheduler.tickets import LoadReport
+from .adapters import AnswerHead, UpstreamFault, UpstreamRequest
 
 LONGEST_DEADLINE_S = 604_800.0
 """No deadline in a service document is longer; bounds waits that a deadline should end."""
--- a/lentilchute/upstream_controller.py
+++ b/lentilchute/upstream/controller.py
@@ -6,14 +6,14 @@
 
 import trio
 
-from .events import Event, log_event
-from .ids import InstanceId, UpstreamId
+from ..events import Event, log_event
+from ..ids import InstanceId, UpstreamId
+from ..node_context import NodeContext, node_controller
+from ..peers.heartbeats import PeerAddress, PeerChange, PeerChangeKind
+from ..peers.message_dispatch import MessageHandler
+from ..peers.messages import UpstreamNews, UpstreamNotice
+from ..state.platform_services import ListedInstance, ListedState
 from .instance_watch import WatchChange, WatchedState
-from .message_dispatch import MessageHandler
-from .messages import UpstreamNews, UpstreamNotice
-from .node_context import NodeContext, node_controller
-from .peers import PeerAddress, PeerChange, PeerChangeKind
-from .platform_services import ListedInstance, ListedState
 
 ENTRY_KIND = "entry"
 
--- a/lentilchute/upstream_directory.py
+++ b/lentilchute/upstream/directory.py
@@ -6,11 +6,11 @@
 
 from dataclasses import dataclass
 
-from .document import ServiceDocument, UpstreamGroup
-from .ids import ServiceName, UpstreamId
+from ..document import ServiceDocument, UpstreamGroup
+from ..ids import ServiceName, UpstreamId
+from ..state.platform_services import ListedInstance
+from .adapters import Upstream, UpstreamAdapter, adapter_for
 from .instance_watch import InstanceWatch, WatchedState
-from .platform_services import ListedInstance
-from .upstreams import Upstream, UpstreamAdapter, adapter_for
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/upstream_engine.py
+++ b/lentilchute/upstream/engine.py
@@ -13,21 +13,12 @@
 from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from .http_client import ClientRequest, HttpClient, HttpExchange, HttpHead, always_send
-from .http_messages import header_value
-from .ids import BlockHash, FencingNumber, RequestId
-from .sse import SseEvent, SseReader
-from .tickets import CacheEvent, LoadReport
-from .upstream_calls import (
-    LONGEST_DEADLINE_S,
-    STATUS_NOT_SUPPORTED,
-    SideCalls,
-    answer_head,
-    echoes,
-    request_message,
-    to_upstream_fault,
-)
-from .upstreams import (
+from ..http.client import ClientRequest, HttpClient, HttpExchange, HttpHead, always_send
+from ..http.messages import header_value
+from ..http.sse import SseEvent, SseReader
+from ..ids import BlockHash, FencingNumber, RequestId
+from ..scheduler.tickets import CacheEvent, LoadReport
+from .adapters import (
     AnswerEnd,
     AnswerItem,
     AnswerPart,
@@ -38,6 +29,15 @@
     UpstreamRequest,
     register_upstream,
 )
+from .calls import (
+    LONGEST_DEADLINE_S,
+    STATUS_NOT_SUPPORTED,
+    SideCalls,
+    answer_head,
+    echoes,
+    request_message,
+    to_upstream_fault,
+)
 
 MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
 RESUME_HEAD_TIMEOUT_S = 10.0
--- a/lentilchute/upstream_exchanges.py
+++ b/lentilchute/upstream/exchanges.py
@@ -7,11 +7,11 @@
 
 import trio
 
-from .entry_actions import CancelUpstream, ResumeUpstream, SendUpstream
-from .events import Event, error_place, log_event
-from .ids import Attempt, RequestId
-from .upstream_directory import UpstreamDirectory
-from .upstreams import AnswerItem, UpstreamFault
+from ..entry.actions import CancelUpstream, ResumeUpstream, SendUpstream
+from ..events import Event, error_place, log_event
+from ..ids import Attempt, RequestId
+from .adapters import AnswerItem, UpstreamFault
+from .directory import UpstreamDirectory
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/instance_watch.py
+++ b/lentilchute/upstream/instance_watch.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import UpstreamId
-from .platform_services import ListedInstance, ListedState
+from ..ids import UpstreamId
+from ..state.platform_services import ListedInstance, ListedState
 
 LIST_SETTLE_S = 10.0
 """Longer than the list's usual lag: a change back to live is believed after this long."""
--- a/lentilchute/upstream_plain.py
+++ b/lentilchute/upstream/plain.py
@@ -5,11 +5,10 @@
 
 from result import Err, Ok, Result
 
-from .http_client import HttpClient
-from .ids import FencingNumber, RequestId
-from .tickets import CacheEvent, LoadReport
-from .upstream_calls import SideCalls, answer_head, echoes, request_message, to_upstream_fault
-from .upstreams import (
+from ..http.client import HttpClient
+from ..ids import FencingNumber, RequestId
+from ..scheduler.tickets import CacheEvent, LoadReport
+from .adapters import (
     AnswerEnd,
     AnswerItem,
     AnswerPart,
@@ -20,6 +19,7 @@
     UpstreamRequest,
     register_upstream,
 )
+from .calls import SideCalls, answer_head, echoes, request_message, to_upstream_fault
 
 
 @register_upstream("plain")
--- a/lentilchute/checked_yaml.py
+++ b/lentilchute/util/checked_yaml.py
@@ -14,13 +14,14 @@
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from .document import Part, PartProblemsError, ServiceDocument
-from .errors import Finding, Place
-from .settings import NodeSettings
-from .util.schema import Schema, describe, schema_at, schema_of
+from ..document import Part, PartProblemsError, ServiceDocument
+from ..errors import Finding, Place
+from ..settings import NodeSettings
+from .schema import Schema, describe, schema_at, schema_of
 from .yaml_tree import Path, Plain, YamlTree, path_text, read_yaml
 
 MAX_FILE_BYTES = 1024 * 1024
+PACKAGE = "lentilchute"
 DEFAULTS_FILE = "config_default.yaml"
 
 Model = TypeVar("Model", bound=Part)
@@ -61,7 +62,7 @@
     return _check(tree, model)
 
 
-def default_settings(package: str = __package__, file: str = DEFAULTS_FILE) -> dict[str, Plain]:
+def default_settings(package: str = PACKAGE, file: str = DEFAULTS_FILE) -> dict[str, Plain]:
     """Return packaged defaults as plain values."""
     text = resources.files(package).joinpath(file).read_text("utf-8")
     value = read_yaml(text, file).value
--- a/lentilchute/yaml_tree.py
+++ b/lentilchute/util/yaml_tree.py
@@ -13,7 +13,7 @@
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 from ruamel.yaml.nodes import MappingNode, Node, ScalarNode, SequenceNode
 
-from .errors import Finding, Place
+from ..errors import Finding, Place
 
 Path = tuple[str | int, ...]
 Plain = None | bool | int | float | str | list["Plain"] | dict[str, "Plain"]
--- a/test/test_caller_client.py
+++ b/test/caller/test_caller_client.py
@@ -8,16 +8,16 @@
 import trio
 from trio.testing import MockClock, memory_stream_pair
 
-from lentilchute.caller_client import (
+from lentilchute.caller.client import (
     CallerClient,
     CallerSettings,
     CallRequest,
     CallResult,
     CallState,
 )
-from lentilchute.http_messages import Headers, header_value
-from lentilchute.http_server import HttpRequest, HttpServer, HttpServerSettings, Responder
-from lentilchute.tickets import Outcome
+from lentilchute.http.messages import Headers, header_value
+from lentilchute.http.server import HttpRequest, HttpServer, HttpServerSettings, Responder
+from lentilchute.scheduler.tickets import Outcome
 
 NEAR, FAR = "127.0.0.1:1", "127.0.0.1:2"
 RAN: Headers = (("lentilchute-outcome", "ran"),)
--- a/test/test_answer_relay.py
+++ b/test/entry/test_answer_relay.py
@@ -14,7 +14,7 @@
     only,
 )
 
-from lentilchute.entry_actions import (
+from lentilchute.entry.actions import (
     BreakAnswer,
     KeepAnswer,
     RecordGoodput,
@@ -27,8 +27,8 @@
     SendRefusal,
     SendUpstream,
 )
-from lentilchute.tickets import EndState
-from lentilchute.upstreams import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
+from lentilchute.scheduler.tickets import EndState
+from lentilchute.upstream.adapters import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
 
 
 def test_a_whole_answer_is_passed_on_and_counted() -> None:
--- a/test/test_caller_answer.py
+++ b/test/entry/test_caller_answer.py
@@ -3,8 +3,8 @@
 import trio
 import trio.testing
 
-from lentilchute.caller_answer import MAX_WAITING_PARTS, CallerAnswer
-from lentilchute.entry_actions import BreakAnswer, SendEnd, SendHead, SendPart
+from lentilchute.entry.actions import BreakAnswer, SendEnd, SendHead, SendPart
+from lentilchute.entry.caller_answer import MAX_WAITING_PARTS, CallerAnswer
 from lentilchute.ids import RequestId
 
 REQUEST = RequestId("entry-1.a/1")
--- a/test/test_caller_interface.py
+++ b/test/entry/test_caller_interface.py
@@ -8,10 +8,10 @@
 from entry_fixtures import node_settings
 from result import Err, Ok
 
-from lentilchute import caller_interface
-from lentilchute.caller_interface import CallerInterface
-from lentilchute.http_client import ClientRequest, HttpAnswer, HttpClient, HttpFault
-from lentilchute.http_messages import join_address
+from lentilchute.entry import caller_interface
+from lentilchute.entry.caller_interface import CallerInterface
+from lentilchute.http.client import ClientRequest, HttpAnswer, HttpClient, HttpFault
+from lentilchute.http.messages import join_address
 from lentilchute.node_context import NodeContext
 
 
--- a/test/test_entry_requests.py
+++ b/test/entry/test_entry_requests.py
@@ -20,8 +20,7 @@
     only,
 )
 
-from lentilchute.claim_answers import ClaimAnswer, ClaimState, KeptAnswer
-from lentilchute.entry_actions import (
+from lentilchute.entry.actions import (
     BreakAnswer,
     CancelUpstream,
     ClaimKey,
@@ -39,10 +38,11 @@
     SubmitTicket,
     WithdrawTicket,
 )
+from lentilchute.entry.local_share import LocalUpstream
 from lentilchute.ids import Attempt, Tier
-from lentilchute.local_share import LocalUpstream
-from lentilchute.tickets import EndState, Outcome, Refusal, RefusalReason
-from lentilchute.upstreams import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
+from lentilchute.scheduler.tickets import EndState, Outcome, Refusal, RefusalReason
+from lentilchute.state.claim_answers import ClaimAnswer, ClaimState, KeptAnswer
+from lentilchute.upstream.adapters import AnswerEnd, AnswerHead, AnswerPart, UpstreamFault
 
 
 def test_a_request_is_submitted_granted_and_dispatched_once() -> None:
--- a/test/test_prompts.py
+++ b/test/entry/test_prompts.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lentilchute.entry.prompts import estimate_tokens, prefix_hashes, prompt_text
 from lentilchute.ids import ModelName
-from lentilchute.prompts import estimate_tokens, prefix_hashes, prompt_text
 
 MODEL = ModelName("m")
 
--- a/test/test_refusal_answers.py
+++ b/test/entry/test_refusal_answers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from lentilchute.refusal_answers import RefusalFinding, refusal_answer
-from lentilchute.tickets import Outcome, RefusalReason
+from lentilchute.entry.refusal_answers import RefusalFinding, refusal_answer
+from lentilchute.scheduler.tickets import Outcome, RefusalReason
 
 
 @pytest.mark.parametrize("reason", RefusalReason)
--- a/test/test_scheduler_choice.py
+++ b/test/entry/test_scheduler_choice.py
@@ -2,8 +2,8 @@
 
 import math
 
+from lentilchute.entry.scheduler_choice import FAREWELLS, SILENT_FOR_S, SchedulerChoice
 from lentilchute.ids import InstanceId
-from lentilchute.scheduler_choice import FAREWELLS, SILENT_FOR_S, SchedulerChoice
 
 FIRST = InstanceId("entry-1")
 SECOND = InstanceId("entry-2")
--- a/test/entry_fixtures.py
+++ b/test/entry_fixtures.py
@@ -4,9 +4,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from lentilchute.claim_answers import ClaimAnswer, ClaimState
-from lentilchute.entry_actions import AcceptedRequest, EntryAction
-from lentilchute.entry_requests import EntryRequests
+from lentilchute.entry.actions import AcceptedRequest, EntryAction
+from lentilchute.entry.requests import EntryRequests
 from lentilchute.ids import (
     Attempt,
     ClientAccountId,
@@ -21,8 +20,9 @@
     UpstreamId,
     shard_id,
 )
+from lentilchute.scheduler.tickets import Grant
 from lentilchute.settings import EntrySettings, Listen, NodeSettings, PlatformSettings
-from lentilchute.tickets import Grant
+from lentilchute.state.claim_answers import ClaimAnswer, ClaimState
 
 SERVICE = ServiceName("agenda-core")
 SHARD = shard_id(SERVICE)
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from lentilchute.platform_services import Row, TableFault, Transaction
+from lentilchute.state.platform_services import Row, TableFault, Transaction
 
 
 class CallFate(Enum):
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -8,8 +8,8 @@
 
 from lentilchute.gateway.crash_guard import fingerprint
 from lentilchute.gateway.crash_news import CrashNewsController
-from lentilchute.http_client import ClientRequest, HttpClient
-from lentilchute.http_messages import header_value
+from lentilchute.http.client import ClientRequest, HttpClient
+from lentilchute.http.messages import header_value
 from lentilchute.ids import ServiceName, UpstreamId
 from lentilchute.platform import endpoints, rows
 from lentilchute.standins.routed_upstream import event
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -13,16 +13,16 @@
 from gateway_samples import config_row
 from result import Err
 
-from lentilchute.checked_yaml import default_settings, load_over_defaults
 from lentilchute.gateway.node import GatewayNode
 from lentilchute.gateway.settings import GatewaySettings
-from lentilchute.http_client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings
-from lentilchute.http_messages import Headers
-from lentilchute.http_server import open_listeners
+from lentilchute.http.client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings
+from lentilchute.http.messages import Headers
+from lentilchute.http.server import open_listeners
 from lentilchute.node_context import wait_until
 from lentilchute.platform import rows
 from lentilchute.standins.routed_upstream import RoutedUpstream
 from lentilchute.standins.store import StoreStandin
+from lentilchute.util.checked_yaml import default_settings, load_over_defaults
 
 HOST = "a.example"
 KEY = "key-1"
--- a/test/test_http_client.py
+++ b/test/http/test_http_client.py
@@ -7,16 +7,16 @@
 from result import Err
 from trio.testing import MockClock, memory_stream_pair
 
-from lentilchute.http_client import (
+from lentilchute.http.client import (
     ClientRequest,
     HttpClient,
     HttpClientSettings,
     HttpFault,
     always_send,
 )
-from lentilchute.http_messages import join_address
-from lentilchute.http_responder import Responder
-from lentilchute.http_server import HttpRequest, HttpServer, HttpServerSettings, open_listeners
+from lentilchute.http.messages import join_address
+from lentilchute.http.responder import Responder
+from lentilchute.http.server import HttpRequest, HttpServer, HttpServerSettings, open_listeners
 
 GET = ClientRequest("GET", "/")
 OK_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/test/test_http_fuzz.py
+++ b/test/http/test_http_fuzz.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from trio.testing import MockClock, memory_stream_pair
 
-from lentilchute.http_server import HttpRequest, HttpServer, HttpServerSettings, Responder
+from lentilchute.http.server import HttpRequest, HttpServer, HttpServerSettings, Responder
 
 SETTINGS = HttpServerSettings(max_header_bytes=1_000, max_body_bytes=200)
 DOCUMENTED = {
--- a/test/test_http_server.py
+++ b/test/http/test_http_server.py
@@ -6,8 +6,8 @@
 import trio
 from trio.testing import MockClock, memory_stream_pair
 
-from lentilchute.http_responder import Responder
-from lentilchute.http_server import (
+from lentilchute.http.responder import Responder
+from lentilchute.http.server import (
     HeadCheck,
     HeadRefusal,
     HttpRequest,
--- a/test/measure/test_measure.py
+++ b/test/measure/test_measure.py
@@ -11,7 +11,7 @@
 from lentilchute.measure.job import Job
 from lentilchute.measure.variants import router_for
 from lentilchute.measure.world import World
-from lentilchute.tickets import CacheEvent
+from lentilchute.scheduler.tickets import CacheEvent
 
 SPEC = EngineSpec("e0", 1_000.0, 0.02, 2, 64 * 4, "gen")
 
--- a/test/operator_nodes.py
+++ b/test/operator_nodes.py
@@ -8,13 +8,13 @@
 import trio
 from result import Err, Ok, Result
 
-from lentilchute.http_messages import join_address
-from lentilchute.http_requests import HttpRequest, HttpServerSettings
-from lentilchute.http_responder import Responder
-from lentilchute.http_server import HttpServer, open_listeners
+from lentilchute.http.messages import join_address
+from lentilchute.http.requests import HttpRequest, HttpServerSettings
+from lentilchute.http.responder import Responder
+from lentilchute.http.server import HttpServer, open_listeners
 from lentilchute.ids import AvailabilityZone, DocumentVersion, InstanceId, ServiceName, UpstreamId
 from lentilchute.metrics import Metrics
-from lentilchute.operator_api import (
+from lentilchute.operators.api import (
     ChangeAnswer,
     ChangeRequest,
     ChangeState,
@@ -26,8 +26,8 @@
     StatusAnswer,
     UpstreamAnswer,
 )
-from lentilchute.operator_routes import OperatorApi
-from lentilchute.platform_services import TableFault
+from lentilchute.operators.routes import OperatorApi
+from lentilchute.state.platform_services import TableFault
 
 KEY = "k" * 64
 SERVICE = ServiceName("drafts")
--- a/test/test_operator_routes.py
+++ b/test/operators/test_operator_routes.py
@@ -7,9 +7,9 @@
 from operator_nodes import KEY, SERVICE, FakeNode, FakeTable
 from sample_files import DOCUMENT
 
-from lentilchute.http_requests import HeadRefusal, HttpRequest, RequestHead
-from lentilchute.operator_api import ChangeRequest, operator_key
-from lentilchute.operator_routes import MAX_BODY_BYTES, OperatorApi, Reply
+from lentilchute.http.requests import HeadRefusal, HttpRequest, RequestHead
+from lentilchute.operators.api import ChangeRequest, operator_key
+from lentilchute.operators.routes import MAX_BODY_BYTES, OperatorApi, Reply
 
 AUTHORIZED = (("authorization", f"Bearer {KEY}"),)
 
--- a/test/test_membership.py
+++ b/test/peers/test_membership.py
@@ -13,8 +13,14 @@
 from step_machine import Draw, StepMachine, run_steps
 
 from lentilchute.ids import AvailabilityZone, IncarnationId, InstanceId, ShardId
-from lentilchute.membership import Membership
-from lentilchute.peers import Heartbeat, PeerAddress, PeerChange, PeerChangeKind, PeerInfo
+from lentilchute.peers.heartbeats import (
+    Heartbeat,
+    PeerAddress,
+    PeerChange,
+    PeerChangeKind,
+    PeerInfo,
+)
+from lentilchute.peers.membership import Membership
 from lentilchute.settings import MembershipSettings, Role
 
 SETTINGS = MembershipSettings()
--- a/test/test_peer_codec.py
+++ b/test/peers/test_peer_codec.py
@@ -4,15 +4,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lentilchute import ids, messages
-from lentilchute.peer_codec import (
+from lentilchute import ids
+from lentilchute.peers import messages
+from lentilchute.peers.codec import (
     WIRE_NAMES,
     decode_message,
     encode_message,
     idl,
     registered_messages,
 )
-from lentilchute.tickets import EndState, Grant, InFlight, Refusal, RefusalReason, Ticket
+from lentilchute.scheduler.tickets import EndState, Grant, InFlight, Refusal, RefusalReason, Ticket
 
 TICKET = Ticket(
     request_id=ids.RequestId("entry-1.a/1"),
--- a/test/test_peer_links.py
+++ b/test/peers/test_peer_links.py
@@ -7,10 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lentilchute import ids, messages
-from lentilchute.http_messages import split_address
-from lentilchute.peer_frames import FrameError, FrameReader, FrameWriter, derive_key
-from lentilchute.peer_links import LinkIdentity, PeerLinks
+from lentilchute import ids
+from lentilchute.http.messages import split_address
+from lentilchute.peers import messages
+from lentilchute.peers.frames import FrameError, FrameReader, FrameWriter, derive_key
+from lentilchute.peers.links import LinkIdentity, PeerLinks
 
 KEY = "a-shared-key-of-16"
 ACK = messages.SchedulerAck(ids.ServiceName("agenda-core"))
--- a/test/test_rendezvous.py
+++ b/test/peers/test_rendezvous.py
@@ -1,6 +1,6 @@
 """Tests of rendezvous hashing."""
 
-from lentilchute.rendezvous import rendezvous_order
+from lentilchute.peers.rendezvous import rendezvous_order
 
 
 def test_a_lost_name_moves_only_its_own_keys() -> None:
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -3,13 +3,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lentilchute.http_messages import header_value
+from lentilchute.http.messages import header_value
 from lentilchute.ids import ClientAccountId, UpstreamId
-from lentilchute.platform.headers import (
-    decode_answer,
-    decode_call,
-    upstream_headers,
-)
+from lentilchute.platform.headers import decode_answer, decode_call, upstream_headers
 
 CALL = (
     ("host", "a.example"),
--- a/test/platform/test_rows.py
+++ b/test/platform/test_rows.py
@@ -12,12 +12,7 @@
 from lentilchute.gateway.fleet import UpstreamState
 from lentilchute.gateway.routes import RequestKind
 from lentilchute.ids import ClientAccountId, ServiceName
-from lentilchute.platform.rows import (
-    decode_config,
-    decode_node,
-    decode_upstream,
-    encode_node,
-)
+from lentilchute.platform.rows import decode_config, decode_node, decode_upstream, encode_node
 
 UPSTREAM = {
     "service": "drafters",
--- a/test/processes.py
+++ b/test/processes.py
@@ -14,12 +14,12 @@
 
 import trio
 
-from lentilchute.configuration_apply import ApplyState, DocumentChange
-from lentilchute.document_changes import apply_change
-from lentilchute.http_client import ClientRequest, HttpAnswer, HttpClient
+from lentilchute.http.client import ClientRequest, HttpAnswer, HttpClient
 from lentilchute.ids import DocumentVersion, ServiceName
-from lentilchute.platform_http import HttpPlatform
 from lentilchute.settings import PlatformSettings
+from lentilchute.state.configuration_apply import ApplyState, DocumentChange
+from lentilchute.state.document_changes import apply_change
+from lentilchute.state.platform_http import HttpPlatform
 
 ROOT = Path(__file__).parent.parent
 SHARED_KEY = "a-shared-key-for-tests"
--- a/test/test_decline.py
+++ b/test/scheduler/test_decline.py
@@ -1,8 +1,8 @@
 from schedulers import document, grants, group, scheduler, ticket
 
 from lentilchute.ids import Attempt, RequestId, UpstreamId
-from lentilchute.scheduler import ShardScheduler
-from lentilchute.tickets import EndState
+from lentilchute.scheduler.shard import ShardScheduler
+from lentilchute.scheduler.tickets import EndState
 
 NAMES = ["e1", "e2", "e3"]
 
--- a/test/test_fair_queue.py
+++ b/test/scheduler/test_fair_queue.py
@@ -2,9 +2,9 @@
 
 from schedulers import document, grants, group, scheduler, ticket
 
-from lentilchute.fair_queue import FairQueue
 from lentilchute.ids import Attempt, ClientAccountId, RequestId
-from lentilchute.tickets import EndState
+from lentilchute.scheduler.fair_queue import FairQueue
+from lentilchute.scheduler.tickets import EndState
 
 LARGE, SMALL = ClientAccountId("acct-0"), ClientAccountId("acct-1")
 
--- a/test/test_limits.py
+++ b/test/scheduler/test_limits.py
@@ -1,7 +1,7 @@
 from schedulers import document, grants, group, scheduler, ticket
 
-from lentilchute.limits import AdaptiveLimits
-from lentilchute.policy import Policy
+from lentilchute.scheduler.limits import AdaptiveLimits
+from lentilchute.scheduler.policy import Policy
 
 TARGET_S = 1.8
 
--- a/test/test_models.py
+++ b/test/scheduler/test_models.py
@@ -3,7 +3,7 @@
 from schedulers import document, grants, group, refusals, scheduler, ticket
 
 from lentilchute.ids import ModelName, UpstreamId
-from lentilchute.tickets import RefusalReason
+from lentilchute.scheduler.tickets import RefusalReason
 
 FIRST, SECOND = UpstreamId("e1"), UpstreamId("e2")
 LARGE, SMALL = ModelName("large"), ModelName("small")
--- a/test/test_prefix_index.py
+++ b/test/scheduler/test_prefix_index.py
@@ -1,9 +1,9 @@
 from schedulers import document, grants, group, scheduler, ticket
 
 from lentilchute.ids import BlockHash, UpstreamId
-from lentilchute.policy import FULL_POLICY, Policy
-from lentilchute.prefix_index import PrefixIndex
-from lentilchute.tickets import CacheEvent
+from lentilchute.scheduler.policy import FULL_POLICY, Policy
+from lentilchute.scheduler.prefix_index import PrefixIndex
+from lentilchute.scheduler.tickets import CacheEvent
 
 E1, E2 = UpstreamId("e1"), UpstreamId("e2")
 
--- a/test/test_rates.py
+++ b/test/scheduler/test_rates.py
@@ -1,6 +1,6 @@
 import pytest
 
-from lentilchute.rates import LearnedRate, UpstreamRates
+from lentilchute.scheduler.rates import LearnedRate, UpstreamRates
 
 
 def test_a_rate_follows_what_is_observed() -> None:
--- a/test/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -2,8 +2,8 @@
 
 from lentilchute.document import TierEntry
 from lentilchute.ids import Attempt, InstanceId, UpstreamId
-from lentilchute.policy import Policy
-from lentilchute.tickets import EndState, InFlight, RefusalReason
+from lentilchute.scheduler.policy import Policy
+from lentilchute.scheduler.tickets import EndState, InFlight, RefusalReason
 
 ONE_SLOT = {"max_streams": 1}
 
--- a/test/test_scheduler_machine.py
+++ b/test/scheduler/test_scheduler_machine.py
@@ -12,7 +12,7 @@
 
 from lentilchute.document import TierEntry
 from lentilchute.ids import Attempt, ClientAccountId, InstanceId, RequestId, UpstreamId
-from lentilchute.tickets import Decision, EndState, Grant, InFlight, RefusalReason, Ticket
+from lentilchute.scheduler.tickets import Decision, EndState, Grant, InFlight, RefusalReason, Ticket
 
 NAMES = ["e1", "e2", "e3"]
 TIERS = tuple(TierEntry(name=f"t{rank}", max_waiting=2) for rank in range(3))
--- a/test/test_suspects.py
+++ b/test/scheduler/test_suspects.py
@@ -1,10 +1,10 @@
 from schedulers import document, grants, group, refusals, scheduler, ticket
 
 from lentilchute.ids import Fingerprint
-from lentilchute.policy import FULL_POLICY, Policy
-from lentilchute.scheduler import ShardScheduler
-from lentilchute.suspects import PoisonState, PoisonVerdict
-from lentilchute.tickets import EndState, Grant, RefusalReason
+from lentilchute.scheduler.policy import FULL_POLICY, Policy
+from lentilchute.scheduler.shard import ShardScheduler
+from lentilchute.scheduler.suspects import PoisonState, PoisonVerdict
+from lentilchute.scheduler.tickets import EndState, Grant, RefusalReason
 
 POISON = Fingerprint("poison")
 
--- a/test/test_tier_flow.py
+++ b/test/scheduler/test_tier_flow.py
@@ -1,9 +1,9 @@
 from schedulers import document, grants, group, refusals, scheduler, ticket
 
 from lentilchute.ids import Tier
-from lentilchute.policy import FULL_POLICY, Policy
-from lentilchute.tickets import EndState, RefusalReason
-from lentilchute.tier_flow import TierFlow
+from lentilchute.scheduler.policy import FULL_POLICY, Policy
+from lentilchute.scheduler.tickets import EndState, RefusalReason
+from lentilchute.scheduler.tier_flow import TierFlow
 
 
 def test_a_starved_tier_waits_longer_than_all_together() -> None:
--- a/test/schedulers.py
+++ b/test/schedulers.py
@@ -24,11 +24,11 @@
     Tier,
     UpstreamId,
 )
-from lentilchute.policy import FULL_POLICY, Policy
-from lentilchute.scheduler import ShardScheduler
+from lentilchute.scheduler.policy import FULL_POLICY, Policy
+from lentilchute.scheduler.shard import ShardScheduler
+from lentilchute.scheduler.tickets import Decision, Grant, Refusal, Ticket
 from lentilchute.settings import SchedulerSettings
-from lentilchute.tickets import Decision, Grant, Refusal, Ticket
-from lentilchute.upstreams import Upstream
+from lentilchute.upstream.adapters import Upstream
 
 ZONE = AvailabilityZone("tunis-a")
 
--- a/test/test_claim_expiry.py
+++ b/test/state/test_claim_expiry.py
@@ -3,15 +3,15 @@
 from fakes import FakeTable
 from result import Err, Ok
 
-from lentilchute.claim_expiry import ClaimExpiry, DeleteExpired, ReadClaims, ScanExpired
-from lentilchute.claim_records import (
+from lentilchute.state.claim_expiry import ClaimExpiry, DeleteExpired, ReadClaims, ScanExpired
+from lentilchute.state.claim_records import (
     SECONDS_PER_HOUR,
     ClaimRecord,
     ExpiryRecord,
     RecordState,
     expiry_key,
 )
-from lentilchute.platform_services import TableFault, Transaction, Write
+from lentilchute.state.platform_services import TableFault, Transaction, Write
 
 EXPIRES_WALL_S = 100.0 * SECONDS_PER_HOUR
 
--- a/test/test_claims.py
+++ b/test/state/test_claims.py
@@ -13,19 +13,6 @@
 from result import Err, Ok
 from step_machine import Draw, StepMachine, run_steps
 
-from lentilchute.claim_actions import (
-    AskClaimant,
-    ClaimAction,
-    ClaimReplyState,
-    ClaimResolved,
-    CommitTable,
-    GetObject,
-    PutObject,
-    ReadTable,
-)
-from lentilchute.claim_answers import ClaimAnswer, ClaimRequest, ClaimState, KeptAnswer
-from lentilchute.claim_records import RecordState, claim_key, read_claim
-from lentilchute.claims import ClaimBook
 from lentilchute.ids import (
     ClientAccountId,
     Fingerprint,
@@ -35,8 +22,21 @@
     ServiceName,
     request_id,
 )
-from lentilchute.platform_services import TableFault
 from lentilchute.settings import ClaimSettings
+from lentilchute.state.claim_actions import (
+    AskClaimant,
+    ClaimAction,
+    ClaimReplyState,
+    ClaimResolved,
+    CommitTable,
+    GetObject,
+    PutObject,
+    ReadTable,
+)
+from lentilchute.state.claim_answers import ClaimAnswer, ClaimRequest, ClaimState, KeptAnswer
+from lentilchute.state.claim_records import RecordState, claim_key, read_claim
+from lentilchute.state.claims import ClaimBook
+from lentilchute.state.platform_services import TableFault
 
 KEYS = ("k1", "k2", "k3", "k4", "k5")
 NODES = ("entry-1", "entry-2", "entry-3")
--- a/test/test_configuration.py
+++ b/test/state/test_configuration.py
@@ -14,7 +14,10 @@
 from step_machine import Draw, run_steps
 from table_machine import TableMachine
 
-from lentilchute.configuration import (
+from lentilchute.document import ServiceDocument
+from lentilchute.ids import DocumentVersion, InstanceId, ServiceName
+from lentilchute.settings import MembershipSettings
+from lentilchute.state.configuration import (
     ConfigAction,
     ConfigBook,
     DocumentInForce,
@@ -24,7 +27,7 @@
     ReadIndex,
     SendVersions,
 )
-from lentilchute.configuration_apply import (
+from lentilchute.state.configuration_apply import (
     ApplyAction,
     ApplyOperation,
     ApplyState,
@@ -33,7 +36,7 @@
     ReadRows,
     WaitBeforeRetry,
 )
-from lentilchute.configuration_records import (
+from lentilchute.state.configuration_records import (
     INDEX_KEY,
     DocumentRecord,
     document_key,
@@ -41,10 +44,7 @@
     read_document,
     read_index,
 )
-from lentilchute.document import ServiceDocument
-from lentilchute.ids import DocumentVersion, InstanceId, ServiceName
-from lentilchute.platform_services import TableFault
-from lentilchute.settings import MembershipSettings
+from lentilchute.state.platform_services import TableFault
 
 NODES = ("entry-1", "entry-2", "entry-3")
 SERVICES = (ServiceName("fleet"), ServiceName("agenda"))
--- a/test/test_engine_orders.py
+++ b/test/state/test_engine_orders.py
@@ -14,7 +14,8 @@
 from step_machine import Draw, StepMachine, run_steps
 
 from lentilchute.document import Fencing
-from lentilchute.engine_orders import (
+from lentilchute.ids import FencingNumber, ModelName, ServiceName, UpstreamId
+from lentilchute.state.engine_orders import (
     STATE_POLL_S,
     AskEngine,
     DrainEngine,
@@ -25,11 +26,10 @@
     SendOrder,
     WriteOrder,
 )
-from lentilchute.ids import FencingNumber, ModelName, ServiceName, UpstreamId
-from lentilchute.lease_records import lease_key
-from lentilchute.order_records import ORDERS_PER_LEASE, order_key, read_order
-from lentilchute.platform_services import Condition, Row, Transaction, Write
-from lentilchute.upstreams import EngineOrder, EngineState, UpstreamFault
+from lentilchute.state.lease_records import lease_key
+from lentilchute.state.order_records import ORDERS_PER_LEASE, order_key, read_order
+from lentilchute.state.platform_services import Condition, Row, Transaction, Write
+from lentilchute.upstream.adapters import EngineOrder, EngineState, UpstreamFault
 
 SERVICE = ServiceName("fleet")
 OLD = EngineTarget(ModelName("drafts"), "1")
--- a/test/test_leases.py
+++ b/test/state/test_leases.py
@@ -15,8 +15,8 @@
 from table_machine import TableMachine
 
 from lentilchute.ids import FencingNumber, IncarnationId, ServiceName
-from lentilchute.lease_records import lease_key
-from lentilchute.leases import (
+from lentilchute.state.lease_records import lease_key
+from lentilchute.state.leases import (
     DRIFT_FACTOR,
     LEASE_DURATION_S,
     CommitLease,
--- a/test/test_platform_http.py
+++ b/test/state/test_platform_http.py
@@ -6,9 +6,11 @@
 import trio
 from result import Err, Ok
 
-from lentilchute.http_client import ClientRequest, HttpClient
-from lentilchute.platform_http import HttpPlatform
-from lentilchute.platform_services import (
+from lentilchute.http.client import ClientRequest, HttpClient
+from lentilchute.settings import PlatformSettings
+from lentilchute.standins import platform as standin
+from lentilchute.state.platform_http import HttpPlatform
+from lentilchute.state.platform_services import (
     Condition,
     ListedState,
     Platform,
@@ -18,8 +20,6 @@
     Write,
     platform_for,
 )
-from lentilchute.settings import PlatformSettings
-from lentilchute.standins import platform as standin
 
 PUT_A = Transaction((Condition("a", 0),), (Write("a", "1"),))
 PUT_A_AGAIN = Transaction((Condition("a", 1),), (Write("a", "2"),))
--- a/test/system_calls.py
+++ b/test/system_calls.py
@@ -7,12 +7,12 @@
 from system_upstreams import Connection
 from system_world import Step, World
 
-from lentilchute import claim_actions as ca
-from lentilchute import entry_actions as ea
-from lentilchute.claims import ClaimBook
-from lentilchute.entry_requests import EntryRequests
-from lentilchute.membership import Membership
-from lentilchute.upstreams import AnswerItem, UpstreamFault
+from lentilchute.entry import actions as ea
+from lentilchute.entry.requests import EntryRequests
+from lentilchute.peers.membership import Membership
+from lentilchute.state import claim_actions as ca
+from lentilchute.state.claims import ClaimBook
+from lentilchute.upstream.adapters import AnswerItem, UpstreamFault
 
 QUERY_TIMEOUT_S = 1.0
 MAX_CONNECT_S = 0.05
--- a/test/system_group.py
+++ b/test/system_group.py
@@ -25,7 +25,7 @@
     UpstreamGroup,
     UpstreamKind,
 )
-from lentilchute.entry_actions import AcceptedRequest
+from lentilchute.entry.actions import AcceptedRequest
 from lentilchute.ids import ClientAccountId, Fingerprint, IdempotencyKey, ServiceName, Tier
 
 NODES = ("entry-1", "entry-2", "entry-3")
--- a/test/system_nodes.py
+++ b/test/system_nodes.py
@@ -15,10 +15,10 @@
 from system_upstreams import Connection, FakeUpstream
 from system_world import Step, World
 
-from lentilchute import entry_actions as ea
-from lentilchute.claims import ClaimBook
 from lentilchute.document import ServiceDocument, UpstreamGroup
-from lentilchute.entry_requests import EntryRequests
+from lentilchute.entry import actions as ea
+from lentilchute.entry.local_share import LocalUpstream
+from lentilchute.entry.requests import EntryRequests
 from lentilchute.ids import (
     AvailabilityZone,
     IncarnationId,
@@ -28,13 +28,13 @@
     service_of,
     shard_id,
 )
-from lentilchute.local_share import LocalUpstream
-from lentilchute.membership import Membership
-from lentilchute.peers import PeerAddress, PeerChangeKind, PeerInfo
-from lentilchute.scheduler import ShardScheduler
+from lentilchute.peers.heartbeats import PeerAddress, PeerChangeKind, PeerInfo
+from lentilchute.peers.membership import Membership
+from lentilchute.scheduler.shard import ShardScheduler
+from lentilchute.scheduler.tickets import Decision, Grant
 from lentilchute.settings import Role
-from lentilchute.tickets import Decision, Grant
-from lentilchute.upstreams import Upstream
+from lentilchute.state.claims import ClaimBook
+from lentilchute.upstream.adapters import Upstream
 
 TICK_S = 0.1
 HEARTBEAT_S = 0.5
--- a/test/system_oracle.py
+++ b/test/system_oracle.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from lentilchute.entry_actions import BreakAnswer, SendEnd, SendHead, SendPart, SendRefusal
-from lentilchute.tickets import Outcome, RefusalReason
+from lentilchute.entry.actions import BreakAnswer, SendEnd, SendHead, SendPart, SendRefusal
+from lentilchute.scheduler.tickets import Outcome, RefusalReason
 
 DEADLINE_SLACK_S = 1.0
 LEAVING_LIMIT_S = 3.0
--- a/test/system_platform.py
+++ b/test/system_platform.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 from system_world import World
 
-from lentilchute.platform_services import Row, TableFault, Transaction
+from lentilchute.state.platform_services import Row, TableFault, Transaction
 
 TABLE_LATENCY_S = 0.02
 TIMEOUT_S = 2.0
--- a/test/system_upstreams.py
+++ b/test/system_upstreams.py
@@ -6,7 +6,7 @@
 from system_oracle import Oracle, expected_parts
 from system_world import World
 
-from lentilchute.upstreams import (
+from lentilchute.upstream.adapters import (
     AnswerEnd,
     AnswerHead,
     AnswerItem,
--- a/test/test_examples.py
+++ b/test/test_examples.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from lentilchute.checked_yaml import load_document, load_settings
 from lentilchute.document import ServiceDocument, UpstreamKind
 from lentilchute.ui.check import FileKind, check_file, guess_kind
+from lentilchute.util.checked_yaml import load_document, load_settings
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 NOTARY_ZONES = {"tunis-a", "tunis-b", "bizerte", "nabeul"}
--- a/test/test_filters.py
+++ b/test/test_filters.py
@@ -10,7 +10,7 @@
 from lentilchute.document import ServiceDocument
 from lentilchute.filters import FilterContext, RequestHead, check_body, check_head
 from lentilchute.ids import ServiceName
-from lentilchute.tickets import RefusalReason
+from lentilchute.scheduler.tickets import RefusalReason
 
 KEY = "secret-1"
 DOCUMENT = ServiceDocument.model_validate(
--- a/test/test_guides.py
+++ b/test/test_guides.py
@@ -15,7 +15,7 @@
 from processes import ROOT, SHARED_KEY, Deployment, wait_for_port
 
 from lentilchute import ui
-from lentilchute.operator_api import operator_key
+from lentilchute.operators.api import operator_key
 from lentilchute.ui.nodes import KEY_FILE_VARIABLE, NODES_VARIABLE
 
 GUIDES = ROOT / "docs/guides/operators"
--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -4,7 +4,6 @@
 from sample_files import DOCUMENT
 
 from lentilchute import metrics as module
-from lentilchute.checked_yaml import load_document
 from lentilchute.ids import (
     AvailabilityZone,
     DocumentVersion,
@@ -14,7 +13,8 @@
     UpstreamId,
 )
 from lentilchute.metrics import DocumentInForce, Gauges, LearnedRates, Metrics
-from lentilchute.tickets import RefusalReason
+from lentilchute.scheduler.tickets import RefusalReason
+from lentilchute.util.checked_yaml import load_document
 
 SERVICE = ServiceName("drafts")
 TOP = Tier(0)
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -6,8 +6,8 @@
 
 from lentilchute.events import Event
 from lentilchute.ids import InstanceId, ServiceName
-from lentilchute.messages import SchedulerAck
 from lentilchute.node import dispatch
+from lentilchute.peers.messages import SchedulerAck
 
 
 def test_a_handler_that_raises_is_logged_and_stops_neither_the_others_nor_the_node() -> None:
--- a/test/test_process_failures.py
+++ b/test/test_process_failures.py
@@ -19,17 +19,17 @@
     wait_ready,
 )
 
-from lentilchute.caller_client import (
+from lentilchute.caller.client import (
     CallerClient,
     CallerSettings,
     CallRequest,
     CallResult,
     CallState,
 )
-from lentilchute.http_client import HttpAnswer
-from lentilchute.http_messages import header_value
-from lentilchute.operator_api import operator_key
-from lentilchute.tickets import Outcome
+from lentilchute.http.client import HttpAnswer
+from lentilchute.http.messages import header_value
+from lentilchute.operators.api import operator_key
+from lentilchute.scheduler.tickets import Outcome
 
 ZONES = {"entry-1": "tunis-a", "entry-2": "tunis-b", "entry-3": "bizerte"}
 ENGINES = ("engine-1", "engine-2", "engine-3")
--- a/test/test_system.py
+++ b/test/test_system.py
@@ -20,7 +20,7 @@
 from system_group import DRAFTS, LEDGER, NODES, System
 
 from lentilchute.ids import ServiceName
-from lentilchute.upstreams import UpstreamFault
+from lentilchute.upstream.adapters import UpstreamFault
 
 EXAMPLES = 150
 STEPS = 50
--- a/test/test_system_liveness.py
+++ b/test/test_system_liveness.py
@@ -7,7 +7,7 @@
 from system_oracle import CallerRecord
 
 from lentilchute.ids import ServiceName, shard_id
-from lentilchute.tickets import Outcome
+from lentilchute.scheduler.tickets import Outcome
 
 OUTAGE_S = 600.0
 SEND_INTERVAL_S = 1.0
--- a/test/test_system_poison.py
+++ b/test/test_system_poison.py
@@ -6,7 +6,7 @@
 from system_group import DRAFTS, POISON, System
 from system_oracle import POISON_ENGINES
 
-from lentilchute.tickets import Outcome, RefusalReason
+from lentilchute.scheduler.tickets import Outcome, RefusalReason
 
 
 @pytest.mark.parametrize("seed", range(6))
--- a/test/test_whole_path.py
+++ b/test/test_whole_path.py
@@ -18,10 +18,10 @@
 
 from lentilchute import ui
 from lentilchute.errors import ExitCode
-from lentilchute.http_client import HttpAnswer
-from lentilchute.http_messages import header_value
+from lentilchute.http.client import HttpAnswer
+from lentilchute.http.messages import header_value
 from lentilchute.node_context import wait_until
-from lentilchute.operator_api import operator_key
+from lentilchute.operators.api import operator_key
 
 ZONES = {"entry-1": "tunis-a", "entry-2": "tunis-b", "entry-3": "bizerte"}
 ENGINES = [f"engine-{number}" for number in range(1, 5)]
--- a/test/ui/test_apply_processes.py
+++ b/test/ui/test_apply_processes.py
@@ -12,8 +12,8 @@
 
 from lentilchute import ui
 from lentilchute.errors import ExitCode
-from lentilchute.http_client import ClientRequest, HttpClient
-from lentilchute.operator_api import operator_key
+from lentilchute.http.client import ClientRequest, HttpClient
+from lentilchute.operators.api import operator_key
 from lentilchute.ui.nodes import KEY_FILE_VARIABLE, NODES_VARIABLE
 
 
--- a/test/ui/test_call.py
+++ b/test/ui/test_call.py
@@ -8,17 +8,17 @@
 import trio
 
 from lentilchute import ui
-from lentilchute.caller_client import CallResult, CallState
+from lentilchute.caller.client import CallResult, CallState
 from lentilchute.errors import ExitCode
-from lentilchute.http_messages import header_value, join_address
-from lentilchute.http_server import (
+from lentilchute.http.messages import header_value, join_address
+from lentilchute.http.server import (
     HttpRequest,
     HttpServer,
     HttpServerSettings,
     Responder,
     open_listeners,
 )
-from lentilchute.tickets import Outcome
+from lentilchute.scheduler.tickets import Outcome
 from lentilchute.ui.call import Call, GeneratedText, as_json, exit_code, plain_line
 
 
--- a/test/ui/test_operator_commands.py
+++ b/test/ui/test_operator_commands.py
@@ -10,7 +10,7 @@
 
 from lentilchute import ui
 from lentilchute.errors import ExitCode
-from lentilchute.operator_api import ChangeRequest, PeerAnswer, operator_key
+from lentilchute.operators.api import ChangeRequest, PeerAnswer, operator_key
 
 
 class Bench:
--- a/test/test_instance_watch.py
+++ b/test/upstream/test_instance_watch.py
@@ -10,14 +10,14 @@
 from step_machine import Draw, StepMachine, run_steps
 
 from lentilchute.ids import UpstreamId
-from lentilchute.instance_watch import (
+from lentilchute.state.platform_services import ListedInstance, ListedState
+from lentilchute.upstream.instance_watch import (
     GONE_AFTER_S,
     LIST_SETTLE_S,
     WORD_LASTS_S,
     InstanceWatch,
     WatchedState,
 )
-from lentilchute.platform_services import ListedInstance, ListedState
 
 NAME = UpstreamId("engine-1")
 OTHERS = (UpstreamId("engine-2"), UpstreamId("engine-3"))
--- a/test/test_upstream_engine.py
+++ b/test/upstream/test_upstream_engine.py
@@ -10,16 +10,15 @@
 import trio
 from result import Err, Ok
 
-from lentilchute import upstream_engine
 from lentilchute.document import UpstreamKind
-from lentilchute.http_client import ClientRequest, HttpClient, HttpFault, always_send
+from lentilchute.entry.prompts import prefix_hashes, prompt_text
+from lentilchute.http.client import ClientRequest, HttpClient, HttpFault, always_send
 from lentilchute.ids import FencingNumber, ModelName, RequestId, UpstreamId
-from lentilchute.prompts import prefix_hashes, prompt_text
 from lentilchute.standins import engine
 from lentilchute.standins.engine_runs import answer_text
 from lentilchute.standins.engine_settings import EngineStandinSettings
-from lentilchute.upstream_engine import EngineAdapter
-from lentilchute.upstreams import (
+from lentilchute.upstream import engine as upstream_engine
+from lentilchute.upstream.adapters import (
     AnswerEnd,
     AnswerHead,
     AnswerItem,
@@ -30,6 +29,7 @@
     UpstreamRequest,
     adapter_for,
 )
+from lentilchute.upstream.engine import EngineAdapter
 
 FAST = EngineStandinSettings(
     prefill_tokens_per_s=1e6,
--- a/test/test_upstream_exchanges.py
+++ b/test/upstream/test_upstream_exchanges.py
@@ -7,10 +7,10 @@
 import trio
 import trio.testing
 
-from lentilchute.entry_actions import ResumeUpstream, SendUpstream
+from lentilchute.entry.actions import ResumeUpstream, SendUpstream
 from lentilchute.ids import Attempt, RequestId, UpstreamId
-from lentilchute.upstream_exchanges import ExchangeHooks, UpstreamExchanges
-from lentilchute.upstreams import AnswerItem, AnswerPart, UpstreamFault, UpstreamRequest
+from lentilchute.upstream.adapters import AnswerItem, AnswerPart, UpstreamFault, UpstreamRequest
+from lentilchute.upstream.exchanges import ExchangeHooks, UpstreamExchanges
 
 REQUEST = RequestId("entry-1.a/1")
 ENGINE = UpstreamId("engine-1")
--- a/test/test_upstream_plain.py
+++ b/test/upstream/test_upstream_plain.py
@@ -9,11 +9,10 @@
 from result import Err
 
 from lentilchute.document import UpstreamKind
-from lentilchute.http_client import ClientRequest, HttpClient, always_send
+from lentilchute.http.client import ClientRequest, HttpClient, always_send
 from lentilchute.ids import RequestId, UpstreamId
 from lentilchute.standins import plain
-from lentilchute.upstream_plain import PlainAdapter
-from lentilchute.upstreams import (
+from lentilchute.upstream.adapters import (
     AnswerEnd,
     AnswerHead,
     AnswerItem,
@@ -23,6 +22,7 @@
     UpstreamRequest,
     adapter_for,
 )
+from lentilchute.upstream.plain import PlainAdapter
 
 BOOKING = b'{"slot": "tunis-a 9:30"}'
 
--- a/test/test_checked_yaml.py
+++ b/test/util/test_checked_yaml.py
@@ -9,7 +9,9 @@
 from result import Err, Ok
 from sample_files import DOCUMENT, SETTINGS
 
-from lentilchute.checked_yaml import (
+from lentilchute.document import ServiceDocument
+from lentilchute.settings import NodeSettings
+from lentilchute.util.checked_yaml import (
     MAX_FILE_BYTES,
     default_settings,
     load_document,
@@ -17,8 +19,6 @@
     load_settings,
     load_text,
 )
-from lentilchute.document import ServiceDocument
-from lentilchute.settings import NodeSettings
 
 
 def findings_of(text: str) -> list[str]:
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -28,7 +28,7 @@
     wait_ready,
 )
 
-from lentilchute.http_client import ClientRequest, HttpClient
+from lentilchute.http.client import ClientRequest, HttpClient
 
 CHAT = "/v1/chat/completions"
 SERVICE_CHAT = f"/services/drafters{CHAT}"
