Add a fault soak: gateway processes, harmed from outside, and the promises checked

Real nodes as processes, their links through a loopback proxy (delayed, reset, held, held one way), signals that kill, pause, stop and restart them, stand-in upstreams and a store that fail in their own ways, and callers that keep connections until a node is gone. Checks read what callers and upstreams saw; each is tested on records that break its promise. A node may now tell peers another address than the one it binds (listen.peers_advertised), so that a proxy can stand between nodes.

--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -207,7 +207,7 @@
         instance=instance,
         incarnation=incarnation,
         generation=int(time.time()),
-        address=settings.listen.peers,
+        address=settings.listen.peers_reached_at,
         callers_address=settings.listen.callers,
         zone=settings.zone,
         region=settings.region,
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -68,7 +68,7 @@
             await trio.sleep(FIRST_SEARCH_INTERVAL_S if is_first else SEARCH_INTERVAL_S)
 
     async def _register(self) -> None:
-        address = self._context.settings.listen.peers
+        address = self._context.settings.listen.peers_reached_at
         row = RowWrite(rows.NODES_TABLE, self._context.instance, rows.encode_node(address))
         while isinstance(written := await self._context.store.write((row,)), Err):
             log_event(Event.PLATFORM_DOWN, call="register", fault=written.err_value.value)
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -23,9 +23,16 @@
     """Address at which callers ask where to connect."""
     peers: Address
     """Address that other nodes connect to."""
+    peers_advertised: Address | None = None
+    """Address at which other nodes reach `peers`, where it is another one."""
     metrics: Address
     """Address of the metrics page, `/metrics`."""
 
+    @property
+    def peers_reached_at(self) -> str:
+        """The address that other nodes are told."""
+        return self.peers_advertised or self.peers
+
 
 class StoreSettings(Part):
     """Where the platform's store is."""
--- /dev/null
+++ b/test/soak/soak_callers.py
@@ -0,0 +1,154 @@
+"""Callers of the soak: they ask where to connect, and keep connections until the node is gone."""
+
+import itertools
+import json
+import random
+
+import trio
+from result import Err
+from soak_nodes import SoakNode
+from soak_records import CallEnd, CallKind, CallRecord, Records
+
+from lentilchute.http.client import ClientRequest, HttpClient, HttpClientSettings, HttpFault
+from lentilchute.http.messages import header_value
+from lentilchute.platform import headers as names
+from lentilchute.platform.endpoints import RESOLVE_PATH
+
+HOST = "a.example"
+DEADLINE_S = 3.0
+PATIENCE_S = 5.0
+"""A call without any end after this long is given up; its node should have ended it by then."""
+PAUSE_S = 0.03
+LEFT_SHARE = 0.06
+"""Part of the calls whose caller leaves early."""
+STALE_SHARE = 0.3
+"""Part of the calls that go to a node that the last answer did not name any more."""
+LIMITED_SHARE = 0.25
+"""Part of the calls of the account that asks for more than its quota."""
+PATHS = {
+    CallKind.STREAM: ("POST", "/drafts/x"),
+    CallKind.NON_IDEMPOTENT: ("POST", "/book/x"),
+    CallKind.IDEMPOTENT: ("GET", "/view/x"),
+}
+ACCOUNTS = {"large": "key-large", "limited": "key-limited"}
+TOKENS = {"large": (200, 40), "limited": (700, 40)}
+"""Prompt and output tokens of a draft of each account."""
+_ENDS = {HttpFault.NOT_SENT: CallEnd.NOT_SENT, HttpFault.TIMED_OUT: CallEnd.TIMED_OUT}
+
+
+class Caller:
+    """One caller with its own connections."""
+
+    def __init__(
+        self,
+        nodes: list[SoakNode],
+        records: Records,
+        rng: random.Random,
+        numbers: "itertools.count[int]",
+    ) -> None:
+        self._nodes = {node.callers: node for node in nodes}
+        self._directories = [node.directory for node in nodes]
+        self._records = records
+        self._rng = rng
+        self._numbers = numbers
+        self._clients: dict[str, HttpClient] = {}
+        self._known: list[str] = []
+        self._known_until_s = 0.0
+
+    async def run(self) -> None:
+        """Send one call after the other until cancelled."""
+        while True:
+            await trio.sleep(self._rng.expovariate(1 / PAUSE_S))
+            address = await self._address()
+            if address is not None:
+                await self._call(address)
+
+    async def _address(self) -> str | None:
+        if self._clients and self._rng.random() < STALE_SHARE:
+            return self._rng.choice(sorted(self._clients))
+        if trio.current_time() >= self._known_until_s:
+            await self._resolve()
+        return self._rng.choice(self._known) if self._known else None
+
+    async def _resolve(self) -> None:
+        client = HttpClient(self._rng.choice(self._directories))
+        request = ClientRequest("GET", f"{RESOLVE_PATH}?name={HOST}&zone=zone-1&region=region-1")
+        answer = None
+        with trio.move_on_after(1.0):
+            answer = (await client.call(request)).ok()
+        await client.aclose()
+        if answer is not None and answer.status == 200:
+            body = json.loads(answer.body)
+            self._known = list(body["addresses"])
+            self._known_until_s = trio.current_time() + body["ttl-s"]
+
+    async def _call(self, address: str) -> None:
+        node = self._nodes[address]
+        kind = self._rng.choice(list(CallKind))
+        account = "limited" if self._rng.random() < LIMITED_SHARE else "large"
+        prompt, output = TOKENS[account]
+        client = self._clients.setdefault(address, HttpClient(address, HttpClientSettings()))
+        record = CallRecord(
+            attempt=f"call-{next(self._numbers)}",
+            kind=kind,
+            node=node.name,
+            incarnation=node.incarnation,
+            sent_s=trio.current_time(),
+            is_kept_connection=client.idle_count > 0,
+            account=account,
+            tokens=prompt + output if kind is CallKind.STREAM else PLAIN_TOKENS,
+        )
+        self._records.calls[record.attempt] = record
+        patience_s = PATIENCE_S
+        leaves = self._rng.random() < LEFT_SHARE
+        if leaves:
+            patience_s = self._rng.uniform(0.005, 0.08)
+        with trio.move_on_after(patience_s) as scope:
+            await self._exchange(client, _request(record, account, prompt, output), record)
+        record.ended_s = trio.current_time()
+        if scope.cancelled_caught:
+            record.end = CallEnd.LEFT if leaves else CallEnd.TIMED_OUT
+        if record.end is CallEnd.NOT_SENT:
+            # The node is gone: only now are its connections given up.
+            await client.aclose()
+            self._clients.pop(address, None)
+
+    async def _exchange(
+        self, client: HttpClient, request: ClientRequest, record: CallRecord
+    ) -> None:
+        async with client.exchange(request) as exchange:
+            head = await exchange.head()
+            if isinstance(head, Err):
+                record.end = _ENDS.get(head.err_value, CallEnd.BROKEN)
+                return
+            answer = head.ok_value
+            record.status = answer.status
+            record.echoed = header_value(answer.headers, names.ATTEMPT_ID)
+            record.stamp = header_value(answer.headers, names.STAMP)
+            while True:
+                part = await exchange.part()
+                if isinstance(part, Err):
+                    record.end = CallEnd.BROKEN
+                    return
+                if part.ok_value is None:
+                    record.end = CallEnd.WHOLE
+                    return
+                record.body += part.ok_value
+
+
+PLAIN_TOKENS = 100
+"""What a call without token counts uses of an account's quota."""
+
+
+def _request(record: CallRecord, account: str, prompt: int, output: int) -> ClientRequest:
+    method, path = PATHS[record.kind]
+    headers = [
+        ("host", HOST),
+        (names.ATTEMPT_ID, record.attempt),
+        (names.KEY, ACCOUNTS[account]),
+        (names.DEADLINE_MS, str(int(DEADLINE_S * 1000))),
+    ]
+    if record.kind is CallKind.STREAM:
+        headers.append((names.TOKENS, f"{prompt},{output}"))
+    body = b"draft" if method == "POST" else b""
+    return ClientRequest(method, path, tuple(headers), body)
--- /dev/null
+++ b/test/soak/soak_checks.py
@@ -0,0 +1,260 @@
+"""The promises, checked on what callers and upstreams saw.
+
+A check is registered by decorator and returns a line for each time that its promise was broken.
+"""
+
+import re
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from soak_records import CallEnd, CallKind, CallRecord, Records
+
+CONTACT_S = 3.0
+"""A participant counts as calm this long after the last trouble (platform)."""
+LEAVING_S = 2.0
+"""No request may reach a leaving upstream later than this after the store's word (platform)."""
+CONFIG_S = 2.0
+"""A version is in force everywhere this long after its acknowledgement (platform)."""
+ROLLBACK_S = 0.25
+"""A node that has shown a version shows it from this time on (platform)."""
+ABANDONED_S = 0.5
+"""Work ends within this time after its caller has left (platform)."""
+ABANDONED_SHARE = 0.25
+"""Part of the abandoned calls that may be worked on for longer (platform)."""
+BUDGET_WINDOW_S = 10.0
+QUOTA_WINDOW_S = 8.0
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of one run, as its nodes' settings and its configuration state them."""
+
+    events: int
+    """Events of a whole stream."""
+    retry_ratio: float
+    retry_slack: float
+    quotas: dict[str, float]
+    """Tokens that each limited account may use in a window, tolerance included."""
+
+
+Check = Callable[[Records, Limits], Iterable[str]]
+
+_checks: dict[str, Check] = {}
+
+
+def promise(check: Check) -> Check:
+    """Register a check under its function's name."""
+    _checks[check.__name__] = check
+    return check
+
+
+def broken_promises(records: Records, limits: Limits) -> list[str]:
+    """Return all findings, each with the name of its check."""
+    return [
+        f"{name}: {finding}"
+        for name, check in _checks.items()
+        for finding in check(records, limits)
+    ]
+
+
+@promise
+def runs_at_most_once(records: Records, _limits: Limits) -> Iterable[str]:
+    """A request that may not be repeated runs once."""
+    for attempt, arrivals in records.arrivals_of().items():
+        call = records.calls.get(attempt)
+        runs = sum(arrival.has_run for arrival in arrivals)
+        if call is not None and call.kind is CallKind.NON_IDEMPOTENT and runs > 1:
+            yield f"{attempt} ran {runs} times"
+
+
+@promise
+def refusals_are_true(records: Records, _limits: Limits) -> Iterable[str]:
+    """An answer that promises "not run" is true, also later."""
+    arrivals = records.arrivals_of()
+    for call in records.calls.values():
+        if call.kind is not CallKind.NON_IDEMPOTENT or call.status not in NOT_RUN_STATUSES:
+            continue
+        if any(arrival.has_run for arrival in arrivals.get(call.attempt, ())):
+            yield f"{call.attempt} was answered {call.status} and has run"
+
+
+@promise
+def answers_are_whole_and_own(records: Records, limits: Limits) -> Iterable[str]:
+    """A success is the whole answer of an upstream to this very call, and signed."""
+    for call in records.calls.values():
+        if call.end is not CallEnd.WHOLE or call.status != 200:
+            continue
+        if call.echoed != call.attempt:
+            yield f"{call.attempt} got the answer of {call.echoed}"
+        elif call.stamp is None:
+            yield f"{call.attempt} got an answer without a stamp"
+        elif call.kind is CallKind.STREAM:
+            if _event_ids(call) != list(range(1, limits.events + 1)):
+                yield f"{call.attempt} ended as whole with the events {_event_ids(call)}"
+        elif call.body != b"answer of " + call.stamp.removeprefix("signed.").encode():
+            yield f"{call.attempt} got {call.body!r} under the stamp {call.stamp}"
+
+
+@promise
+def streams_are_in_order(records: Records, _limits: Limits) -> Iterable[str]:
+    """Events come once each and without gaps, also in a stream that breaks."""
+    for call in records.calls.values():
+        if call.kind is CallKind.STREAM and call.status == 200:
+            ids = _event_ids(call)
+            if ids != list(range(1, len(ids) + 1)):
+                yield f"{call.attempt} got the events {ids}"
+
+
+@promise
+def answers_start_once(records: Records, _limits: Limits) -> Iterable[str]:
+    """Nothing but events follows the head of a stream: no second answer, no refusal."""
+    for call in records.calls.values():
+        if call.kind is CallKind.STREAM and call.status == 200 and b"HTTP/1." in call.body:
+            yield f"{call.attempt} has a second answer within its body"
+        if call.stamp is not None and call.status in NOT_RUN_STATUSES:
+            yield f"{call.attempt} was answered {call.status} under the stamp {call.stamp}"
+
+
+@promise
+def leaving_upstreams_get_nothing_new(records: Records, _limits: Limits) -> Iterable[str]:
+    """A request does not reach an upstream well after the store knew that it leaves."""
+    for arrival in records.arrivals:
+        told_s = records.leave_acks.get(arrival.upstream)
+        call = records.calls.get(arrival.attempt)
+        if told_s is None or call is None or arrival.arrived_s <= told_s + LEAVING_S:
+            continue
+        if _was_in_touch(records, call.node, told_s, arrival.arrived_s):
+            late_s = arrival.arrived_s - told_s
+            yield f"{arrival.attempt} reached {arrival.upstream} {late_s:.2f} s after its notice"
+
+
+@promise
+def versions_come_into_force(records: Records, _limits: Limits) -> Iterable[str]:
+    """A version is in force within its bound."""
+    for probe in records.probes:
+        acked_s = records.config_acks[probe.version]
+        is_due = probe.sent_s > acked_s + CONFIG_S
+        if (
+            not probe.is_known
+            and is_due
+            and _was_in_touch(records, probe.node, acked_s, probe.sent_s)
+        ):
+            yield f"{probe.node} did not know {probe.version} after {probe.sent_s - acked_s:.2f} s"
+
+
+@promise
+def versions_do_not_go_back(records: Records, _limits: Limits) -> Iterable[str]:
+    """A node that has shown a version goes on to show it while it runs."""
+    shown: dict[tuple[str, int, int], float] = {}
+    for probe in sorted(records.probes, key=lambda probe: probe.sent_s):
+        key = (probe.node, probe.incarnation, probe.version)
+        if probe.is_known:
+            shown.setdefault(key, probe.sent_s)
+        elif probe.sent_s > shown.get(key, float("inf")) + ROLLBACK_S:
+            yield f"{probe.node} knew {probe.version} and does not any more"
+
+
+@promise
+def sent_requests_are_answered(records: Records, _limits: Limits) -> Iterable[str]:
+    """A calm node answers what it has passed on to a calm upstream, also during a planned stop."""
+    arrivals = records.arrivals_of()
+    for call in records.calls.values():
+        if call.end is not CallEnd.BROKEN or not arrivals.get(call.attempt):
+            continue
+        from_s = call.sent_s - CONTACT_S
+        upstreams = {arrival.upstream for arrival in arrivals[call.attempt]}
+        if not records.is_calm(call.node, from_s, call.ended_s):
+            continue
+        if all(records.is_calm(name, from_s, call.ended_s) for name in upstreams):
+            where = "on a kept connection" if call.is_kept_connection else "on a new connection"
+            yield f"{call.attempt} ({call.kind.value}, {where}) was cut at {call.node}"
+
+
+@promise
+def abandoned_work_ends(records: Records, _limits: Limits) -> Iterable[str]:
+    """Upstreams do not work on for callers that have left."""
+    arrivals = records.arrivals_of()
+    worked_on = abandoned = 0
+    for call in records.calls.values():
+        if call.end is not CallEnd.LEFT:
+            continue
+        from_s, until_s = call.sent_s - CONTACT_S, call.ended_s + CONTACT_S
+        for arrival in arrivals.get(call.attempt, ()):
+            if not records.is_calm(call.node, from_s, until_s):
+                continue
+            if not records.is_calm(arrival.upstream, from_s, until_s):
+                continue
+            abandoned += 1
+            worked_on += arrival.ended_s > call.ended_s + ABANDONED_S
+    if worked_on > 3 and worked_on > ABANDONED_SHARE * abandoned:
+        yield f"{worked_on} of {abandoned} abandoned requests were worked on"
+
+
+@promise
+def repeats_stay_in_the_budget(records: Records, limits: Limits) -> Iterable[str]:
+    """In any window a service gets no more repeats than the budget allows."""
+    sent: dict[str, list[float]] = defaultdict(list)
+    repeats: dict[str, list[float]] = defaultdict(list)
+    seen: set[str] = set()
+    for arrival in sorted(records.arrivals, key=lambda item: item.arrived_s):
+        times = repeats if arrival.attempt in seen else sent
+        times[arrival.service].append(arrival.arrived_s)
+        seen.add(arrival.attempt)
+    for service, times in repeats.items():
+        for end_s in times:
+            count = _in_window(times, end_s, BUDGET_WINDOW_S)
+            requests = max(
+                _in_window(sent[service], end_s - shift * BUDGET_WINDOW_S, BUDGET_WINDOW_S)
+                for shift in (0.0, 0.5, 1.0)
+            )
+            allowed = limits.retry_ratio * requests + limits.retry_slack
+            if count > allowed:
+                yield f"{service} got {count} repeats within a window that allows {allowed:.1f}"
+                break
+
+
+@promise
+def quotas_hold(records: Records, limits: Limits) -> Iterable[str]:
+    """In any window an account runs no more than its quota and the tolerance."""
+    used: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    counted: set[str] = set()
+    for arrival in sorted(records.arrivals, key=lambda item: item.arrived_s):
+        call = records.calls.get(arrival.attempt)
+        if call is None or not arrival.has_run or arrival.attempt in counted:
+            continue
+        counted.add(arrival.attempt)
+        used[call.account].append((arrival.arrived_s, call.tokens))
+    for account, allowed in limits.quotas.items():
+        for index, (end_s, _) in enumerate(used[account]):
+            total = sum(
+                tokens
+                for at_s, tokens in used[account][: index + 1]
+                if at_s > end_s - QUOTA_WINDOW_S
+            )
+            if total > allowed:
+                yield f"{account} ran {total} tokens within a window that allows {allowed:.0f}"
+                break
+
+
+@promise
+def nothing_else_went_wrong(records: Records, _limits: Limits) -> Iterable[str]:
+    """Planned stops end in time and with success; service comes back after the last fault."""
+    return records.notes
+
+
+def _event_ids(call: CallRecord) -> list[int]:
+    return [int(number) for number in _EVENT_ID.findall(call.body)]
+
+
+def _was_in_touch(records: Records, node: str, told_s: float, until_s: float) -> bool:
+    """Tell whether a node and the store were calm from before a word of the store until now."""
+    from_s = told_s - CONTACT_S
+    return records.is_calm(node, from_s, until_s) and records.is_calm("store", from_s, until_s)
+
+
+def _in_window(times: list[float], end_s: float, window_s: float) -> int:
+    return bisect_right(times, end_s) - bisect_left(times, end_s - window_s)
--- /dev/null
+++ b/test/soak/soak_nodes.py
@@ -0,0 +1,142 @@
+"""Gateway nodes of the soak: processes that are started, stopped, paused, killed and restarted."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+from gateway_world import free_port
+from soak_proxy import LinkProxy
+from soak_records import Records
+
+from lentilchute.node_context import wait_until
+
+ROOT = Path(__file__).parents[2]
+SHARED_KEY = "a-shared-key-of-the-soak"
+GRACE_S = 5.0
+"""A node that was told to stop has this long, as its settings say."""
+ANSWER_LIFETIME_S = 0.5
+EXIT_MARGIN_S = 1.5
+"""Ending the process takes this much longer on a busy machine."""
+RESTART_S = 0.3
+POLL_S = 0.05
+STARTING_S = 3.0
+"""A node that has started counts as troubled for this long: nobody promises anything of it yet."""
+RETRY_RATIO = 0.2
+RETRY_SLACK = 20.0
+QUOTA_OVERRUN = 0.1
+QUOTA_SLACK = 3_000.0
+
+
+class SoakNode:
+    """One gateway over its runs."""
+
+    def __init__(self, name: str, directory: Path, records: Records) -> None:
+        self.name = name
+        self.records = records
+        self.store_link = LinkProxy("")
+        self.peers_link = LinkProxy(f"127.0.0.1:{free_port()}")
+        self.callers = f"127.0.0.1:{free_port()}"
+        self.directory = f"127.0.0.1:{free_port()}"
+        self.incarnation = 0
+        self.is_stopping = False
+        self._path = directory / f"{name}.yaml"
+        self._log = directory / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._is_over = False
+
+    async def run(self, store_address: str, nursery: trio.Nursery) -> None:
+        """Start the links and the process, and start it again whenever it ends."""
+        self.store_link.target = store_address
+        await nursery.start(self.store_link.run)
+        await nursery.start(self.peers_link.run)
+        self._write_settings()
+        self.start()
+        nursery.start_soon(self._keep_running)
+
+    def start(self) -> None:
+        """Start the process."""
+        self.incarnation += 1
+        self.is_stopping = False
+        now_s = trio.current_time()
+        self.records.trouble(self.name, now_s, now_s + STARTING_S)
+        command = [sys.executable, "-m", "lentilchute", "gateway", "--settings", str(self._path)]
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": str(ROOT)},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this node's own process, if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def stop(self) -> None:
+        """Ask for a planned stop and check that it ends in time and with success."""
+        process = self._process
+        if process is None or process.poll() is not None or self.is_stopping:
+            return
+        asked_s = trio.current_time()
+        self.is_stopping = True
+        self.records.planned_stops[self.name].append(asked_s)
+        process.send_signal(signal.SIGTERM)
+        with trio.move_on_after(GRACE_S + EXIT_MARGIN_S):
+            await wait_until(lambda: process.poll() is not None, POLL_S)
+        now_s = trio.current_time()
+        if process.returncode is None and self.records.is_calm(self.name, asked_s, now_s):
+            self.records.notes.append(f"{self.name} did not stop within {now_s - asked_s:.1f} s")
+        elif process.returncode and process.returncode > 0:
+            self.records.notes.append(f"{self.name} stopped with {process.returncode}")
+        self.kill()
+
+    def kill(self) -> None:
+        """End the process, if it still runs."""
+        self.send(signal.SIGKILL)
+
+    def finish(self) -> None:
+        """Kill the process and do not start it again."""
+        self._is_over = True
+        self.kill()
+        if self._process is not None:
+            self._process.wait()
+
+    async def _keep_running(self) -> None:
+        while not self._is_over:
+            await trio.sleep(POLL_S)
+            process = self._process
+            if process is None or process.poll() is None:
+                continue
+            if process.returncode > 0:
+                self.records.notes.append(f"{self.name} ended by itself: {process.returncode}")
+            await trio.sleep(RESTART_S)
+            if not self._is_over:
+                self.start()
+
+    def _write_settings(self) -> None:
+        settings = {
+            "instance": self.name,
+            "availability_zone": "zone-1",
+            "region": "region-1",
+            "listen": {
+                "callers": self.callers,
+                "readiness": f"127.0.0.1:{free_port()}",
+                "directory": self.directory,
+                "peers": self.peers_link.target,
+                "peers_advertised": self.peers_link.address,
+                "metrics": f"127.0.0.1:{free_port()}",
+            },
+            "store": {"address": self.store_link.address},
+            "shared_key": SHARED_KEY,
+            "retries": {"ratio": RETRY_RATIO, "window_s": 10.0, "slack": RETRY_SLACK},
+            "quotas": {"window_s": 8.0, "overrun": QUOTA_OVERRUN, "slack": QUOTA_SLACK},
+            "stop": {"grace_s": GRACE_S, "answer_lifetime_s": ANSWER_LIFETIME_S},
+        }
+        # JSON is YAML.
+        self._path.write_text(json.dumps(settings), encoding="utf-8")
--- /dev/null
+++ b/test/soak/soak_proxy.py
@@ -0,0 +1,103 @@
+"""A loopback proxy that delays, resets, holds or cuts one way the connections through it."""
+
+import socket
+import struct
+from enum import Enum
+
+import trio
+
+from lentilchute.http.messages import split_address
+
+CHUNK_BYTES = 65_536
+_LINGER_ZERO = struct.pack("ii", 1, 0)
+
+
+class LinkState(Enum):
+    """What happens to bytes on their way."""
+
+    OPEN = "open"
+    DELAYED = "delayed"
+    SILENT = "silent"
+    """Bytes of both directions are held."""
+    ANSWERS_HELD = "answers-held"
+    """Bytes to the target pass, those from it are held."""
+
+
+class LinkProxy:
+    """Passes connections on to one target."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ""
+        self.state = LinkState.OPEN
+        self.delay_s = 0.0
+        self._changed = trio.Event()
+        self._streams: set[trio.SocketStream] = set()
+
+    def set_state(self, state: LinkState, delay_s: float = 0.0) -> None:
+        """Change what happens to all connections from now on."""
+        self.state, self.delay_s = state, delay_s
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def reset_connections(self) -> None:
+        """Reset every open connection on both sides."""
+        for stream in self._streams:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+            stream.socket.close()
+
+    async def run(self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Accept connections until cancelled; the task status gets the address."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listeners[0].socket.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        async with trio.open_nursery() as nursery:
+            await nursery.start(trio.serve_listeners, self._serve, listeners)
+            task_status.started(self.address)
+
+    async def _serve(self, accepted: trio.SocketStream) -> None:
+        self._streams.add(accepted)
+        try:
+            await self._pass_open_link()
+            target = await trio.open_tcp_stream(*split_address(self.target))
+        except (OSError, trio.BrokenResourceError):
+            self._close(accepted, with_reset=True)
+            return
+        self._streams.add(target)
+        is_reset = False
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, accepted, target, False)
+                nursery.start_soon(self._pump, target, accepted, True)
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            is_reset = True
+        self._close(accepted, with_reset=is_reset)
+        self._close(target, with_reset=is_reset)
+
+    async def _pump(
+        self, source: trio.SocketStream, sink: trio.SocketStream, is_answer: bool
+    ) -> None:
+        while True:
+            data = await source.receive_some(CHUNK_BYTES)
+            await self._pass_open_link(is_answer)
+            if not data:
+                await sink.send_eof()
+                return
+            await sink.send_all(data)
+
+    async def _pass_open_link(self, is_answer: bool = False) -> None:
+        """Wait while the link holds bytes of this direction."""
+        if self.state is LinkState.DELAYED:
+            await trio.sleep(self.delay_s)
+        while self.state is LinkState.SILENT or (
+            is_answer and self.state is LinkState.ANSWERS_HELD
+        ):
+            await self._changed.wait()
+
+    def _close(self, stream: trio.SocketStream, *, with_reset: bool) -> None:
+        self._streams.discard(stream)
+        if stream.socket.fileno() < 0:
+            return
+        if with_reset:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        stream.socket.close()
--- /dev/null
+++ b/test/soak/soak_records.py
@@ -0,0 +1,106 @@
+"""What the soak sees of a run: calls, arrivals at upstreams, and what was done to whom."""
+
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class CallKind(Enum):
+    """What a call allows."""
+
+    STREAM = "stream"
+    NON_IDEMPOTENT = "non-idempotent"
+    IDEMPOTENT = "idempotent"
+
+
+class CallEnd(Enum):
+    """How a call ended for its caller."""
+
+    WHOLE = "whole"
+    """An answer that is complete by its own framing."""
+    BROKEN = "broken"
+    """The connection ended, or the answer was visibly cut."""
+    NOT_SENT = "not-sent"
+    TIMED_OUT = "timed-out"
+    LEFT = "left"
+    """The caller closed the connection first."""
+
+
+@dataclass(slots=True)
+class CallRecord:
+    """One call."""
+
+    attempt: str
+    kind: CallKind
+    node: str
+    incarnation: int
+    sent_s: float
+    is_kept_connection: bool = False
+    account: str = ""
+    tokens: int = 0
+    ended_s: float = math.inf
+    end: CallEnd = CallEnd.LEFT
+    """What holds when the caller is cancelled; an answer or a fault replaces it."""
+    status: int | None = None
+    echoed: str | None = None
+    """The attempt's id that the answer carries."""
+    stamp: str | None = None
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Arrival:
+    """One request at an upstream."""
+
+    attempt: str
+    upstream: str
+    service: str
+    arrived_s: float
+    has_run: bool
+    ended_s: float = math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """One question to a node whether it knows a version of the configuration."""
+
+    node: str
+    incarnation: int
+    version: int
+    sent_s: float
+    is_known: bool
+
+
+@dataclass(slots=True)
+class Records:
+    """Everything that was seen; times are the harness's."""
+
+    calls: dict[str, CallRecord] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+    probes: list[Probe] = field(default_factory=list)
+    config_acks: dict[int, float] = field(default_factory=dict)
+    leave_acks: dict[str, float] = field(default_factory=dict)
+    """When the store accepted that an upstream is leaving."""
+    troubles: dict[str, list[tuple[float, float]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    """Spans in which something was done to a node, an upstream or the store."""
+    planned_stops: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    notes: list[str] = field(default_factory=list)
+    """What went wrong outside of calls, such as an exit code."""
+
+    def trouble(self, name: str, from_s: float, until_s: float) -> None:
+        """Note that something is done to a participant."""
+        self.troubles[name].append((from_s, until_s))
+
+    def is_calm(self, name: str, from_s: float, until_s: float) -> bool:
+        """Tell whether nothing was done to a participant in a span of time."""
+        return all(until_s < start or end < from_s for start, end in self.troubles[name])
+
+    def arrivals_of(self) -> dict[str, list[Arrival]]:
+        """Return the arrivals by attempt, in order."""
+        found: dict[str, list[Arrival]] = defaultdict(list)
+        for arrival in self.arrivals:
+            found[arrival.attempt].append(arrival)
+        return found
--- /dev/null
+++ b/test/soak/soak_run.py
@@ -0,0 +1,103 @@
+"""One run of the soak: callers and faults beside each other, then calm, then the checks."""
+
+import itertools
+import random
+import signal
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+from soak_callers import Caller
+from soak_checks import broken_promises
+from soak_faults import inject_faults
+from soak_records import CallEnd
+from soak_world import SoakWorld
+
+START_S = 4.0
+"""Processes import their libraries and find each other."""
+CALM_S = 6.0
+"""After the last fault; longer than any fault, a restart and the time until nodes are trusted."""
+LAST_S = 2.0
+"""Service must be back in this last part of the calm."""
+SERVED_SHARE = 0.25
+"""Part of the calls that must be served by then (platform)."""
+CALLERS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class SoakReport:
+    """What a run has shown."""
+
+    seed: int
+    calls: Counter[str]
+    faults: Counter[str]
+    findings: list[str]
+
+    def lines(self) -> list[str]:
+        """Return the report as plain lines."""
+        counts = ", ".join(f"{name} {count}" for name, count in sorted(self.calls.items()))
+        faults = ", ".join(f"{name} {count}" for name, count in sorted(self.faults.items()))
+        return [
+            f"seed {self.seed}: {sum(self.calls.values())} calls ({counts}); faults: {faults}",
+            *(f"seed {self.seed}: BROKEN {finding}" for finding in self.findings),
+        ]
+
+
+def run_soak(seed: int, seconds: float, nodes: int, directory: Path) -> SoakReport:
+    """Run one soak; ``directory`` takes the nodes' settings and logs."""
+    return trio.run(_run, seed, seconds, nodes, directory)
+
+
+async def _run(seed: int, seconds: float, nodes: int, directory: Path) -> SoakReport:
+    rng = random.Random(seed)
+    faults: Counter[str] = Counter()
+    async with trio.open_nursery() as nursery:
+        world = SoakWorld(nursery, directory, nodes)
+        try:
+            await world.open()
+            await trio.sleep(START_S)
+            numbers = itertools.count(1)
+            async with trio.open_nursery() as callers:
+                for _ in range(CALLERS):
+                    own = random.Random(rng.getrandbits(64))
+                    callers.start_soon(Caller(world.nodes, world.records, own, numbers).run)
+                with trio.move_on_after(seconds):
+                    await inject_faults(world, rng, faults)
+                await _calm_down(world)
+                callers.cancel_scope.cancel()
+            await _stop_all(world)
+        finally:
+            for node in world.nodes:
+                node.finish()
+        nursery.cancel_scope.cancel()
+    findings = broken_promises(world.records, world.limits)
+    ends = Counter(
+        call.end.value if call.status is None else f"{call.end.value} {call.status}"
+        for call in world.records.calls.values()
+    )
+    return SoakReport(seed, ends, faults, findings)
+
+
+async def _calm_down(world: SoakWorld) -> None:
+    """Undo what cancelled faults have left, wait, and see whether service is back."""
+    world.undo_faults()
+    await trio.sleep(CALM_S)
+    since_s = trio.current_time() - LAST_S
+    ends = [call.end for call in world.records.calls.values() if call.ended_s >= since_s]
+    statuses = Counter(
+        call.status
+        for call in world.records.calls.values()
+        if call.ended_s >= since_s and call.end is CallEnd.WHOLE
+    )
+    if not ends or statuses[200] < SERVED_SHARE * len(ends):
+        world.records.notes.append(f"{statuses[200]} of {len(ends)} calls served after the faults")
+
+
+async def _stop_all(world: SoakWorld) -> None:
+    """Stop all nodes at once, as planned."""
+    for node in world.nodes:
+        node.send(signal.SIGCONT)
+    async with trio.open_nursery() as nursery:
+        for node in world.nodes:
+            nursery.start_soon(node.stop)
--- /dev/null
+++ b/test/soak/soak_upstreams.py
@@ -0,0 +1,86 @@
+"""Upstreams of the soak: stand-ins behind a proxy each, which note what arrives and what runs."""
+
+import itertools
+import json
+from dataclasses import dataclass, field
+
+import trio
+from soak_proxy import LinkProxy
+from soak_records import Arrival, Records
+
+from lentilchute.http.messages import header_value
+from lentilchute.http.requests import HttpRequest
+from lentilchute.http.responder import Responder
+from lentilchute.platform import headers as names
+from lentilchute.platform import rows
+from lentilchute.standins.host import StandinHost
+from lentilchute.standins.routed_upstream import RoutedUpstream
+from lentilchute.standins.store import StoreState
+
+SLOTS = 6
+
+
+@dataclass
+class SoakUpstream:
+    """One upstream over its runs; ``name`` is the id that it registers under."""
+
+    name: str
+    service: str
+    records: Records
+    proxy: LinkProxy = field(default_factory=lambda: LinkProxy(""))
+    started_ms: int = 1
+    state: str = "ready"
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def __post_init__(self) -> None:
+        self.standin = RoutedUpstream(self.name)
+        self.host = StandinHost("127.0.0.1:0", self.handle)
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until the scope is cancelled."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                self.proxy.target = await nursery.start(self.host.run)
+                await nursery.start(self.proxy.run)
+                task_status.started()
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Note the request and answer it."""
+        attempt = header_value(request.headers, names.ATTEMPT_ID) or ""
+        is_meant = header_value(request.headers, names.EXPECTED_UPSTREAM) == self.name
+        runs = self.standin.runs[attempt]
+        arrival = Arrival(attempt, self.name, self.service, trio.current_time(), has_run=False)
+        if is_meant:
+            self.records.arrivals.append(arrival)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.standin.handle, request, responder)
+                # The stand-in counts a run before its first checkpoint.
+                await trio.lowlevel.checkpoint()
+                arrival.has_run = self.standin.runs[attempt] > runs
+        finally:
+            arrival.ended_s = trio.current_time()
+
+    def register(self, store: StoreState) -> None:
+        """Write the upstream's row as it would itself."""
+        row = {
+            "service": self.service,
+            "address": self.proxy.address,
+            "zone": "zone-1",
+            "slots": SLOTS,
+            "state": self.state,
+            "cold-remaining-ms": 0,
+            "born": self.started_ms,
+        }
+        store.put(rows.UPSTREAMS_TABLE, self.name, json.dumps(row).encode())
+
+
+class UpstreamNames:
+    """Names for upstreams that come later in a run."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count(1)
+
+    def next(self, service: str) -> str:
+        """Return a name that no upstream has had."""
+        return f"{service}-{next(self._numbers)}"
--- /dev/null
+++ b/test/soak/soak_world.py
@@ -0,0 +1,163 @@
+"""The deployment of one soak: the store with its configuration, upstreams and nodes."""
+
+import json
+import signal
+from pathlib import Path
+
+import trio
+from gateway_samples import config_row
+from soak_callers import ACCOUNTS, HOST, PLAIN_TOKENS
+from soak_checks import QUOTA_WINDOW_S, Limits
+from soak_nodes import QUOTA_OVERRUN, QUOTA_SLACK, RETRY_RATIO, RETRY_SLACK, SoakNode
+from soak_proxy import LinkState
+from soak_records import Probe, Records
+from soak_upstreams import SoakUpstream, UpstreamNames
+
+from lentilchute.http.client import ClientRequest, HttpClient
+from lentilchute.http.server import open_listeners
+from lentilchute.platform import headers as names
+from lentilchute.platform import rows
+from lentilchute.standins.routed_upstream import UpstreamBehaviour
+from lentilchute.standins.store import StoreFaultMode, StoreStandin
+
+SERVICES = {"drafters": 3, "agenda": 2}
+"""Upstreams of each service at the start."""
+QUOTAS = {"large": (1_000_000, 1_000_000), "limited": (1_500, 3_000)}
+"""Tokens a second and burst of each account."""
+PROBE_INTERVAL_S = 0.25
+PROBE_TIMEOUT_S = 1.0
+SERVE_LEAVING_S = 3.0
+"""A leaving upstream serves on for longer than requests may still reach it."""
+
+
+class SoakWorld:
+    """Everything that one run consists of."""
+
+    def __init__(self, nursery: trio.Nursery, directory: Path, nodes: int) -> None:
+        self.nursery = nursery
+        self.records = Records()
+        self.store = StoreStandin()
+        self.nodes = [SoakNode(f"node-{n}", directory, self.records) for n in range(nodes)]
+        self.upstreams: dict[str, SoakUpstream] = {}
+        self.version = 0
+        self._names = UpstreamNames()
+
+    @property
+    def limits(self) -> Limits:
+        """The bounds that the run has to keep."""
+        quotas = {
+            account: (rate * QUOTA_WINDOW_S + burst) * (1 + QUOTA_OVERRUN) + QUOTA_SLACK
+            for account, (rate, burst) in QUOTAS.items()
+        }
+        standin = next(iter(self.upstreams.values())).standin
+        return Limits(standin.behaviour.events, RETRY_RATIO, RETRY_SLACK, quotas)
+
+    async def open(self) -> None:
+        """Start everything."""
+        listeners = await open_listeners("127.0.0.1:0")
+        host, port = listeners[0].socket.getsockname()[:2]
+        await self.nursery.start(self.store.server.serve, listeners)
+        self.change_config()
+        for service, count in SERVICES.items():
+            for _ in range(count):
+                await self.add_upstream(service)
+        for node in self.nodes:
+            await node.run(f"{host}:{port}", self.nursery)
+        self.nursery.start_soon(self._probe)
+
+    def change_config(self) -> None:
+        """Write the next version; each has a route of its own, which the one after it keeps."""
+        self.version += 1
+        base = json.loads(config_row())
+        view = next(route for route in base["routes"] if route["name"] == "view")
+        probes = [
+            {**view, "name": f"probe-{number}", "path-prefix": f"/probe-{number}/"}
+            for number in (self.version - 1, self.version)
+        ]
+        tenants = [
+            {
+                "name": account,
+                "api-keys": [key],
+                "unit": "token_count",
+                "plain-tokens": PLAIN_TOKENS,
+                "rate-per-s": QUOTAS[account][0],
+                "burst": QUOTAS[account][1],
+            }
+            for account, key in ACCOUNTS.items()
+        ]
+        changes = {"routes": base["routes"] + probes, "tenants": tenants}
+        row = config_row(version=self.version, **changes)
+        self.store.state.put(rows.CONFIG_TABLE, rows.CONFIG_KEY, row)
+        self.records.config_acks[self.version] = trio.current_time()
+
+    async def add_upstream(self, service: str) -> SoakUpstream:
+        """Start an upstream under a new name and register it."""
+        made = SoakUpstream(self._names.next(service), service, self.records)
+        self.upstreams[made.name] = made
+        await self.nursery.start(made.run)
+        made.register(self.store.state)
+        return made
+
+    async def replace_upstream(self, old: SoakUpstream) -> None:
+        """Have an upstream leave as planned, with another one in its place."""
+        old.state = "draining"
+        old.register(self.store.state)
+        self.records.leave_acks[old.name] = trio.current_time()
+        await self.add_upstream(old.service)
+        await trio.sleep(SERVE_LEAVING_S)
+        self.store.state.put(rows.UPSTREAMS_TABLE, old.name, None)
+        now_s = trio.current_time()
+        self.records.trouble(old.name, now_s, float("inf"))
+        del self.upstreams[old.name]
+        old.scope.cancel()
+
+    async def set_store_mode(self, mode: StoreFaultMode, for_s: float) -> None:
+        """Have the store misbehave for a while."""
+        now_s = trio.current_time()
+        self.records.trouble("store", now_s, now_s + for_s)
+        self.store.mode = mode
+        await trio.sleep(for_s)
+        self.store.mode = StoreFaultMode.NONE
+
+    def undo_faults(self) -> None:
+        """Open all links, wake all nodes and have everything behave as it should."""
+        self.store.mode = StoreFaultMode.NONE
+        for upstream in self.upstreams.values():
+            upstream.standin.behaviour = UpstreamBehaviour()
+            upstream.proxy.set_state(LinkState.OPEN)
+            if upstream.state == "ready":
+                upstream.register(self.store.state)
+        for node in self.nodes:
+            node.send(signal.SIGCONT)
+            node.store_link.set_state(LinkState.OPEN)
+            node.peers_link.set_state(LinkState.OPEN)
+
+    async def _probe(self) -> None:
+        """Ask each node again and again whether it knows the newest version."""
+        while True:
+            await trio.sleep(PROBE_INTERVAL_S)
+            async with trio.open_nursery() as nursery:
+                for node in self.nodes:
+                    nursery.start_soon(self._probe_node, node, self.version)
+
+    async def _probe_node(self, node: SoakNode, version: int) -> None:
+        sent_s, incarnation = trio.current_time(), node.incarnation
+        request = ClientRequest(
+            "GET",
+            f"/probe-{version}/x",
+            (
+                ("host", HOST),
+                (names.ATTEMPT_ID, f"probe-{version}-{node.name}-{sent_s}"),
+                (names.KEY, ACCOUNTS["large"]),
+                (names.DEADLINE_MS, str(int(PROBE_TIMEOUT_S * 1000))),
+            ),
+        )
+        client = HttpClient(node.callers)
+        answer = None
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            answer = (await client.call(request)).ok()
+        await client.aclose()
+        # Only these answers show what the node knows; others come from overload or faults.
+        if answer is not None and answer.status in (200, 404):
+            is_known = answer.status == 200
+            self.records.probes.append(Probe(node.name, incarnation, version, sent_s, is_known))
--- /dev/null
+++ b/test/soak/test_soak.py
@@ -0,0 +1,113 @@
+"""A short run of the soak, and its checks on records in which each promise is broken."""
+
+import dataclasses
+from pathlib import Path
+
+import pytest
+from soak_checks import Limits, broken_promises
+from soak_records import Arrival, CallEnd, CallKind, CallRecord, Probe, Records
+from soak_run import run_soak
+
+from lentilchute.standins.routed_upstream import event
+
+LIMITS = Limits(events=3, retry_ratio=0.2, retry_slack=2.0, quotas={"limited": 1_000.0})
+WHOLE_STREAM = b"".join(event(number) for number in (1, 2, 3))
+SEEDS_THAT_FAILED: dict[int, str] = {}
+"""Seeds that once broke a promise, each with its cause."""
+
+
+def test_a_short_run_breaks_no_promise(tmp_path: Path) -> None:
+    report = run_soak(seed=1, seconds=8.0, nodes=3, directory=tmp_path)
+    assert report.findings == []
+    assert report.calls["whole 200"] > 100
+
+
+def call(kind: CallKind = CallKind.NON_IDEMPOTENT, **changes: object) -> CallRecord:
+    made = CallRecord("c1", kind, "node-0", 1, sent_s=10.0, ended_s=10.1, end=CallEnd.WHOLE)
+    made.status, made.echoed, made.stamp = 200, "c1", "signed.agenda-1"
+    made.body = WHOLE_STREAM if kind is CallKind.STREAM else b"answer of agenda-1"
+    return dataclasses.replace(made, **changes)  # type: ignore[arg-type]
+
+
+def arrival(at_s: float = 10.02, **changes: object) -> Arrival:
+    made = Arrival("c1", "agenda-1", "agenda", at_s, has_run=True, ended_s=at_s + 0.05)
+    return dataclasses.replace(made, **changes)  # type: ignore[arg-type]
+
+
+def records(made: CallRecord, *arrivals: Arrival) -> Records:
+    return Records(calls={made.attempt: made}, arrivals=list(arrivals))
+
+
+def broken_checks(seen: Records) -> set[str]:
+    return {finding.partition(":")[0] for finding in broken_promises(seen, LIMITS)}
+
+
+def test_good_records_break_nothing() -> None:
+    assert broken_checks(records(call(), arrival())) == set()
+    assert broken_checks(records(call(CallKind.STREAM), arrival())) == set()
+
+
+@pytest.mark.parametrize(
+    ("check", "seen"),
+    [
+        ("runs_at_most_once", records(call(), arrival(), arrival(10.05))),
+        ("refusals_are_true", records(call(status=503, stamp=None), arrival())),
+        ("answers_are_whole_and_own", records(call(echoed="c2"), arrival())),
+        ("answers_are_whole_and_own", records(call(stamp=None), arrival())),
+        ("answers_are_whole_and_own", records(call(body=b"answer of"), arrival())),
+        (
+            "answers_are_whole_and_own",
+            records(call(CallKind.STREAM, body=WHOLE_STREAM[:20]), arrival()),
+        ),
+        (
+            "streams_are_in_order",
+            records(call(CallKind.STREAM, body=WHOLE_STREAM + event(3), end=CallEnd.BROKEN)),
+        ),
+        (
+            "answers_start_once",
+            records(call(CallKind.STREAM, body=WHOLE_STREAM + b"HTTP/1.1 503 x"), arrival()),
+        ),
+        ("answers_start_once", records(call(status=429))),
+        ("sent_requests_are_answered", records(call(end=CallEnd.BROKEN), arrival())),
+    ],
+)
+def test_a_broken_promise_is_found(check: str, seen: Records) -> None:
+    assert check in broken_checks(seen)
+
+
+def test_a_late_send_to_a_leaving_upstream_is_found() -> None:
+    seen = records(call(sent_s=14.0, ended_s=14.1), arrival(14.02))
+    seen.leave_acks["agenda-1"] = 11.9
+    assert broken_checks(seen) == {"leaving_upstreams_get_nothing_new"}
+    seen.trouble("node-0", 11.0, 11.5)
+    assert broken_checks(seen) == set()
+
+
+def test_a_version_that_goes_back_or_comes_late_is_found() -> None:
+    seen = Records(config_acks={2: 10.0})
+    seen.probes = [Probe("node-0", 1, 2, 10.5, True), Probe("node-0", 1, 2, 11.0, False)]
+    assert broken_checks(seen) == {"versions_do_not_go_back"}
+    seen.probes = [Probe("node-0", 1, 2, 12.5, False)]
+    assert broken_checks(seen) == {"versions_come_into_force"}
+
+
+def test_work_for_callers_that_left_is_found() -> None:
+    seen = Records()
+    for number in range(5):
+        seen.calls[f"c{number}"] = call(attempt=f"c{number}", end=CallEnd.LEFT, status=None)
+        seen.arrivals.append(arrival(attempt=f"c{number}", ended_s=11.0))
+    assert broken_checks(seen) == {"abandoned_work_ends"}
+
+
+def test_repeats_beyond_the_budget_are_found() -> None:
+    seen = records(call(CallKind.IDEMPOTENT), *(arrival(10.0 + n / 10) for n in range(4)))
+    assert broken_checks(seen) == {"repeats_stay_in_the_budget"}
+
+
+def test_an_account_beyond_its_quota_is_found() -> None:
+    seen = Records()
+    for number in range(3):
+        made = call(attempt=f"c{number}", echoed=f"c{number}", account="limited", tokens=400)
+        seen.calls[made.attempt] = made
+        seen.arrivals.append(arrival(10.0 + number, attempt=made.attempt))
+    assert broken_checks(seen) == {"quotas_hold"}
