Count a lower quota from the time at which it became known

The lower quota was held against what had been used before it, while the platform lets a lower quota bind the windows that begin after it. Change: a quota bounds what is used since it became known; until a window has passed, the earlier one bounds the whole window as well.

--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from ..ids import ClientAccountId
+from .quota_bounds import QuotaBounds
 from .routes import Account
 from .settings import QuotaSettings
 
@@ -43,6 +44,28 @@
     used: float = 0.0
     assumed: float = 0.0
 
+    def since(self, since_s: float, share: float) -> float:
+        """Return what was used since a time, with this node's share of what is assumed."""
+        if not self.buckets or self.buckets[0].start_s >= since_s:
+            return self.used + self.assumed * share
+        return sum(
+            bucket.used + bucket.assumed * share
+            for bucket in self.buckets
+            if bucket.start_s >= since_s
+        )
+
+    def room_from(self, since_s: float, left: float, share: float) -> float:
+        """Return the start of the last bucket that must leave before ``left`` is enough."""
+        excess = self.since(since_s, share) - left
+        room_s = float("-inf")
+        for bucket in self.buckets:
+            if excess <= 0:
+                return room_s
+            room_s = bucket.start_s
+            if bucket.start_s >= since_s:
+                excess -= bucket.used + bucket.assumed * share
+        return room_s if excess <= 0 else float("inf")
+
 
 class QuotaBook:
     """All accounts' quotas, as one node counts them."""
@@ -51,6 +74,7 @@
         self._settings = settings
         self._accounts: dict[ClientAccountId, Account] = {}
         self._usage: dict[ClientAccountId, _Usage] = {}
+        self._bounds: dict[ClientAccountId, QuotaBounds] = {}
         self._told: dict[ClientAccountId, float] = {}
         self._last_totals: dict[ClientAccountId, float] = {}
         self._last_likely: dict[ClientAccountId, float] = {}
@@ -64,6 +88,12 @@
         """Take in the accounts of a new configuration; what was used stays counted."""
         self._accounts = {account.name: account for account in accounts}
         self._usage = {name: self._usage.get(name, _Usage()) for name in self._accounts}
+        known, self._bounds = self._bounds, {}
+        for name, account in self._accounts.items():
+            self._bounds[name] = known.get(name) or QuotaBounds(account)
+            if self._bounds[name].change(account, now_s, self._allowed):
+                # What is used from now on is told apart from what was used before.
+                self._usage[name].buckets.append(_Bucket(now_s))
         if not self._has_accounts:
             self._has_accounts = True
             self._assume_full_use(now_s)
@@ -76,8 +106,10 @@
         if limit is None or limit.quota_per_s is None:
             return Charge(account, 0.0, now_s)
         usage = self._current(account, now_s)
-        if usage.used + usage.assumed * share + cost > self._allowed(limit) * share:
-            return None
+        for bound in self._bounds[account].binding(self._oldest_s(now_s)):
+            used = usage.since(bound.since_s, share)
+            if used + cost > self._allowed(bound.account) * share:
+                return None
         self._bucket(account, now_s).used += cost
         usage.used += cost
         return Charge(account, cost, now_s)
@@ -108,12 +140,11 @@
         if limit is None or limit.quota_per_s is None:
             return 0.0
         usage = self._current(account, now_s)
-        excess = usage.used + usage.assumed * share + cost - self._allowed(limit) * share
-        for bucket in usage.buckets:
-            if excess <= 0:
-                return max(0.0, bucket.start_s + self._settings.window_s - now_s)
-            excess -= bucket.used + bucket.assumed * share
-        return self._settings.window_s
+        wait_s, oldest_s = 0.0, self._oldest_s(now_s)
+        for bound in self._bounds[account].binding(oldest_s):
+            left = self._allowed(bound.account) * share - cost
+            wait_s = max(wait_s, usage.room_from(bound.since_s, left, share) - oldest_s)
+        return min(wait_s, self._settings.window_s)
 
     def totals(self, now_s: float) -> dict[ClientAccountId, float]:
         """Return what was used of each quota in the last window, as far as is known here."""
@@ -213,17 +244,22 @@
             parts[min(max(index, 0), HISTORY_PARTS - 1)] += bucket.used + bucket.assumed
         return parts
 
+    def _oldest_s(self, now_s: float) -> float:
+        """Return the start of the oldest bucket that counts."""
+        return now_s - self._settings.window_s * (1 + 1 / BUCKETS_PER_WINDOW)
+
     def _allowed(self, account: Account) -> float:
         settings = self._settings
-        quota = (account.quota_per_s or 0.0) * settings.window_s + account.quota_burst
+        if account.quota_per_s is None:
+            return float("inf")
+        quota = account.quota_per_s * settings.window_s + account.quota_burst
         tolerance = settings.overrun * quota + (settings.slack if account.counts_tokens else 0.0)
         return quota + settings.tolerance_share * tolerance
 
     def _current(self, account: ClientAccountId, now_s: float) -> _Usage:
         """Return an account's usage without what has left the window."""
         usage = self._usage[account]
-        width_s = self._settings.window_s / BUCKETS_PER_WINDOW
-        oldest_s = now_s - self._settings.window_s - width_s
+        oldest_s = self._oldest_s(now_s)
         while usage.buckets and usage.buckets[0].start_s < oldest_s:
             bucket = usage.buckets.popleft()
             usage.used -= bucket.used
