Tell the coordinator what it has not counted of accounts' quotas

Cause: usage that the coordinator cannot see. A node that decides by itself (after a start, cut off, or while the coordinator is silent) counted that only for itself; when it was back under a coordinator, that one spent the whole quota anew. A node that was cut off took its even share although the coordinator had granted the whole quota a moment before. Ruled out: the time between two writes of usage to the store (0.1 s at five times the rate is 54,000 tokens; 166,000 were unseen); dating of the written history (each part counts from its end). Change: each refresh tells what the present coordinator has not counted of a node's requests, by parts of the window; a coordinator decides for a node only once that has told; a node alone counts its share of what the coordinator had counted, and digests give that by parts of the window. Tests: a fleet of quota books through cuts and changes of the coordinator, any window (hypothesis); it failed with 146 of 100 before the second half of the change.

--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -67,6 +67,14 @@
         """Whether the node may be sent callers."""
         return self.config is not None and self.fleet.is_known and not self.is_stopping
 
+    @property
+    def coordinator_run(self) -> IncarnationId:
+        """The run of the coordinator, as far as this node knows it."""
+        coordinator = self.choice.coordinator
+        if coordinator == self.instance:
+            return self.incarnation
+        return self.membership.incarnation_of(coordinator) or IncarnationId("")
+
     def now_s(self) -> float:
         """Return the time on this process's clock."""
         return trio.current_time()
--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -50,6 +50,8 @@
         self._context = context
         self._own_waits: dict[TicketKey, _OwnWait] = {}
         self._remote_waits: dict[TicketKey, InstanceId] = {}
+        self._reporters: set[IncarnationId] = set()
+        """Runs of nodes that have told what they used by themselves since they were seen."""
         self._has_waits = trio.Event()
         context.config_listeners.append(self._on_config)
         context.fleet_listeners.append(self._update_upstreams)
@@ -71,6 +73,13 @@
 
     async def place_here(self, ticket: Ticket) -> Decision:
         """Return this node's own decision about a ticket; a cancelled wait withdraws it."""
+        decision = await self._decide_here(ticket)
+        if isinstance(decision, Placement):
+            context = self._context
+            context.book.note_own(ticket, context.incarnation, context.now_s())
+        return decision
+
+    async def _decide_here(self, ticket: Ticket) -> Decision:
         book, context = self._context.book, self._context
         decision = book.submit(ticket, context.now_s())
         if decision is not None:
@@ -152,24 +161,27 @@
 
     def _on_refresh(self, _sender: InstanceId, refresh: LoadRefresh) -> None:
         self._context.book.refresh(refresh, self._context.now_s())
+        self._reporters.add(refresh.node)
+        self.update_scope()
 
     def _on_digest(self, sender: InstanceId, digest: FleetDigest) -> None:
         if sender == self._context.choice.coordinator:
             self._context.book.take_digest(digest, self._context.now_s())
 
     def update_scope(self) -> None:
-        """Take in how many nodes share quotas and budget, and for how many this one decides."""
+        """Take in how many nodes share quotas and budget, and for how many this one decides.
+
+        A node is counted among those once it has told what it used while it decided by itself.
+        """
         context = self._context
-        present = context.membership.present()
-        alive = {info.instance for info in context.membership.alive(context.now_s())}
-        known = len(present) + 1
-        lost = sum(1 for info in present if info.instance not in alive)
+        alive = {info.incarnation for info in context.membership.alive(context.now_s())}
+        known = len(context.membership.present()) + 1
         # A node that has just started sees few peers: each of those that start with it may see as
         # few.
         listed = FIRST_NODES if context.listed_nodes is None else context.listed_nodes
         nodes = max(known, listed) if self._is_joining() else known
-        is_own = context.choice.is_own
-        context.book.scope = Scope(nodes, max(1, known - lost) if is_own else 1)
+        covered = 1 + len(self._reporters & alive) if context.choice.is_own else 1
+        context.book.scope = Scope(max(nodes, covered), covered)
 
     def take_over(self) -> None:
         """Begin to coordinate with what the last coordinator told."""
@@ -177,7 +189,9 @@
         log_event(Event.COORDINATOR_CHOSEN, coordinator=self._context.instance, is_own=True)
 
     def peer_changed(self, kind: PeerChangeKind, node: IncarnationId) -> None:
-        """Forget a node whose run is over."""
+        """Forget a node whose run is over, and what one has told that was lost sight of."""
+        if kind in (PeerChangeKind.SUSPECT, PeerChangeKind.GONE):
+            self._reporters.discard(node)
         if kind is PeerChangeKind.GONE:
             self._context.book.forget_node(node)
             for key in [key for key in self._remote_waits if key.node == node]:
--- a/lentilchute/gateway/desk.py
+++ b/lentilchute/gateway/desk.py
@@ -26,6 +26,8 @@
 )
 from .tickets import Decision, Placement, RefusalReason, Refused, Ticket
 
+OWN_USAGE_DELAY_S = 0.1
+"""What a node used without the coordinator is told this much later, together."""
 MAX_BATCH = 500
 """Reports in one message at most."""
 
@@ -47,6 +49,7 @@
         self._questions: dict[int, _Question] = {}
         self._reports: list[Report] = []
         self._has_reports = trio.Event()
+        self._needs_refresh = trio.Event()
         context.coordinator_listeners.append(self._tell_running)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
@@ -63,7 +66,11 @@
             decision = await self._ask(ticket)
             if decision is not None:
                 return decision
-        return await self._context.controller(CoordinatorController).place_here(ticket)
+        decision = await self._context.controller(CoordinatorController).place_here(ticket)
+        if not self._context.choice.is_own:
+            # The coordinator has to know soon what was used without it.
+            self._needs_refresh.set()
+        return decision
 
     def report(
         self,
@@ -155,7 +162,7 @@
             context.post(context.choice.coordinator, withdrawal)
             return None
         model.start(ticket.key, ticket.prompt_tokens, reply.work_tokens, now_s)
-        context.book.note_granted(ticket, now_s)
+        context.book.note_granted(ticket, context.coordinator_run, now_s)
         return Placement(
             listing=listing,
             expected_s=reply.expected_s,
@@ -208,11 +215,16 @@
 
     async def _refresh(self) -> None:
         while True:
-            await trio.sleep(self._context.settings.dispatch.refresh_interval_s)
+            with trio.move_on_after(self._context.settings.dispatch.refresh_interval_s):
+                await self._needs_refresh.wait()
+                await trio.sleep(OWN_USAGE_DELAY_S)
+            self._needs_refresh = trio.Event()
             self._tell_running()
 
     def _tell_running(self) -> None:
         context = self._context
         if not context.choice.is_own:
-            refresh = context.book.own_refresh(context.incarnation, context.now_s())
+            refresh = context.book.own_refresh(
+                context.incarnation, context.coordinator_run, context.now_s()
+            )
             context.post(context.choice.coordinator, refresh)
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -128,20 +128,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AccountUsage:
+class AccountHistory:
     """What was used of an account's quota in the last window."""
 
     account: ClientAccountId
-    used: float
+    parts: tuple[float, ...]
+    """Sums of the parts of the window, the oldest first."""
 
 
 @peer_message("load_refresh")
 @dataclass(frozen=True, slots=True)
 class LoadRefresh:
-    """Everything that one node has running."""
+    """Everything that one node has running, and what it has used of quotas."""
 
     node: IncarnationId
     running: tuple[RunningTicket, ...]
+    accounts: tuple[AccountHistory, ...]
+    """What the receiver has not counted itself."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +169,7 @@
     """What the coordinator knows, for nodes that lose sight of it or take its place."""
 
     upstreams: tuple[UpstreamLoad, ...]
-    accounts: tuple[AccountUsage, ...]
+    accounts: tuple[AccountHistory, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lentilchute/gateway/own_usage.py
@@ -0,0 +1,50 @@
+"""What a node's own requests have used of quotas, and who has counted it; free of I/O.
+
+A coordinator counts what it grants. It does not know what a node has admitted by itself, nor what
+an earlier coordinator has granted to that node; the node tells it with each refresh.
+"""
+
+from ..ids import ClientAccountId, IncarnationId
+from .quota import HISTORY_PARTS
+
+BUCKETS_PER_PART = 4
+"""Usage is told up to this fraction of a part of the window later than it was."""
+
+
+class OwnUsage:
+    """Usage of one node's requests in the last window, by account and by who counted it."""
+
+    def __init__(self, window_s: float) -> None:
+        self._part_s = window_s / HISTORY_PARTS
+        self._used: dict[tuple[int, ClientAccountId, IncarnationId], float] = {}
+        self._last_bucket = 0
+
+    def record(
+        self, account: ClientAccountId, cost: float, counted_by: IncarnationId, now_s: float
+    ) -> None:
+        """Note a request of this node and the node that counted it, which may be this one."""
+        bucket = self._forget_old(now_s)
+        key = (bucket, account, counted_by)
+        self._used[key] = self._used.get(key, 0.0) + cost
+
+    def uncounted(
+        self, coordinator: IncarnationId, now_s: float
+    ) -> dict[ClientAccountId, list[float]]:
+        """Return what a coordinator has not counted, by parts of the window, the oldest first."""
+        newest = self._forget_old(now_s)
+        found: dict[ClientAccountId, list[float]] = {}
+        for (bucket, account, counted_by), cost in self._used.items():
+            if counted_by != coordinator:
+                age = min((newest - bucket) // BUCKETS_PER_PART, HISTORY_PARTS - 1)
+                parts = found.setdefault(account, [0.0] * HISTORY_PARTS)
+                parts[HISTORY_PARTS - 1 - age] += cost
+        return found
+
+    def _forget_old(self, now_s: float) -> int:
+        """Drop what has left the window and return the number of the present bucket."""
+        bucket = int(now_s / self._part_s * BUCKETS_PER_PART)
+        if bucket != self._last_bucket:
+            self._last_bucket = bucket
+            oldest = bucket - HISTORY_PARTS * BUCKETS_PER_PART
+            self._used = {key: cost for key, cost in self._used.items() if key[0] >= oldest}
+        return bucket
--- a/lentilchute/gateway/placement_book.py
+++ b/lentilchute/gateway/placement_book.py
@@ -11,7 +11,14 @@
 from ..ids import IncarnationId, ServiceName
 from .dispatcher import Dispatcher
 from .fleet import Fleet
-from .messages import AccountUsage, FleetDigest, LoadRefresh, Report, RunningTicket
+from .messages import (
+    AccountHistory,
+    FleetDigest,
+    LoadRefresh,
+    Report,
+    RunningTicket,
+)
+from .own_usage import OwnUsage
 from .quota import Charge, QuotaBook
 from .retry_budget import RetryBudget
 from .routes import RoutingConfig
@@ -49,6 +56,7 @@
         self._settings = settings
         self._rng = rng
         self.quotas = QuotaBook(settings.quotas)
+        self.own_usage = OwnUsage(settings.quotas.window_s)
         self.budget = RetryBudget(settings.retries)
         self.dispatchers: dict[ServiceName, Dispatcher] = {}
         self.scope = Scope(nodes=FIRST_NODES, covered=1)
@@ -114,7 +122,9 @@
             model.end(key)
 
     def refresh(self, refresh: LoadRefresh, now_s: float) -> None:
-        """Take in everything that a node has running."""
+        """Take in everything that a node has running, and what it has used of quotas."""
+        used = {item.account: list(item.parts) for item in refresh.accounts}
+        self.quotas.take_report(refresh.node, used, now_s)
         by_model: dict[int, set[TicketKey]] = {}
         for running in refresh.running:
             model = self.model(running)
@@ -135,8 +145,10 @@
                     refresh.node, by_model.get(id(model), set()), now_s - GRANT_IN_FLIGHT_S
                 )
 
-    def own_refresh(self, node: IncarnationId, now_s: float) -> LoadRefresh:
-        """Return what this node has running, for the coordinator."""
+    def own_refresh(
+        self, node: IncarnationId, coordinator: IncarnationId, now_s: float
+    ) -> LoadRefresh:
+        """Return what this node has running, for the coordinator, and what that has not counted."""
         running = tuple(
             RunningTicket(
                 number=key.number,
@@ -152,7 +164,11 @@
             for key, item in model.requests.items()
             if key.node == node
         )
-        return LoadRefresh(node, running)
+        accounts = tuple(
+            AccountHistory(account, tuple(parts))
+            for account, parts in self.own_usage.uncounted(coordinator, now_s).items()
+        )
+        return LoadRefresh(node, running, accounts)
 
     def drop(self, service: ServiceName, key: TicketKey, now_s: float) -> None:
         """Drop a ticket, waiting or placed, whose node does not wait for the answer any more."""
@@ -168,10 +184,12 @@
     def digest(self, now_s: float) -> FleetDigest:
         """Return what is known here, for nodes that may have to do without the coordinator."""
         loads = [load for each in self.dispatchers.values() for load in each.loads(now_s)]
-        usage = self.quotas.totals(now_s)
+        usage = self.quotas.history(now_s)
         return FleetDigest(
             upstreams=tuple(loads),
-            accounts=tuple(AccountUsage(account, used) for account, used in usage.items()),
+            accounts=tuple(
+                AccountHistory(account, tuple(parts)) for account, parts in usage.items()
+            ),
         )
 
     def take_digest(self, digest: FleetDigest, now_s: float) -> None:
@@ -179,7 +197,9 @@
         loads = {load.upstream: load for load in digest.upstreams}
         for dispatcher in self.dispatchers.values():
             dispatcher.take_digest(loads, now_s)
-        self.quotas.take_totals({item.account: item.used for item in digest.accounts})
+        self.quotas.take_history(
+            {item.account: list(item.parts) for item in digest.accounts}, now_s
+        )
 
     def _take_budget(self, ticket: Ticket, now_s: float) -> Refused | None:
         if not ticket.is_repeat:
@@ -211,7 +231,7 @@
         if charge is not None:
             self.quotas.give_back(charge, now_s)
 
-    def note_granted(self, ticket: Ticket, now_s: float) -> None:
+    def note_granted(self, ticket: Ticket, coordinator: IncarnationId, now_s: float) -> None:
         """Count a ticket of this node that the coordinator has placed."""
         if ticket.is_repeat:
             self.budget.spend(ticket.service, now_s)
@@ -219,3 +239,9 @@
             self.budget.note_request(ticket.service, now_s)
             if ticket.account is not None:
                 self.quotas.record(ticket.account, ticket.cost, now_s)
+        self.note_own(ticket, coordinator, now_s)
+
+    def note_own(self, ticket: Ticket, counted_by: IncarnationId, now_s: float) -> None:
+        """Note what a ticket of this node uses of a quota, and who has counted it."""
+        if ticket.account is not None and not ticket.is_repeat and ticket.cost:
+            self.own_usage.record(ticket.account, ticket.cost, counted_by, now_s)
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -1,16 +1,17 @@
 """Quotas of client accounts over all nodes; free of I/O.
 
 In any window an account may use its rate times the window, and its burst. The coordinator counts
-all requests. A node that has to do without it spends its even share, counted by its own requests;
-the coordinator leaves that share to nodes that it has lost sight of. A node that does not know
-what was used before it started counts the whole quota as used.
+all requests that it grants, and adds what other nodes report of theirs. A node that has to do
+without it spends its even share, counted by its own requests; the coordinator leaves that share to
+nodes that have not reported. A node that does not know what was used before it started counts the
+whole quota as used.
 """
 
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ..ids import ClientAccountId
+from ..ids import ClientAccountId, IncarnationId
 from .quota_bounds import QuotaBounds
 from .routes import Account
 from .settings import QuotaSettings
@@ -43,17 +44,42 @@
     buckets: deque[_Bucket] = field(default_factory=deque)
     used: float = 0.0
     assumed: float = 0.0
+    assumed_until_s: float = float("-inf")
+    """What all nodes had used until this time is assumed; reports count only from then on."""
+    reported: dict[IncarnationId, list[_Bucket]] = field(default_factory=dict)
+    told: list[_Bucket] = field(default_factory=list)
+    """What the coordinator, another node, has counted for all nodes until ``told_s``."""
+    told_s: float = float("-inf")
 
     def since(self, since_s: float, share: float) -> float:
-        """Return what was used since a time, with this node's share of what is assumed."""
-        if not self.buckets or self.buckets[0].start_s >= since_s:
-            return self.used + self.assumed * share
+        """Return what was used since a time, with this node's share of what others used."""
+        own_since_s = max(since_s, self.told_s)
+        if not self.buckets or self.buckets[0].start_s >= own_since_s:
+            counted = self.used + self.assumed * share
+        else:
+            counted = sum(
+                bucket.used + bucket.assumed * share
+                for bucket in self.buckets
+                if bucket.start_s >= own_since_s
+            )
+        told = sum(bucket.used for bucket in self.told if bucket.start_s >= since_s)
+        return counted + told * share + self.reported_since(since_s)
+
+    def reported_since(self, since_s: float) -> float:
+        """Return what other nodes have reported of their usage since a time."""
+        since_s = max(since_s, self.assumed_until_s)
         return sum(
-            bucket.used + bucket.assumed * share
-            for bucket in self.buckets
-            if bucket.start_s >= since_s
+            bucket.used
+            for buckets in self.reported.values()
+            for bucket in buckets
+            if bucket.start_s > since_s
         )
 
+    @property
+    def total(self) -> float:
+        """All that was used in the window, as far as is known here."""
+        return self.used + self.assumed + self.reported_since(float("-inf"))
+
     def room_from(self, since_s: float, left: float, share: float) -> float:
         """Return the start of the last bucket that must leave before ``left`` is enough."""
         excess = self.since(since_s, share) - left
@@ -75,7 +101,6 @@
         self._accounts: dict[ClientAccountId, Account] = {}
         self._usage: dict[ClientAccountId, _Usage] = {}
         self._bounds: dict[ClientAccountId, QuotaBounds] = {}
-        self._told: dict[ClientAccountId, float] = {}
         self._last_totals: dict[ClientAccountId, float] = {}
         self._last_likely: dict[ClientAccountId, float] = {}
         self._has_accounts = False
@@ -120,6 +145,19 @@
             self._bucket(account, now_s).used += cost
             self._usage[account].used += cost
 
+    def take_report(
+        self, node: IncarnationId, history: dict[ClientAccountId, list[float]], now_s: float
+    ) -> None:
+        """Replace what a node has reported: usage that this one has not counted itself.
+
+        The sums are those of the parts of the window, the oldest first.
+        """
+        for name, usage in self._usage.items():
+            if name in history:
+                usage.reported[node] = self._dated(history[name], now_s)
+            else:
+                usage.reported.pop(node, None)
+
     def give_back(self, charge: Charge, now_s: float) -> None:
         """Return the cost of a request that was not sent upstream."""
         usage = self._usage.get(charge.account)
@@ -150,10 +188,13 @@
         """Return what was used of each quota in the last window, as far as is known here."""
         totals = {}
         for name in self._usage:
-            usage = self._current(name, now_s)
-            totals[name] = usage.used + usage.assumed
+            totals[name] = self._current(name, now_s).total
         return totals
 
+    def history(self, now_s: float) -> dict[ClientAccountId, list[float]]:
+        """Return what was used in the last window, by its parts, the oldest first."""
+        return {name: self._parts(name, now_s) for name in self._usage}
+
     def used_shares(self, now_s: float) -> dict[ClientAccountId, float]:
         """Return which part of its quota each limited account has used, as far as is known here."""
         totals = self.totals(now_s)
@@ -163,21 +204,32 @@
             if account.quota_per_s is not None
         }
 
-    def take_totals(self, totals: dict[ClientAccountId, float]) -> None:
-        """Remember the coordinator's totals, in case this node has to take its place."""
-        self._told = totals
+    def take_history(self, history: dict[ClientAccountId, list[float]], now_s: float) -> None:
+        """Remember what the coordinator has counted, in case this node has to do without it."""
+        for name, parts in history.items():
+            if name in self._usage:
+                usage = self._current(name, now_s)
+                usage.told, usage.told_s = self._dated(parts, now_s), now_s
+                # What is used from now on is not in it.
+                usage.buckets.append(_Bucket(now_s))
 
     def take_over(self, now_s: float) -> None:
         """Count what the last coordinator had counted, as this node takes its place."""
-        for name, total in self._told.items():
-            if name not in self._usage:
-                continue
+        for name in self._usage:
             usage = self._current(name, now_s)
-            missing = total - usage.used - usage.assumed
+            told = sum(bucket.used for bucket in usage.told)
+            missing = told - sum(
+                bucket.used + bucket.assumed
+                for bucket in usage.buckets
+                if bucket.start_s < usage.told_s
+            )
+            if usage.told_s > float("-inf"):
+                usage.assumed_until_s = usage.told_s
             if missing > 0:
-                # The digest does not say when it was used.
-                self._assume(name, [missing / HISTORY_PARTS] * HISTORY_PARTS, now_s)
-        self._told = {}
+                for bucket in usage.told:
+                    bucket.assumed, bucket.used = bucket.used * missing / told, 0.0
+                self._add_assumed(usage, usage.told)
+            usage.told, usage.told_s = [], float("-inf")
 
     def likely_history(self, now_s: float) -> dict[ClientAccountId, list[float]]:
         """Return what may have been used until the next call, for a node that starts after a kill.
@@ -204,12 +256,16 @@
     def learn_history(
         self, history: dict[ClientAccountId, list[float]], age_s: float, now_s: float
     ) -> None:
-        """Replace what was assumed at the start by what the last coordinator has written down."""
+        """Replace what was assumed at the start by what the last coordinator has written down.
+
+        ``age_s`` is infinite where nothing has been written yet.
+        """
         for name in self._usage:
             usage = self._current(name, now_s)
             for bucket in usage.buckets:
                 usage.assumed -= bucket.assumed
                 bucket.assumed = 0.0
+            usage.assumed_until_s = now_s - age_s
             self._assume(name, history.get(name, []), now_s - age_s)
 
     def _assume_full_use(self, now_s: float) -> None:
@@ -218,6 +274,7 @@
             if account.quota_per_s is None:
                 continue
             usage = self._usage[name]
+            usage.assumed_until_s = now_s
             part = account.quota_per_s * width_s
             for number in range(BUCKETS_PER_WINDOW, 0, -1):
                 usage.buckets.append(_Bucket(now_s - number * width_s, assumed=part))
@@ -226,20 +283,36 @@
 
     def _assume(self, account: ClientAccountId, parts: list[float], until_s: float) -> None:
         """Count sums of parts of the window that ends at ``until_s``, the oldest first."""
-        usage = self._usage[account]
+        assumed = self._dated(parts, until_s)
+        for bucket in assumed:
+            bucket.assumed, bucket.used = bucket.used, 0.0
+        self._add_assumed(self._usage[account], assumed)
+
+    def _add_assumed(self, usage: _Usage, assumed: list[_Bucket]) -> None:
+        usage.buckets = deque(sorted([*assumed, *usage.buckets], key=lambda item: item.start_s))
+        usage.assumed += sum(bucket.assumed for bucket in assumed)
+
+    def _dated(self, parts: list[float], until_s: float) -> list[_Bucket]:
+        """Return sums of parts of the window that ends at ``until_s``, each at its part's end."""
         width_s = self._settings.window_s / HISTORY_PARTS
-        assumed = [
-            _Bucket(until_s - (len(parts) - index - 1) * width_s, assumed=part)
+        return [
+            _Bucket(until_s - (len(parts) - index - 1) * width_s, used=part)
             for index, part in enumerate(parts)
+            if part
         ]
-        usage.buckets = deque(sorted([*assumed, *usage.buckets], key=lambda item: item.start_s))
-        usage.assumed += sum(parts)
 
     def _parts(self, account: ClientAccountId, now_s: float) -> list[float]:
         """Return the sums of the parts of the window, the oldest first."""
         parts = [0.0] * HISTORY_PARTS
         width_s = self._settings.window_s / HISTORY_PARTS
-        for bucket in self._current(account, now_s).buckets:
+        usage = self._current(account, now_s)
+        reported = (
+            bucket
+            for buckets in usage.reported.values()
+            for bucket in buckets
+            if bucket.start_s > usage.assumed_until_s
+        )
+        for bucket in (*usage.buckets, *reported):
             index = HISTORY_PARTS - 1 - int((now_s - bucket.start_s) / width_s)
             parts[min(max(index, 0), HISTORY_PARTS - 1)] += bucket.used + bucket.assumed
         return parts
@@ -264,6 +337,12 @@
             bucket = usage.buckets.popleft()
             usage.used -= bucket.used
             usage.assumed -= bucket.assumed
+        while usage.told and usage.told[0].start_s < oldest_s:
+            del usage.told[0]
+        for node in [
+            node for node, buckets in usage.reported.items() if buckets[-1].start_s < oldest_s
+        ]:
+            del usage.reported[node]
         return usage
 
     def _bucket(self, account: ClientAccountId, now_s: float) -> _Bucket:
--- a/lentilchute/gateway/quota_keeping.py
+++ b/lentilchute/gateway/quota_keeping.py
@@ -69,9 +69,17 @@
             return True
         now_s = self._context.now_s()
         used = {} if usage is None else usage.ok_value.used
-        age_s = 0.0 if usage is None else now_s + self._store_ahead_s - usage.ok_value.at_s
-        self._context.book.quotas.learn_history(used, max(0.0, age_s), now_s)
-        log_event(Event.QUOTAS_READ, accounts=len(used), age_s=round(age_s, 3))
+        age_s = (
+            float("inf")
+            if usage is None
+            else max(0.0, now_s + self._store_ahead_s - usage.ok_value.at_s)
+        )
+        self._context.book.quotas.learn_history(used, age_s, now_s)
+        log_event(
+            Event.QUOTAS_READ,
+            accounts=len(used),
+            age_s=None if usage is None else round(age_s, 3),
+        )
         return True
 
     async def _write(self) -> None:
--- a/lentilchute/peers/membership.py
+++ b/lentilchute/peers/membership.py
@@ -118,6 +118,11 @@
         peer = self._view.peers.get(instance)
         return None if peer is None else peer.info.address
 
+    def incarnation_of(self, instance: InstanceId) -> IncarnationId | None:
+        """Return the run of an instance that may still answer, or ``None``."""
+        peer = self._view.peers.get(instance)
+        return None if peer is None else peer.info.incarnation
+
     def is_present(self, incarnation: IncarnationId) -> bool:
         """Tell whether this very run is among the peers that may still answer."""
         return any(info.incarnation == incarnation for info in self.present())
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -252,14 +252,15 @@
   7: bool has_first_event
 }
 
-struct AccountUsage {
+struct AccountHistory {
   1: string account
-  2: double used
+  2: list<double> parts
 }
 
 struct LoadRefresh {
   1: string node
   2: list<RunningTicket> running
+  3: list<AccountHistory> accounts
 }
 
 struct UpstreamLoad {
@@ -276,7 +277,7 @@
 
 struct FleetDigest {
   1: list<UpstreamLoad> upstreams
-  2: list<AccountUsage> accounts
+  2: list<AccountHistory> accounts
 }
 
 struct NewsRow {
--- /dev/null
+++ b/test/gateway/test_own_usage.py
@@ -0,0 +1,123 @@
+"""Usage that a coordinator has not counted, and quotas through cuts of the fleet."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilchute.gateway.own_usage import OwnUsage
+from lentilchute.gateway.quota import QuotaBook
+from lentilchute.gateway.routes import Account
+from lentilchute.gateway.settings import QuotaSettings
+from lentilchute.ids import ClientAccountId, IncarnationId
+
+ACCOUNT = ClientAccountId("notary")
+FIRST, SECOND, THIRD = (IncarnationId(f"node-{number}.1") for number in range(3))
+WINDOW_S = 8.0
+SETTINGS = QuotaSettings(window_s=WINDOW_S, overrun=0.0, slack=0.0, tolerance_share=0.0)
+ALLOWED = 100.0
+
+
+def test_a_coordinator_is_told_what_others_have_counted() -> None:
+    usage = OwnUsage(WINDOW_S)
+    usage.record(ACCOUNT, 3.0, FIRST, 10.0)
+    usage.record(ACCOUNT, 5.0, THIRD, 12.1)
+    assert usage.uncounted(FIRST, 12.1) == {ACCOUNT: [0, 0, 0, 0, 0, 0, 0, 5.0]}
+    assert usage.uncounted(THIRD, 12.1) == {ACCOUNT: [0, 0, 0, 0, 0, 3.0, 0, 0]}
+    assert usage.uncounted(SECOND, 19.5) == {ACCOUNT: [5.0, 0, 0, 0, 0, 0, 0, 0]}
+    assert usage.uncounted(SECOND, 21.0) == {}
+
+
+class Fleet:
+    """Nodes that share one quota; each may be cut off from the others."""
+
+    def __init__(self, size: int) -> None:
+        quota = Account(ACCOUNT, frozenset(), ALLOWED / WINDOW_S, 0.0, True, 1.0)
+        self.names = [IncarnationId(f"node-{number}.1") for number in range(size)]
+        self.books = {name: QuotaBook(SETTINGS) for name in self.names}
+        self.usages = {name: OwnUsage(WINDOW_S) for name in self.names}
+        self.is_cut = dict.fromkeys(self.names, False)
+        self.coordinator = self.names[0]
+        self.reporters: set[IncarnationId] = set()
+        for book in self.books.values():
+            book.set_accounts([quota], -20.0)
+
+    def connect(self, cut: set[IncarnationId], now_s: float) -> None:
+        """Change who is cut off; the rest chooses its coordinator and tells it what it used."""
+        self.is_cut = {name: name in cut for name in self.names}
+        connected = [name for name in self.names if name not in cut]
+        self.reporters &= set(connected)
+        if not connected:
+            return
+        if connected[0] != self.coordinator:
+            self.coordinator = connected[0]
+            self.books[self.coordinator].take_over(now_s)
+            self.reporters = set()
+        for name in connected[1:]:
+            used = self.usages[name].uncounted(self.coordinator, now_s)
+            self.books[self.coordinator].take_report(name, used, now_s)
+            self.reporters.add(name)
+
+    def admit(self, name: IncarnationId, cost: float, now_s: float) -> bool:
+        """Decide about a request at a node as the gateway does."""
+        if self.is_cut[name] or name == self.coordinator:
+            others = 0 if self.is_cut[name] else len(self.reporters - {name})
+            decider, share = name, (1 + others) / len(self.names)
+        else:
+            decider = self.coordinator
+            share = (1 + len(self.reporters - {decider})) / len(self.names)
+        if self.books[decider].admit(ACCOUNT, cost, share, now_s) is None:
+            return False
+        if decider != name:
+            self.books[name].record(ACCOUNT, cost, now_s)
+        self.usages[name].record(ACCOUNT, cost, decider, now_s)
+        self._tell_history(now_s)
+        return True
+
+    def _tell_history(self, now_s: float) -> None:
+        history = self.books[self.coordinator].history(now_s)
+        for name in self.names:
+            if not self.is_cut[name] and name != self.coordinator:
+                self.books[name].take_history(history, now_s)
+
+
+def largest_window(admitted: list[tuple[float, float]]) -> float:
+    return max(
+        (
+            sum(cost for at_s, cost in admitted if end_s - WINDOW_S < at_s <= end_s)
+            for end_s, _ in admitted
+        ),
+        default=0.0,
+    )
+
+
+def test_what_nodes_used_while_cut_off_counts_once_they_are_back() -> None:
+    fleet, admitted, rng = Fleet(3), [], random.Random(1)
+    cut = set(fleet.names[1:])
+    for tick in range(800):
+        now_s = tick * 0.02
+        if tick % 200 == 0:
+            fleet.connect(cut if tick % 400 == 200 else set(), now_s)
+        if fleet.admit(rng.choice(fleet.names), 1.0, now_s):
+            admitted.append((now_s, 1.0))
+    assert 0.8 * ALLOWED < largest_window(admitted) <= ALLOWED
+
+
+@pytest.mark.parametrize("size", [2, 4])
+@settings(max_examples=150)
+@given(data=st.data())
+def test_a_quota_holds_through_cuts_and_changes_of_the_coordinator(
+    size: int, data: st.DataObject
+) -> None:
+    fleet, admitted, now_s = Fleet(size), [], 0.0
+    fleet.connect(set(), now_s)
+    names = st.sampled_from(fleet.names)
+    for _ in range(data.draw(st.integers(1, 60))):
+        now_s += data.draw(st.floats(0.01, 0.6))
+        if data.draw(st.booleans()):
+            fleet.connect(data.draw(st.sets(names)), now_s)
+        cost = data.draw(st.floats(1.0, 40.0))
+        if fleet.admit(data.draw(names), cost, now_s):
+            admitted.append((now_s, cost))
+    assert largest_window(admitted) <= ALLOWED + 1e-6
--- a/test/gateway/test_quota.py
+++ b/test/gateway/test_quota.py
@@ -199,9 +199,9 @@
     for tick in range(600):
         now_s = tick * 0.1
         if tick % 30 == 29:
-            totals = quotas.totals(now_s)
+            history = quotas.history(now_s)
             quotas = book(account(), started_s=-100.0)
-            quotas.take_totals(totals)
+            quotas.take_history(history, now_s)
             quotas.take_over(now_s)
         assert quotas.admit(ACCOUNT, 0.7, 1.0, now_s) is not None
 
@@ -223,7 +223,7 @@
 def test_a_new_coordinator_counts_what_the_last_one_told() -> None:
     quotas = book(account())
     quotas.record(ACCOUNT, 10.0, 0.0)
-    quotas.take_totals({ACCOUNT: 90.0})
+    quotas.take_history({ACCOUNT: [90.0]}, 0.4)
     quotas.take_over(0.5)
     assert quotas.admit(ACCOUNT, 11.0, 1.0, 0.5) is None
     assert quotas.admit(ACCOUNT, 10.0, 1.0, 0.5) is not None
