--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -19,9 +19,9 @@
 from .tickets import Decision, Placement, RefusalReason, Refused, Ticket, TicketKey
 from .upstream_model import LEARNED_LIFETIME_S, UpstreamModel
 
-OTHER_ZONE_S = 0.004
-"""What an upstream in another zone must be better by: the way, and the price of bytes between
-zones."""
+OTHER_ZONE_S = 0.03
+"""What an upstream in another zone must be better by, since bytes between zones are priced; under a
+tenth of any latency objective."""
 LENGTH_SPREAD = 0.7
 """Standard deviation of the logarithm of a stream's length against its caller's estimate, which is
 right in the median and often far off (platform)."""
