Send heartbeats in brief to peers that know this run; let the soak plan work and run streams that may not be resumed

Each carried the sender's addresses, zone and roles, which its receiver knew. Ruled out: digests (1.3 kB each, one a second). Versions and upstreams now change all the time, one kind of stream may run only once, and faults are further apart in some runs.

--- a/lentilchute/peers/membership.py
+++ b/lentilchute/peers/membership.py
@@ -27,7 +27,7 @@
     PeerStatus,
 )
 from .rendezvous import rendezvous_order
-from .view import PeerView, run_order
+from .view import PeerRecord, PeerView, run_order
 
 JOIN_WINDOW_S = 10.0
 """A node may raise its own generation above an earlier run's until this long after a peer first
@@ -158,7 +158,9 @@
         if self._wants_view or self._view.misses_peer:
             asked.update(self._rng.sample(sorted(targets), min(VIEW_REQUESTS, len(targets))))
         outgoing = [
-            OutgoingHeartbeat(name, address, self._heartbeat_to(name, wants_view=name in asked))
+            OutgoingHeartbeat(
+                name, address, self._heartbeat_to(name, now_s, wants_view=name in asked)
+            )
             for name, address in [*targets.items(), *self._replies(targets)]
         ]
         self._view_wanted_by.clear()
@@ -220,10 +222,11 @@
         ]
         return self._rng.sample(unknown, min(len(unknown), self._settings.fanout))
 
-    def _heartbeat_to(self, name: InstanceId, *, wants_view: bool) -> Heartbeat:
+    def _heartbeat_to(self, name: InstanceId, now_s: float, *, wants_view: bool) -> Heartbeat:
         peer = self._view.peers.get(name)
+        own = PeerState(self._info, self._status, self._sequence)
         return Heartbeat(
-            sender=PeerState(self._info, self._status, self._sequence),
+            sender=own.brief() if self._is_known_by(peer, now_s) else own,
             heard=0 if peer is None else peer.sequence,
             digest=self._digest,
             ready=self._is_ready,
@@ -232,6 +235,12 @@
             states=self._states_for(name),
         )
 
+    def _is_known_by(self, peer: PeerRecord | None, now_s: float) -> bool:
+        """Tell whether a peer has just said that it knows this run."""
+        if peer is None or peer.echo_s is None:
+            return False
+        return now_s - peer.echo_s <= self._settings.suspect_after_s
+
     def _states_for(self, receiver: InstanceId) -> tuple[PeerState, ...]:
         if receiver in self._view_wanted_by:
             return self._reported(list(self._view.peers))
@@ -254,7 +263,9 @@
         peer = self._view.peers.get(sender.instance)
         if peer is None or peer.info.incarnation != sender.incarnation:
             # An older run, or one whose clock is behind, learns from the reply who replaced it.
-            self._reply_to[sender.instance] = sender.address
+            # One that takes itself for known tells its address again when no answer comes.
+            if sender.address:
+                self._reply_to[sender.instance] = sender.address
             return
         if heartbeat.wants_view:
             self._view_wanted_by.add(sender.instance)
--- a/test/soak/soak_callers.py
+++ b/test/soak/soak_callers.py
@@ -27,6 +27,7 @@
 """Part of the calls of the account that asks for more than its quota."""
 PATHS = {
     CallKind.STREAM: ("POST", "/drafts/x"),
+    CallKind.SINGLE_STREAM: ("POST", "/notes/x"),
     CallKind.NON_IDEMPOTENT: ("POST", "/book/x"),
     CallKind.IDEMPOTENT: ("GET", "/view/x"),
 }
@@ -96,7 +97,7 @@
             sent_s=trio.current_time(),
             is_kept_connection=client.idle_count > 0,
             account=account,
-            tokens=prompt + output if kind is CallKind.STREAM else PLAIN_TOKENS,
+            tokens=prompt + output if kind.is_stream else PLAIN_TOKENS,
         )
         self._records.calls[record.attempt] = record
         patience_s = PATIENCE_S
@@ -148,7 +149,7 @@
         (names.KEY, ACCOUNTS[account]),
         (names.DEADLINE_MS, str(int(DEADLINE_S * 1000))),
     ]
-    if record.kind is CallKind.STREAM:
+    if record.kind.is_stream:
         headers.append((names.TOKENS, f"{prompt},{output}"))
     body = b"draft" if method == "POST" else b""
     return ClientRequest(method, path, tuple(headers), body)
--- a/test/soak/soak_checks.py
+++ b/test/soak/soak_checks.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from soak_records import CallEnd, CallKind, CallRecord, Records
+from soak_records import CallEnd, CallRecord, Records
 
 CONTACT_S = 3.0
 """A participant counts as calm this long after the last trouble (platform)."""
@@ -67,7 +67,7 @@
     for attempt, arrivals in records.arrivals_of().items():
         call = records.calls.get(attempt)
         runs = sum(arrival.has_run for arrival in arrivals)
-        if call is not None and call.kind is CallKind.NON_IDEMPOTENT and runs > 1:
+        if call is not None and not call.kind.may_repeat and runs > 1:
             yield f"{attempt} ran {runs} times"
 
 
@@ -76,7 +76,7 @@
     """An answer that promises "not run" is true, also later."""
     arrivals = records.arrivals_of()
     for call in records.calls.values():
-        if call.kind is not CallKind.NON_IDEMPOTENT or call.status not in NOT_RUN_STATUSES:
+        if call.kind.may_repeat or call.status not in NOT_RUN_STATUSES:
             continue
         if any(arrival.has_run for arrival in arrivals.get(call.attempt, ())):
             yield f"{call.attempt} was answered {call.status} and has run"
@@ -92,7 +92,7 @@
             yield f"{call.attempt} got the answer of {call.echoed}"
         elif call.stamp is None:
             yield f"{call.attempt} got an answer without a stamp"
-        elif call.kind is CallKind.STREAM:
+        elif call.kind.is_stream:
             if _event_ids(call) != list(range(1, limits.events + 1)):
                 yield f"{call.attempt} ended as whole with the events {_event_ids(call)}"
         elif call.body != b"answer of " + call.stamp.removeprefix("signed.").encode():
@@ -103,7 +103,7 @@
 def streams_are_in_order(records: Records, _limits: Limits) -> Iterable[str]:
     """Events come once each and without gaps, also in a stream that breaks."""
     for call in records.calls.values():
-        if call.kind is CallKind.STREAM and call.status == 200:
+        if call.kind.is_stream and call.status == 200:
             ids = _event_ids(call)
             if ids != list(range(1, len(ids) + 1)):
                 yield f"{call.attempt} got the events {ids}"
@@ -113,7 +113,7 @@
 def answers_start_once(records: Records, _limits: Limits) -> Iterable[str]:
     """Nothing but events follows the head of a stream: no second answer, no refusal."""
     for call in records.calls.values():
-        if call.kind is CallKind.STREAM and call.status == 200 and b"HTTP/1." in call.body:
+        if call.kind.is_stream and call.status == 200 and b"HTTP/1." in call.body:
             yield f"{call.attempt} has a second answer within its body"
         if call.stamp is not None and call.status in NOT_RUN_STATUSES:
             yield f"{call.attempt} was answered {call.status} under the stamp {call.stamp}"
--- a/test/soak/soak_faults.py
+++ b/test/soak/soak_faults.py
@@ -12,8 +12,9 @@
 from lentilchute.standins.routed_upstream import UpstreamBehaviour
 from lentilchute.standins.store import StoreFaultMode
 
-MEAN_PAUSE_S = 0.7
-"""Faults last longer than that, so that most overlap with others."""
+MEAN_PAUSE_S = (0.5, 3.0)
+"""Between faults; drawn for each run. Close together most overlap; far apart some nodes stay calm
+for long enough to be held to their bounds."""
 FAULT_S = (0.3, 3.0)
 RESTART_GAP_S = 1.0
 MIN_UPSTREAMS = 2
@@ -33,9 +34,10 @@
 async def inject_faults(world: SoakWorld, rng: random.Random, counts: Counter[str]) -> None:
     """Begin faults at random times until cancelled; those begun go on beside each other."""
     names = sorted(_faults)
+    mean_pause_s = rng.uniform(*MEAN_PAUSE_S)
     async with trio.open_nursery() as nursery:
         while True:
-            await trio.sleep(rng.expovariate(1 / MEAN_PAUSE_S))
+            await trio.sleep(rng.expovariate(1 / mean_pause_s))
             name = rng.choice(names)
             counts[name] += 1
             # A generator of its own keeps a fault's draws apart from those of others beside it.
--- a/test/soak/soak_records.py
+++ b/test/soak/soak_records.py
@@ -10,9 +10,22 @@
     """What a call allows."""
 
     STREAM = "stream"
+    """May be resumed."""
+    SINGLE_STREAM = "single-stream"
+    """May run once."""
     NON_IDEMPOTENT = "non-idempotent"
     IDEMPOTENT = "idempotent"
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer comes in events."""
+        return self in (CallKind.STREAM, CallKind.SINGLE_STREAM)
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a call may run more than once."""
+        return self in (CallKind.STREAM, CallKind.IDEMPOTENT)
+
 
 class CallEnd(Enum):
     """How a call ended for its caller."""
--- a/test/soak/soak_world.py
+++ b/test/soak/soak_world.py
@@ -26,7 +26,8 @@
 """Tokens a second and burst of each account."""
 PROBE_INTERVAL_S = 0.25
 PROBE_TIMEOUT_S = 1.0
-SERVE_LEAVING_S = 3.0
+PLAN_INTERVAL_S = 4.0
+SERVE_LEAVING_S = 5.0
 """A leaving upstream serves on for longer than requests may still reach it."""
 
 
@@ -64,6 +65,7 @@
         for node in self.nodes:
             await node.run(f"{host}:{port}", self.nursery)
         self.nursery.start_soon(self._probe)
+        self.nursery.start_soon(self._plan)
 
     def change_config(self) -> None:
         """Write the next version; each has a route of its own, which the one after it keeps."""
@@ -74,6 +76,8 @@
             {**view, "name": f"probe-{number}", "path-prefix": f"/probe-{number}/"}
             for number in (self.version - 1, self.version)
         ]
+        drafts = next(route for route in base["routes"] if route["name"] == "drafts")
+        notes = {**drafts, "name": "notes", "path-prefix": "/notes/", "resumable": False}
         tenants = [
             {
                 "name": account,
@@ -85,7 +89,7 @@
             }
             for account, key in ACCOUNTS.items()
         ]
-        changes = {"routes": base["routes"] + probes, "tenants": tenants}
+        changes = {"routes": [*base["routes"], notes, *probes], "tenants": tenants}
         row = config_row(version=self.version, **changes)
         self.store.state.put(rows.CONFIG_TABLE, rows.CONFIG_KEY, row)
         self.records.config_acks[self.version] = trio.current_time()
@@ -132,6 +136,16 @@
             node.store_link.set_state(LinkState.OPEN)
             node.peers_link.set_state(LinkState.OPEN)
 
+    async def _plan(self) -> None:
+        """Do the work that goes on in every deployment: new versions, replaced upstreams."""
+        while True:
+            await trio.sleep(PLAN_INTERVAL_S)
+            self.change_config()
+            staying = [item for item in self.upstreams.values() if item.state == "ready"]
+            service = min(SERVICES, key=lambda name: sum(item.service == name for item in staying))
+            oldest = next(item for item in staying if item.service != service)
+            self.nursery.start_soon(self.replace_upstream, oldest)
+
     async def _probe(self) -> None:
         """Ask each node again and again whether it knows the newest version."""
         while True:
