Let starved tiers of a service go first

Waiting tickets go by tier, so an overload that lasts leaves nothing for the lowest one. Change: a tier whose recent requests were placed less than half as often as the service's go first until they are not. Test: an overload by tier 0 beside a few requests of tier 2; without the change none of them was placed.

--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -2,8 +2,8 @@
 
 An upstream gets no more requests than it runs at once, so that the order in which requests start is
 decided here and not in the upstream's own queue. Tickets that find no room wait, repeats first,
-then by tier and arrival, for a part of their latency objective; after that they are refused with
-the time to return.
+then starved tiers, then by tier and arrival, for a part of their latency objective; after that they
+are refused with the time to return.
 """
 
 import math
@@ -11,12 +11,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..ids import IncarnationId, ServiceName, UpstreamId
+from ..ids import IncarnationId, ServiceName, Tier, UpstreamId
 from .estimates import DEFAULT_GAP_MS, DEFAULT_PACE_MS, Learned
 from .fleet import UpstreamListing
 from .messages import UpstreamLoad
 from .settings import DispatchSettings
 from .tickets import Decision, Placement, RefusalReason, Refused, Ticket, TicketKey
+from .tier_shares import TierShares
 from .upstream_model import LEARNED_LIFETIME_S, UpstreamModel
 
 OTHER_ZONE_S = 0.03
@@ -49,6 +50,7 @@
         self._rng = rng
         self._models: dict[UpstreamId, UpstreamModel] = {}
         self._waiting: list[Ticket] = []
+        self._shares = TierShares()
         self._common_figures = _Common(DEFAULT_PACE_MS, DEFAULT_GAP_MS)
         self._common_s = float("-inf")
         self._first_refusal_s = float("-inf")
@@ -85,13 +87,14 @@
         """Return the decision about a new ticket, or ``None`` when it has to wait."""
         if not self._has_candidate(ticket):
             return self._refuse(RefusalReason.NO_UPSTREAM, now_s)
-        if not self._waiting_before(ticket):
+        if not ticket.is_repeat:
+            self._shares.note_asked(ticket.tier, now_s)
+        if not self._waiting_before(ticket, now_s):
             placement = self._place(ticket, now_s)
             if placement is not None:
                 return placement
         ticket.queued_s = now_s
         self._waiting.append(ticket)
-        self._waiting.sort(key=_order)
         return None
 
     def drop(self, key: TicketKey) -> None:
@@ -104,7 +107,8 @@
         """Return decisions about waiting tickets; call it after each change and at intervals."""
         decided: list[tuple[Ticket, Decision]] = []
         waiting: list[Ticket] = []
-        for ticket in self._waiting:
+        starved = self._shares.starved(now_s)
+        for ticket in sorted(self._waiting, key=lambda each: _order(each, starved)):
             decision = self._decide_waiting(ticket, now_s)
             if decision is None:
                 waiting.append(ticket)
@@ -159,8 +163,10 @@
         self._last_refusal_s = now_s
         return now_s - self._first_refusal_s
 
-    def _waiting_before(self, ticket: Ticket) -> bool:
-        return bool(self._waiting) and _order(self._waiting[0]) < _order(ticket)
+    def _waiting_before(self, ticket: Ticket, now_s: float) -> bool:
+        starved = self._shares.starved(now_s)
+        own = _order(ticket, starved)
+        return any(_order(each, starved) < own for each in self._waiting)
 
     def _has_candidate(self, ticket: Ticket) -> bool:
         return any(upstream not in ticket.excluded for upstream in self._models)
@@ -185,6 +191,8 @@
         if best is None:
             return None
         _, model, placement = best
+        if not ticket.is_repeat:
+            self._shares.note_placed(ticket.tier, now_s)
         model.start(ticket.key, ticket.prompt_tokens, placement.work_tokens, now_s)
         return placement
 
@@ -258,6 +266,6 @@
     return 0.5 * math.erfc(deviations / math.sqrt(2.0))
 
 
-def _order(ticket: Ticket) -> tuple[bool, int, float]:
+def _order(ticket: Ticket, starved: frozenset[Tier]) -> tuple[bool, bool, int, float]:
     # What has been worked on already goes first: refusing it wastes that work.
-    return not ticket.is_repeat, ticket.tier, ticket.arrived_s
+    return not ticket.is_repeat, ticket.tier not in starved, ticket.tier, ticket.arrived_s
--- a/test/gateway/test_dispatcher.py
+++ b/test/gateway/test_dispatcher.py
@@ -1,12 +1,13 @@
 """The choice of an upstream, waiting and refusals."""
 
 import random
+from collections import Counter
 
 from gateway_samples import DISPATCH, SERVICE, key, listing, ticket
 
 from lentilchute.gateway.dispatcher import Dispatcher
 from lentilchute.gateway.messages import UpstreamLoad
-from lentilchute.gateway.tickets import Placement, RefusalReason, Refused
+from lentilchute.gateway.tickets import Placement, RefusalReason, Refused, Ticket
 from lentilchute.ids import AvailabilityZone, UpstreamId
 
 
@@ -171,3 +172,29 @@
     learn(made, load("b", pace_ms=12.0, pace_weight=5))
     assert model.pace_ms(12.0, 0.0) > 60.0
     assert model.pace_ms(12.0, 300.0) < 13.0
+
+
+def test_an_overload_by_a_higher_tier_does_not_starve_a_lower_one() -> None:
+    made = dispatcher("a", slots=4)
+    asked, placed = Counter[int](), Counter[int]()
+    running: list[tuple[float, Ticket]] = []
+    for tick in range(400):
+        now_s = tick * 0.05
+        for ended_s, done in running:
+            if ended_s <= now_s:
+                made.drop(done.key)
+        running = [item for item in running if item[0] > now_s]
+        decided = made.poll(now_s)
+        for number, tier in enumerate([0] * 6 + [2]):
+            asked[tier] += 1
+            new = ticket(tick * 10 + number, tier=tier, arrived_s=now_s)
+            decision = made.submit(new, now_s)
+            decided += [] if decision is None else [(new, decision)]
+        for each, decision in decided:
+            if isinstance(decision, Placement):
+                placed[each.tier] += 1
+                running.append((now_s + 0.2, each))
+    overall = sum(placed.values()) / sum(asked.values())
+    # A quarter is where the platform begins to speak of starving.
+    assert 0.25 * overall < placed[2] / asked[2] < overall
+    assert placed[0] / asked[0] >= overall
