--- a/test/soak/soak_faults.py
+++ b/test/soak/soak_faults.py
@@ -108,9 +108,6 @@
 async def harm_peers_link(world: SoakWorld, rng: random.Random, for_s: float) -> None:
     """Harm the path on which peers reach one node."""
     node = rng.choice(world.nodes)
-    for other in world.nodes:
-        now_s = trio.current_time()
-        world.records.trouble(other.name, now_s, now_s + for_s)
     await _harm(world, node.peers_link, node.name, rng, for_s)
 
 
