--- a/lentilchute/gateway/tier_shares.py
+++ b/lentilchute/gateway/tier_shares.py
@@ -10,8 +10,8 @@
 SHARE_HALF_LIFE_S = 4.0
 """An overload lasts for seconds; a tier that was starved is helped within as long."""
 FLOOR = 0.4
-"""A tier whose part placed is below this part of the service's goes first. The platform calls a kind
-of request starved below a quarter."""
+"""A tier whose part placed is below this part of the service's goes first; the platform calls a
+kind of request starved below a quarter."""
 MIN_ASKED = 3.0
 """Fewer recent requests of a tier say nothing."""
 UPDATE_INTERVAL_S = 0.1
