Give an account's usage a module of its own

AccountUsage keeps what was used of one account's quota, by whom it was counted; QuotaBook admits. A report that holds only zeros is dropped now: its empty list would have raised at the next look at the account (found in reading; test_an_empty_report_counts_nothing).

--- /dev/null
+++ b/lentilchute/gateway/account_usage.py
@@ -0,0 +1,194 @@
+"""What was used of one account's quota, by when and by whom it was counted; free of I/O."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..ids import IncarnationId
+
+BUCKETS_PER_WINDOW = 32
+"""A request is counted up to this part of a window longer than it must be."""
+HISTORY_PARTS = 8
+"""Parts of a window that are told apart in what is told and written down."""
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Usage of a short time from ``start_s`` on."""
+
+    start_s: float
+    used: float = 0.0
+    assumed: float = 0.0
+    """What all nodes may have used that this node does not know of."""
+
+
+@dataclass(slots=True)
+class AccountUsage:
+    """Usage of one account in the last window, as one node knows it."""
+
+    window_s: float
+    buckets: deque[Bucket] = field(default_factory=deque)
+    """What this node has counted, and what it assumes."""
+    used: float = 0.0
+    assumed: float = 0.0
+    assumed_until_s: float = float("-inf")
+    """What all nodes had used until this time is assumed; reports count only from then on."""
+    reported: dict[IncarnationId, list[Bucket]] = field(default_factory=dict)
+    """What other nodes have reported of their usage that this one has not counted."""
+    told: list[Bucket] = field(default_factory=list)
+    """What the coordinator, another node, has counted for all nodes until ``told_s``."""
+    told_s: float = float("-inf")
+
+    @property
+    def total(self) -> float:
+        """All that was used in the window, as far as is known here."""
+        return self.used + self.assumed + sum(bucket.used for bucket in self._new_reports())
+
+    def add(self, cost: float, now_s: float) -> None:
+        """Count a request."""
+        self.expire(now_s)
+        if not self.buckets or now_s - self.buckets[-1].start_s >= self._bucket_s:
+            self.begin_bucket(now_s)
+        self.buckets[-1].used += cost
+        self.used += cost
+
+    def remove(self, cost: float, charged_s: float, now_s: float) -> None:
+        """Take back a request that was counted at ``charged_s``."""
+        self.expire(now_s)
+        for bucket in reversed(self.buckets):
+            if bucket.start_s <= charged_s:
+                bucket.used -= cost
+                self.used -= cost
+                return
+
+    def begin_bucket(self, now_s: float) -> None:
+        """Tell what is used from now on apart from what was used before."""
+        self.buckets.append(Bucket(now_s))
+
+    def expire(self, now_s: float) -> None:
+        """Drop what has left the window."""
+        oldest_s = self.oldest_s(now_s)
+        while self.buckets and self.buckets[0].start_s < oldest_s:
+            bucket = self.buckets.popleft()
+            self.used -= bucket.used
+            self.assumed -= bucket.assumed
+        while self.told and self.told[0].start_s < oldest_s:
+            del self.told[0]
+        for node in [node for node, each in self.reported.items() if each[-1].start_s < oldest_s]:
+            del self.reported[node]
+
+    def oldest_s(self, now_s: float) -> float:
+        """Return the start of the oldest bucket that counts."""
+        return now_s - self.window_s - self._bucket_s
+
+    def since(self, since_s: float, share: float) -> float:
+        """Return what was used since a time, with this node's share of what others used."""
+        own_since_s = max(since_s, self.told_s)
+        if not self.buckets or self.buckets[0].start_s >= own_since_s:
+            counted = self.used + self.assumed * share
+        else:
+            counted = sum(
+                bucket.used + bucket.assumed * share
+                for bucket in self.buckets
+                if bucket.start_s >= own_since_s
+            )
+        told = sum(bucket.used for bucket in self.told if bucket.start_s >= since_s)
+        reported = sum(bucket.used for bucket in self._new_reports() if bucket.start_s > since_s)
+        return counted + told * share + reported
+
+    def room_from(self, since_s: float, left: float, share: float) -> float:
+        """Return the start of the last bucket that must leave before ``left`` is enough."""
+        excess = self.since(since_s, share) - left
+        room_s = float("-inf")
+        for bucket in self.buckets:
+            if excess <= 0:
+                return room_s
+            room_s = bucket.start_s
+            if bucket.start_s >= since_s:
+                excess -= bucket.used + bucket.assumed * share
+        return room_s if excess <= 0 else float("inf")
+
+    def history(self, now_s: float) -> list[float]:
+        """Return the sums of the parts of the window, the oldest first."""
+        return self._sums((*self.buckets, *self._new_reports()), now_s)
+
+    def told_history(self) -> list[float]:
+        """Return what the coordinator has told, in the same form."""
+        return self._sums(self.told, self.told_s)
+
+    def take_told(self, history: list[float], now_s: float) -> None:
+        """Remember what the coordinator has counted until now."""
+        self.told, self.told_s = self._dated(history, now_s), now_s
+        self.begin_bucket(now_s)
+
+    def take_report(self, node: IncarnationId, history: list[float], now_s: float) -> None:
+        """Replace what a node has reported."""
+        dated = self._dated(history, now_s)
+        if dated:
+            self.reported[node] = dated
+        else:
+            self.reported.pop(node, None)
+
+    def take_over(self) -> None:
+        """Count what the last coordinator has told and this node has not counted itself."""
+        if self.told_s > float("-inf"):
+            self.assumed_until_s = self.told_s
+        told = sum(bucket.used for bucket in self.told)
+        missing = told - sum(
+            bucket.used + bucket.assumed for bucket in self.buckets if bucket.start_s < self.told_s
+        )
+        if missing > 0:
+            for bucket in self.told:
+                bucket.used *= missing / told
+            self._add_assumed(self.told)
+        self.told, self.told_s = [], float("-inf")
+
+    def assume(self, history: list[float], until_s: float) -> None:
+        """Replace what is assumed by the sums of the parts of the window that ends at a time."""
+        for bucket in self.buckets:
+            bucket.assumed = 0.0
+        self.assumed, self.assumed_until_s = 0.0, until_s
+        self._add_assumed(self._dated(history, until_s))
+
+    def assume_full_use(self, rate_per_s: float, burst: float, now_s: float) -> None:
+        """Assume that a whole quota was used, at an even rate and with the burst at the end."""
+        self.assumed_until_s = now_s
+        part = rate_per_s * self._bucket_s
+        for number in range(BUCKETS_PER_WINDOW, 0, -1):
+            self.buckets.append(Bucket(now_s - number * self._bucket_s, assumed=part))
+        self.buckets[-1].assumed += burst
+        self.assumed += BUCKETS_PER_WINDOW * part + burst
+
+    @property
+    def _bucket_s(self) -> float:
+        return self.window_s / BUCKETS_PER_WINDOW
+
+    def _new_reports(self) -> Iterable[Bucket]:
+        return (
+            bucket
+            for buckets in self.reported.values()
+            for bucket in buckets
+            if bucket.start_s > self.assumed_until_s
+        )
+
+    def _add_assumed(self, dated: list[Bucket]) -> None:
+        assumed = [Bucket(bucket.start_s, assumed=bucket.used) for bucket in dated]
+        self.buckets = deque(sorted([*assumed, *self.buckets], key=lambda item: item.start_s))
+        self.assumed += sum(bucket.assumed for bucket in assumed)
+
+    def _dated(self, history: list[float], until_s: float) -> list[Bucket]:
+        """Return the sums of parts of the window that ends at a time, each at its part's end."""
+        part_s = self.window_s / HISTORY_PARTS
+        return [
+            Bucket(until_s - (len(history) - index - 1) * part_s, used=part)
+            for index, part in enumerate(history)
+            if part
+        ]
+
+    def _sums(self, buckets: Iterable[Bucket], until_s: float) -> list[float]:
+        sums = [0.0] * HISTORY_PARTS
+        part_s = self.window_s / HISTORY_PARTS
+        for bucket in buckets:
+            index = HISTORY_PARTS - 1 - int((until_s - bucket.start_s) / part_s)
+            sums[min(max(index, 0), HISTORY_PARTS - 1)] += bucket.used + bucket.assumed
+        return sums
--- a/lentilchute/gateway/own_usage.py
+++ b/lentilchute/gateway/own_usage.py
@@ -5,7 +5,7 @@
 """
 
 from ..ids import ClientAccountId, IncarnationId
-from .quota import HISTORY_PARTS
+from .account_usage import HISTORY_PARTS
 
 BUCKETS_PER_PART = 4
 """Usage is told up to this fraction of a part of the window later than it was."""
--- a/test/gateway/test_own_usage.py
+++ b/test/gateway/test_own_usage.py
@@ -33,6 +33,16 @@
     assert usage.uncounted(SECOND, 21.0) == {}
 
 
+def test_an_empty_report_counts_nothing() -> None:
+    book = QuotaBook(EXACT)
+    book.set_accounts([Account(ACCOUNT, frozenset(), 12.5, 0.0, True, 1.0)], -20.0)
+    book.take_report(SECOND, {ACCOUNT: [0.0] * 8}, 0.0)
+    assert book.totals(0.0) == {ACCOUNT: 0.0}
+    book.take_report(SECOND, {ACCOUNT: [0.0] * 7 + [9.0]}, 1.0)
+    assert book.totals(1.0) == {ACCOUNT: 9.0}
+    assert book.totals(9.5) == {ACCOUNT: 0.0}
+
+
 class Fleet:
     """Nodes that share one quota; each may be cut off from the others."""
 
