Drop reports to a coordinator that was replaced for a while

Found in reading: a node that coordinates, is replaced, and coordinates again took its nodes' old reports for new ones, and spent their shares without what they had used in between. The test failed before.

--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -52,6 +52,7 @@
         self._remote_waits: dict[TicketKey, InstanceId] = {}
         self._reporters: set[IncarnationId] = set()
         """Runs of nodes that have told what they used by themselves since they were seen."""
+        self._was_own = False
         self._has_waits = trio.Event()
         context.config_listeners.append(self._on_config)
         context.fleet_listeners.append(self._update_upstreams)
@@ -181,7 +182,12 @@
         # few.
         listed = FIRST_NODES if context.listed_nodes is None else context.listed_nodes
         nodes = max(known, listed) if self._is_joining() else known
-        covered = 1 + len(self._reporters & alive) if context.choice.is_own else 1
+        is_own = context.choice.is_own
+        if self._was_own and not is_own:
+            # What these nodes use under the next coordinator is not known here any more.
+            self._reporters.clear()
+        self._was_own = is_own
+        covered = 1 + len(self._reporters & alive) if is_own else 1
         context.book.scope = Scope(max(nodes, covered), covered)
 
     def take_over(self) -> None:
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from lentilchute.gateway import peering
+from lentilchute.gateway.coordinator import CoordinatorController
 from lentilchute.gateway.crash_guard import fingerprint
 from lentilchute.gateway.crash_news import CrashNewsController
 from lentilchute.http.client import ClientRequest, HttpClient
@@ -410,6 +411,23 @@
     run_world(scenario, nodes=3)
 
 
+def test_a_coordinator_that_was_replaced_for_a_while_waits_for_new_reports() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        context = next(node.node.context for node in world.nodes if node.node.context.choice.is_own)
+        controller = context.controller(CoordinatorController)
+        await world.until(lambda: context.book.scope.covered == 2, 5.0)
+        context.choice.update(context.membership.present())
+        controller.update_scope()
+        assert context.book.scope.covered == 1
+        context.choice.update(context.membership.alive(context.now_s()))
+        controller.update_scope()
+        assert context.choice.is_own
+        assert context.book.scope.covered == 1
+        await world.until(lambda: context.book.scope.covered == 2, 5.0)
+
+    run_world(scenario, nodes=2)
+
+
 def test_nodes_that_have_found_each_other_stop_reading_the_list(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
