--- a/lentilchute/request_story.py
+++ b/lentilchute/request_story.py
@@ -101,6 +101,8 @@
 
 def _cause(ending: StoryLine, lines: list[StoryLine]) -> str:
     fields = ending.fields
+    if ending.event == "request_finished" and "status" in fields:
+        return f"its upstream failed it with {fields['status']}{_last_attempt(lines)}"
     if ending.event == "request_finished":
         return f"it was answered after {fields.get('took_s', '?')} s{_lateness(fields, lines)}"
     if ending.event == "caller_gone":
--- a/test/ui/test_explain.py
+++ b/test/ui/test_explain.py
@@ -64,6 +64,18 @@
     assert "where the attempt ended broken" in story
 
 
+def test_a_failure_of_the_upstream_itself(log, capsys) -> None:  # type: ignore[no-untyped-def]
+    async def scenario(world: GatewayWorld) -> None:
+        for name in ("a0", "a1"):
+            world.upstreams[name].standin.behaviour.status = 500
+        answer = await world.call("/book/1", method="POST", attempt="failed")
+        assert answer is not None and answer.status == 500
+
+    run_world(scenario)
+    story = explain(log, "failed", capsys=capsys)
+    assert "Cause: its upstream failed it with 500; sent to 1 upstream(s), last a" in story
+
+
 def test_a_late_stream(log, capsys) -> None:  # type: ignore[no-untyped-def]
     async def scenario(world: GatewayWorld) -> None:
         world.upstreams["d0"].standin.behaviour.first_event_s = 0.9
