--- a/lentilchute/gateway/gauges.py
+++ b/lentilchute/gateway/gauges.py
@@ -1,5 +1,6 @@
 """Reads a node's gauges for its metrics page."""
 
+import resource
 from collections.abc import Iterator
 
 from .context import GatewayContext
@@ -7,6 +8,8 @@
 from .reading import ReadingController
 
 PREFIX = "lentilchute.gateway."
+RUSAGE_UNIT_BYTES = 1024
+"""Linux tells a process's peak memory in units of this size."""
 
 
 def read_gauges(context: GatewayContext, open_requests: int, loop_lag_s: float) -> Iterator[Gauge]:
@@ -16,7 +19,10 @@
     yield Gauge(f"{PREFIX}coordinating", float(context.choice.is_own))
     yield Gauge(f"{PREFIX}requests.open", open_requests)
     yield Gauge(f"{PREFIX}nodes.alive", len(context.membership.alive(now_s)))
+    yield Gauge(f"{PREFIX}nodes.covered", context.book.scope.covered)
     yield Gauge(f"{PREFIX}loop.lag", loop_lag_s)
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    yield Gauge(f"{PREFIX}memory.peak", peak * RUSAGE_UNIT_BYTES)
     if context.config is not None:
         yield Gauge(f"{PREFIX}config.version", context.config.version)
     for table, age_s in context.controller(ReadingController).ages_s(now_s).items():
--- a/lentilchute/gateway/metrics.py
+++ b/lentilchute/gateway/metrics.py
@@ -38,6 +38,8 @@
     "lentilchute.gateway.requests.open": "Requests in progress.",
     "lentilchute.gateway.tickets.waiting": "Tickets that wait here, by service.",
     "lentilchute.gateway.nodes.alive": "Nodes alive, as this one sees them.",
+    "lentilchute.gateway.nodes.covered": "Nodes whose shares of quotas this one spends.",
+    "lentilchute.gateway.memory.peak": "Most memory that the process has used, in bytes.",
     "lentilchute.gateway.config.version": "Version of the configuration in force here.",
     "lentilchute.gateway.knowledge.age": "Age of the copy of a store table, in seconds.",
     "lentilchute.gateway.upstream.running": "Requests at an upstream, as known here.",
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -460,6 +460,11 @@
         assert any('"no-route"' in line and line.endswith(" 1.0") for line in served)
         for name in ("first_event_duration_seconds_bucket", "knowledge_age", "quota_used"):
             assert f"lentilchute_gateway_{name}" in page
+        peaks = [
+            line for line in page.splitlines() if line.startswith("lentilchute_gateway_memory")
+        ]
+        # A process with these libraries takes tens of megabytes.
+        assert len(peaks) == 1 and 2e7 < float(peaks[0].rpartition(" ")[2]) < 1e10
         assert "key-1" not in page
 
     run_world(scenario)
