Do not take a store that turns some nodes away for one that is down

Cause, from the logs: the store refused three nodes for nine seconds and served the others. When it served the first of them again, that node took the time for an outage, and told all nodes so; the upstream whose entry was removed just then was kept for two seconds, as one that lapsed in an outage and may come back. Ruled out: late reading (every node knew version 121 when the upstream went at 125). Test: test_a_store_that_serves_others_is_not_away failed before.

--- a/lentilchute/gateway/knowledge.py
+++ b/lentilchute/gateway/knowledge.py
@@ -93,6 +93,9 @@
         """Note a peer's news of the changes in ``(base, version]``; false when some are missing."""
         if self._freshness is None or base > self._freshness.version:
             return False
+        if self._failing_since_s is not None:
+            # The store served a peer then, so that it has been away since that time at most.
+            self._failing_since_s = max(self._failing_since_s, as_of_s)
         self._advance(Freshness(version, as_of_s))
         return True
 
--- a/test/gateway/test_knowledge.py
+++ b/test/gateway/test_knowledge.py
@@ -84,6 +84,24 @@
     assert not copy.is_after_outage(6.1)
 
 
+def test_a_store_that_serves_others_is_not_away() -> None:
+    """It may turn a few nodes away; what vanishes from its list meanwhile has left."""
+    copy = fresh_copy()
+    for tick in range(1, 9):
+        copy.note_failure(now_s=float(tick))
+        assert copy.note_news(base=10, version=10, as_of_s=tick + 0.4)
+    copy.note_read(11, 9.0, 9.0)
+    assert not copy.is_after_outage(9.0)
+
+
+def test_news_from_before_an_outage_do_not_hide_it() -> None:
+    copy = fresh_copy()
+    copy.note_failure(now_s=1.0)
+    assert copy.note_news(base=10, version=10, as_of_s=0.9)
+    copy.note_read(11, 4.0, 4.0)
+    assert copy.is_after_outage(4.0)
+
+
 def test_one_failed_read_is_no_outage() -> None:
     copy = fresh_copy()
     copy.note_failure(1.0)
