--- a/lentilchute/gateway/desk.py
+++ b/lentilchute/gateway/desk.py
@@ -26,8 +26,9 @@
 )
 from .tickets import Decision, Placement, RefusalReason, Refused, Ticket
 
-OWN_USAGE_DELAY_S = 0.1
-"""What a node used without the coordinator is told this much later, together."""
+OWN_USAGE_DELAY_S = 0.5
+"""What a node used without the coordinator is told this much later, together: a coordinator that is
+slow to answer must not get a message for each request in place of a question."""
 MAX_BATCH = 500
 """Reports in one message at most."""
 
