--- a/test/soak/soak_checks.py
+++ b/test/soak/soak_checks.py
@@ -174,6 +174,17 @@
             yield f"{call.attempt} ({call.kind.value}, {where}) was cut at {call.node}"
 
 
+@promise
+def calls_end_in_time(records: Records, _limits: Limits) -> Iterable[str]:
+    """A calm node ends each call by its deadline, whatever upstreams do."""
+    for call in records.calls.values():
+        if call.end is not CallEnd.TIMED_OUT:
+            continue
+        if records.is_calm(call.node, call.sent_s - CONTACT_S, call.ended_s):
+            took_s = call.ended_s - call.sent_s
+            yield f"{call.attempt} ({call.kind.value}) had no end after {took_s:.1f} s"
+
+
 @promise
 def abandoned_work_ends(records: Records, _limits: Limits) -> Iterable[str]:
     """Upstreams do not work on for callers that have left."""
--- a/test/soak/soak_nodes.py
+++ b/test/soak/soak_nodes.py
@@ -85,7 +85,6 @@
             return
         asked_s = trio.current_time()
         self.is_stopping = True
-        self.records.planned_stops[self.name].append(asked_s)
         process.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S + EXIT_MARGIN_S):
             await wait_until(lambda: process.poll() is not None, POLL_S)
--- a/test/soak/soak_records.py
+++ b/test/soak/soak_records.py
@@ -99,7 +99,6 @@
         default_factory=lambda: defaultdict(list)
     )
     """Spans in which something was done to a node, an upstream or the store."""
-    planned_stops: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     notes: list[str] = field(default_factory=list)
     """What went wrong outside of calls, such as an exit code."""
 
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -70,6 +70,7 @@
         ),
         ("answers_start_once", records(call(status=429))),
         ("sent_requests_are_answered", records(call(end=CallEnd.BROKEN), arrival())),
+        ("calls_end_in_time", records(call(end=CallEnd.TIMED_OUT, ended_s=15.0), arrival())),
     ],
 )
 def test_a_broken_promise_is_found(check: str, seen: Records) -> None:
