Read told usage in one place, and skip it where the coordinator has told it itself

Usage by account was turned from messages in three places; a refresh worked out the coordinator's own digest again each time, only to leave it out.

--- a/lentilchute/gateway/placement_book.py
+++ b/lentilchute/gateway/placement_book.py
@@ -6,9 +6,10 @@
 """
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..ids import ClientAccountId, IncarnationId, ServiceName
+from ..ids import IncarnationId, ServiceName
 from .dispatcher import Dispatcher
 from .fleet import Fleet
 from .messages import (
@@ -19,7 +20,7 @@
     RunningTicket,
 )
 from .own_usage import OwnUsage
-from .quota import Charge, QuotaBook
+from .quota import Charge, History, QuotaBook
 from .retry_budget import RetryBudget
 from .routes import RoutingConfig
 from .settings import GatewaySettings
@@ -124,10 +125,8 @@
 
     def refresh(self, refresh: LoadRefresh, now_s: float) -> None:
         """Take in everything that a node has running, and what it has used of quotas."""
-        used = {item.account: list(item.parts) for item in refresh.accounts}
-        self.quotas.take_report(refresh.node, used, now_s)
-        told = {item.account: list(item.parts) for item in refresh.told}
-        self.quotas.learn_told(told, now_s - refresh.told_age_s, now_s)
+        self.quotas.take_report(refresh.node, _by_account(refresh.accounts), now_s)
+        self.quotas.learn_told(_by_account(refresh.told), now_s - refresh.told_age_s, now_s)
         by_model: dict[int, set[TicketKey]] = {}
         for running in refresh.running:
             model = self.model(running)
@@ -167,14 +166,10 @@
             for key, item in model.requests.items()
             if key.node == node
         )
-        told, told_s = self.quotas.told_history()
-        is_told_by_other = bool(told) and self._told_by != coordinator
+        accounts = _histories(self.own_usage.uncounted(coordinator, now_s))
+        told, told_s = ({}, now_s) if self._told_by == coordinator else self.quotas.told_history()
         return LoadRefresh(
-            node,
-            running,
-            _histories(self.own_usage.uncounted(coordinator, now_s)),
-            _histories(told) if is_told_by_other else (),
-            now_s - told_s if is_told_by_other else 0.0,
+            node, running, accounts, _histories(told), now_s - told_s if told else 0.0
         )
 
     def drop(self, service: ServiceName, key: TicketKey, now_s: float) -> None:
@@ -203,9 +198,7 @@
         loads = {load.upstream: load for load in digest.upstreams}
         for dispatcher in self.dispatchers.values():
             dispatcher.take_digest(loads, now_s)
-        self.quotas.take_history(
-            {item.account: list(item.parts) for item in digest.accounts}, now_s
-        )
+        self.quotas.take_history(_by_account(digest.accounts), now_s)
 
     def _take_budget(self, ticket: Ticket, now_s: float) -> Refused | None:
         if not ticket.is_repeat:
@@ -253,5 +246,9 @@
             self.own_usage.record(ticket.account, ticket.cost, counted_by, now_s)
 
 
-def _histories(used: dict[ClientAccountId, list[float]]) -> tuple[AccountHistory, ...]:
+def _histories(used: History) -> tuple[AccountHistory, ...]:
     return tuple(AccountHistory(account, tuple(parts)) for account, parts in used.items())
+
+
+def _by_account(histories: Iterable[AccountHistory]) -> History:
+    return {item.account: list(item.parts) for item in histories}
--- a/test/gateway_samples.py
+++ b/test/gateway_samples.py
@@ -122,6 +122,22 @@
     )
 
 
+def upstream_row(
+    service: str, address: str, *, state: str = "ready", started_ms: int = 1, slots: int = 4
+) -> bytes:
+    """Return an upstream's row in the platform's form."""
+    row = {
+        "service": service,
+        "address": address,
+        "zone": "zone-1",
+        "slots": slots,
+        "state": state,
+        "cold-remaining-ms": 0,
+        "born": started_ms,
+    }
+    return json.dumps(row).encode()
+
+
 def config_row(**changes: Any) -> bytes:
     """Return the operator's configuration in the platform's form."""
     row: dict[str, Any] = {
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -1,7 +1,6 @@
 """A small deployment of gateways in one process: the store, upstreams and nodes on loopback."""
 
 import itertools
-import json
 import os
 import random
 import socket
@@ -10,7 +9,7 @@
 from dataclasses import dataclass, field
 
 import trio
-from gateway_samples import config_row
+from gateway_samples import config_row, upstream_row
 from result import Err
 
 from lentilchute.gateway.node import GatewayNode
@@ -116,16 +115,8 @@
     def list_upstream(self, name: str, state: str = "ready", started_ms: int = 1) -> None:
         """Write an upstream's row as it would itself."""
         made = self.upstreams[name]
-        row = {
-            "service": made.service,
-            "address": made.address,
-            "zone": "zone-1",
-            "slots": 4,
-            "state": state,
-            "cold-remaining-ms": 0,
-            "born": started_ms,
-        }
-        self.store.state.put(rows.UPSTREAMS_TABLE, name, json.dumps(row).encode())
+        row = upstream_row(made.service, made.address, state=state, started_ms=started_ms)
+        self.store.state.put(rows.UPSTREAMS_TABLE, name, row)
 
     def add_node(self, name: str) -> Node:
         """Start a gateway."""
--- a/test/soak/soak_upstreams.py
+++ b/test/soak/soak_upstreams.py
@@ -1,10 +1,9 @@
 """Upstreams of the soak: stand-ins behind a proxy each, which note what arrives and what runs."""
 
-import itertools
-import json
 from dataclasses import dataclass, field
 
 import trio
+from gateway_samples import upstream_row
 from soak_proxy import LinkProxy
 from soak_records import Arrival, Records
 
@@ -63,24 +62,11 @@
 
     def register(self, store: StoreState) -> None:
         """Write the upstream's row as it would itself."""
-        row = {
-            "service": self.service,
-            "address": self.proxy.address,
-            "zone": "zone-1",
-            "slots": SLOTS,
-            "state": self.state,
-            "cold-remaining-ms": 0,
-            "born": self.started_ms,
-        }
-        store.put(rows.UPSTREAMS_TABLE, self.name, json.dumps(row).encode())
-
-
-class UpstreamNames:
-    """Names for upstreams that come later in a run."""
-
-    def __init__(self) -> None:
-        self._numbers = itertools.count(1)
-
-    def next(self, service: str) -> str:
-        """Return a name that no upstream has had."""
-        return f"{service}-{next(self._numbers)}"
+        row = upstream_row(
+            self.service,
+            self.proxy.address,
+            state=self.state,
+            started_ms=self.started_ms,
+            slots=SLOTS,
+        )
+        store.put(rows.UPSTREAMS_TABLE, self.name, row)
--- a/test/soak/soak_world.py
+++ b/test/soak/soak_world.py
@@ -1,5 +1,6 @@
 """The deployment of one soak: the store with its configuration, upstreams and nodes."""
 
+import itertools
 import json
 import signal
 from pathlib import Path
@@ -11,7 +12,7 @@
 from soak_nodes import QUOTA_OVERRUN, QUOTA_SLACK, RETRY_RATIO, RETRY_SLACK, SoakNode
 from soak_proxy import LinkState
 from soak_records import Probe, Records
-from soak_upstreams import SoakUpstream, UpstreamNames
+from soak_upstreams import SoakUpstream
 
 from lentilchute.http.client import ClientRequest, HttpClient
 from lentilchute.http.server import open_listeners
@@ -41,7 +42,7 @@
         self.nodes = [SoakNode(f"node-{n}", directory, self.records) for n in range(nodes)]
         self.upstreams: dict[str, SoakUpstream] = {}
         self.version = 0
-        self._names = UpstreamNames()
+        self._numbers = itertools.count(1)
 
     @property
     def limits(self) -> Limits:
@@ -96,7 +97,7 @@
 
     async def add_upstream(self, service: str) -> SoakUpstream:
         """Start an upstream under a new name and register it."""
-        made = SoakUpstream(self._names.next(service), service, self.records)
+        made = SoakUpstream(f"{service}-{next(self._numbers)}", service, self.records)
         self.upstreams[made.name] = made
         await self.nursery.start(made.run)
         made.register(self.store.state)
