Load only what a gateway node uses at its start

Cause: importing lentilchute.gateway.node took 1.2 to 1.35 s of processor time on this machine (trio, thriftpy2 and h11 alone 0.2 to 0.35 s), and the command line another 0.26 s: help pages with rich and markdown, the models of settings and documents of the product's own interface, the thrift parser, the metrics SDK, and scheduler/ and state/ by way of peers/messages.py.

Change: messages are registered by the package that owns them; the models shared by both interfaces stand in util/config_model.py and peers/; the structs of peer.thrift are generated (a test compares them with the definitions); OpenTelemetry is loaded when a metrics page is first read; `python -m lentilchute.gateway` starts a node without the command line, and the build compiles the package. A test pins the import graph.

--- a/lentilchute/document.py
+++ b/lentilchute/document.py
@@ -8,35 +8,15 @@
 import re
 from collections.abc import Iterator
 from enum import Enum
-from typing import Annotated, NamedTuple, Self
+from typing import Annotated, Self
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import Field, model_validator
+from result import Result
 
+from .errors import Finding
 from .ids import ModelName, ServiceName, Tier, UpstreamId
-
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Seconds = Annotated[float, Field(gt=0, le=604_800)]
-
-
-class CrossFieldProblem(NamedTuple):
-    """A conflict between individually valid values, with the path to the offending value."""
-
-    path: tuple[str | int, ...]
-    message: str
-
-
-class CrossFieldError(ValueError):
-    """All such problems of one model, so that they are reported together with their locations."""
-
-    def __init__(self, problems: list[CrossFieldProblem]) -> None:
-        self.problems = tuple(problems)
-        super().__init__("; ".join(problem.message for problem in problems))
-
-
-class ConfigModel(BaseModel):
-    """Base of all configuration models: unknown keys are rejected, and instances are immutable."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, use_attribute_docstrings=True)
+from .util.checked_yaml import load_text
+from .util.config_model import ConfigModel, CrossFieldError, CrossFieldProblem, Name, Seconds
 
 
 class UpstreamKind(Enum):
@@ -258,6 +238,11 @@
         return None
 
 
+def load_document(text: str, file: str) -> Result[ServiceDocument, list[Finding]]:
+    """Validate the text of a service document; ``file`` is the file name in findings."""
+    return load_text(text, file, ServiceDocument)
+
+
 def is_model_path(path: str) -> bool:
     """Return whether ``path`` is a model call, whose cost the scheduler estimates in tokens."""
     return re.fullmatch(r"/v1/(chat/)?completions", path) is not None
--- a/lentilchute/entry/caller_interface.py
+++ b/lentilchute/entry/caller_interface.py
@@ -18,8 +18,8 @@
 from ..metrics import UNKNOWN
 from ..node_context import NodeContext, wait_until
 from ..peers.heartbeats import PeerInfo
+from ..peers.roles import Role
 from ..scheduler.tickets import Outcome
-from ..settings import Role
 from .actions import AcceptedRequest
 from .refusal_answers import RefusalAnswer, refusal_answer
 
--- a/lentilchute/entry/controller.py
+++ b/lentilchute/entry/controller.py
@@ -12,7 +12,8 @@
 from ..node_context import NodeContext, node_controller, repeat, wait_until
 from ..peers.heartbeats import PeerChange
 from ..peers.message_dispatch import MessageHandler
-from ..peers.messages import (
+from ..peers.roles import Role
+from ..scheduler.messages import (
     Declined,
     Dispatched,
     Ended,
@@ -26,7 +27,6 @@
     Submit,
     Withdraw,
 )
-from ..settings import Role
 from ..state.claims_controller import ClaimsController
 from ..upstream.adapters import AnswerItem
 from ..upstream.exchanges import ExchangeHooks, UpstreamExchanges
--- /dev/null
+++ b/lentilchute/gateway/__main__.py
@@ -0,0 +1,31 @@
+"""Entry point of ``python -m lentilchute.gateway``: a gateway node without the command line.
+
+The settings are those named in ``LENTILCHUTE_CONFIG``. Loading the command line would take longer
+than the rest of a node's start.
+"""
+
+import os
+import sys
+
+from ..errors import ExitCode, UserError
+from .process import SETTINGS_VARIABLE, run_gateway
+
+
+def main() -> ExitCode:
+    """Run the node and return its exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        print(f"lentilchute: {SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
+        return ExitCode.USAGE
+    try:
+        run_gateway(path)
+    except UserError as error:
+        print(f"lentilchute: {error}", file=sys.stderr)
+        return error.exit_code
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+    return ExitCode.OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lentilchute/gateway/gauges.py
+++ b/lentilchute/gateway/gauges.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from .context import GatewayContext
-from .metrics import Gauge
+from .metric_names import Gauge
 from .reading import ReadingController
 
 PREFIX = "lentilchute.gateway."
--- /dev/null
+++ b/lentilchute/gateway/metric_names.py
@@ -0,0 +1,53 @@
+"""Names of a gateway node's metrics; ``docs/OPERATIONS.md`` explains how to read them.
+
+Labels have few values: services, outcomes and kinds of calls; only the gauges of an upstream carry
+its id.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+METRICS_PATH = "/metrics"
+
+COUNTERS = (
+    "lentilchute.gateway.requests",
+    "lentilchute.gateway.attempts",
+    "lentilchute.gateway.store.calls",
+    "lentilchute.gateway.coordinator.silences",
+)
+HISTOGRAMS = (
+    "lentilchute.gateway.wait.duration",
+    "lentilchute.gateway.first_event.duration",
+    "lentilchute.gateway.longest_pause.duration",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """One value of a gauge, with its labels."""
+
+    name: str
+    value: float
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+GAUGES = {
+    "lentilchute.gateway.ready": "1 while the node is ready.",
+    "lentilchute.gateway.coordinating": "1 while the node coordinates, as it sees it itself.",
+    "lentilchute.gateway.requests.open": "Requests in progress.",
+    "lentilchute.gateway.tickets.waiting": "Tickets that wait here, by service.",
+    "lentilchute.gateway.nodes.alive": "Nodes alive, as this one sees them.",
+    "lentilchute.gateway.nodes.covered": "Nodes whose shares of quotas this one spends.",
+    "lentilchute.gateway.memory.peak": "Most memory that the process has used, in bytes.",
+    "lentilchute.gateway.config.version": "Version of the configuration in force here.",
+    "lentilchute.gateway.knowledge.age": "Age of the copy of a store table, in seconds.",
+    "lentilchute.gateway.upstream.running": "Requests at an upstream, as known here.",
+    "lentilchute.gateway.upstream.pace": "Milliseconds to a first event per thousand tokens.",
+    "lentilchute.gateway.upstream.failure_rate": "Part of recent requests that failed.",
+    "lentilchute.gateway.retry_budget.left": "Repeats that may still be sent, by service.",
+    "lentilchute.gateway.quota.used": "Part of an account's quota used in the last window.",
+    "lentilchute.gateway.loop.lag": "How late the event loop woke last, in seconds.",
+}
+"""All gauges with their descriptions."""
+
+GaugeSource = Callable[[], Iterable[Gauge]]
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -17,14 +17,13 @@
 from ..http.responder import Responder
 from ..http.server import HttpServer, open_listeners
 from ..ids import IncarnationId, InstanceId
-from ..peers import messages as node_messages
 from ..peers.heartbeats import PeerInfo
 from ..peers.links import LinkIdentity, PeerLinks
 from ..peers.membership import Membership
 from ..peers.message_dispatch import dispatch, handlers_of
+from ..peers.roles import Role
 from ..platform import endpoints
 from ..platform.store import StoreClient
-from ..settings import Role
 from . import coordinator, crash_reports, peering, placement_client, quota_persistence, reading
 from .context import GatewayContext, build_controllers
 from .coordination import CoordinatorChoice
@@ -32,14 +31,14 @@
 from .fleet import Fleet
 from .forwarder import Forwarder
 from .gauges import read_gauges
-from .metrics import METRICS_PATH, PAGE_CONTENT_TYPE, GatewayMetrics, Gauge
+from .metric_names import METRICS_PATH, Gauge
+from .metrics import GatewayMetrics
 from .peering import PeeringController
 from .placement_registry import PlacementRegistry
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 
 CONTROLLER_MODULES = (
-    node_messages,
     coordinator,
     crash_reports,
     placement_client,
@@ -154,8 +153,8 @@
         if endpoints.path_of(request.path) != METRICS_PATH:
             await responder.answer(404, (), b"")
             return
-        page = self.context.metrics.render()
-        await responder.answer(200, (("content-type", PAGE_CONTENT_TYPE),), page)
+        content_type, page = self.context.metrics.render()
+        await responder.answer(200, (("content-type", content_type),), page)
 
     async def _drain(self) -> None:
         """Deregister from the resolve answers, serve the remaining callers, then return."""
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -4,9 +4,9 @@
 
 from pydantic import Field
 
-from ..document import ConfigModel, Name, Seconds
 from ..ids import AvailabilityZone, InstanceId
-from ..settings import Address, MembershipSettings
+from ..peers.settings import MembershipSettings
+from ..util.config_model import Address, ConfigModel, Name, Seconds
 
 Share = Annotated[float, Field(ge=0, le=1)]
 Amount = Annotated[float, Field(ge=0)]
--- a/lentilchute/measure/capacity.py
+++ b/lentilchute/measure/capacity.py
@@ -32,13 +32,14 @@
     Tier,
     UpstreamId,
 )
-from ..peers import messages
 from ..peers.codec import decode_message, encode_message
 from ..peers.frames import HEAD_BYTES
 from ..peers.heartbeats import PeerAddress, PeerInfo
 from ..peers.membership import Membership
+from ..peers.roles import Role
+from ..peers.settings import MembershipSettings
+from ..scheduler import messages
 from ..scheduler.tickets import EndState, Grant, InFlight, Ticket
-from ..settings import MembershipSettings, Role
 
 GROUP_SIZES = (3, 9, 16, 34, 100, 340)
 MEASURED_S = 30.0
--- a/lentilchute/node_context.py
+++ b/lentilchute/node_context.py
@@ -12,18 +12,18 @@
 
 import trio
 
-from .document import ServiceDocument
+from .document import ServiceDocument, load_document
 from .ids import AvailabilityZone, IncarnationId, InstanceId, ServiceName, UpstreamId
 from .metrics import Metrics
 from .peers.heartbeats import PeerChange
 from .peers.links import PeerLinks
 from .peers.membership import Membership
 from .peers.message_dispatch import Controller
-from .settings import NodeSettings, Role
+from .peers.roles import Role
+from .settings import NodeSettings
 from .state.configuration import ConfigRegistry
 from .state.platform_services import Platform
 from .upstream.directory import UpstreamDirectory
-from .util.checked_yaml import load_document
 
 Wanted = TypeVar("Wanted")
 
--- a/lentilchute/operators/controller.py
+++ b/lentilchute/operators/controller.py
@@ -13,13 +13,13 @@
 from ..metrics import DocumentInForce, Gauges, LearnedRates, Metrics
 from ..node_context import NodeContext, node_controller
 from ..peers.message_dispatch import MessageHandler
-from ..peers.messages import ConfigNotice
 from ..scheduler.controller import SchedulerController
 from ..scheduler.shard_status import ShardStatus
 from ..state.configuration_apply import ApplyOperation, ApplyState, DocumentChange
 from ..state.configuration_controller import ConfigurationController
 from ..state.configuration_records import history_key, parse_document_row
 from ..state.document_changes import apply_change
+from ..state.messages import ConfigNotice
 from ..state.platform_services import TableFault
 from ..upstream.controller import UpstreamController
 from .api import (
--- a/lentilchute/operators/routes.py
+++ b/lentilchute/operators/routes.py
@@ -15,13 +15,13 @@
 from pydantic import BaseModel, ValidationError
 from result import Err
 
+from ..document import load_document
 from ..errors import Finding, SourceLocation
 from ..http.messages import JSON_HEADER, Headers, error_body, header_value
 from ..http.requests import HeadRefusal, HttpRequest, RequestHead
 from ..http.responder import Responder
 from ..ids import ServiceName, UpstreamId
 from ..metrics import PAGE_CONTENT_TYPE
-from ..util.checked_yaml import load_document
 from .api import (
     MAX_HISTORY_ENTRIES,
     ChangeAnswer,
--- a/lentilchute/peers/codec.py
+++ b/lentilchute/peers/codec.py
@@ -17,10 +17,8 @@
 import typing
 from collections.abc import Callable
 from enum import Enum
-from importlib import resources
 from typing import Any, TypeVar
 
-import thriftpy2
 from result import Err, Ok, Result
 from thriftpy2.protocol.cybin import TCyBinaryProtocol  # type: ignore[attr-defined]
 from thriftpy2.thrift import TException
@@ -28,6 +26,7 @@
 
 from ..ids import BlockHash
 from ..util.thrift_bounds import check_struct
+from . import peer_structs
 
 RELATIVE_FIELDS = frozenset({"deadline_s", "expires_s", "dispatched_s"})
 """Fields that hold a time of the local clock in memory and a duration on the wire."""
@@ -35,10 +34,6 @@
 WIRE_NAMES = {"service": "service_name", "end": "end_state"}
 """Names in the IDL of fields whose own name is a reserved word of thrift."""
 
-idl: Any = thriftpy2.load(
-    str(resources.files(__package__).joinpath("peer.thrift")), module_name="lentilchute_peer_thrift"
-)
-
 Converter = Callable[[Any, float], Any]
 Message = TypeVar("Message")
 
@@ -67,7 +62,7 @@
     """Return the thrift encoding of a registered message."""
     field = _field_by_class[type(message)]
     to_wire, _ = _struct_converter(type(message))
-    return write_struct(idl.PeerMessage(**{field: to_wire(message, now_s)}))
+    return write_struct(peer_structs.PeerMessage(**{field: to_wire(message, now_s)}))
 
 
 def write_struct(struct: Any) -> bytes:
@@ -90,7 +85,7 @@
 def decode_message(data: bytes, now_s: float) -> Result[Any, str]:
     """Return the message that ``data`` encodes, or an error message."""
     try:
-        envelope = read_struct(idl.PeerMessage(), data)
+        envelope = read_struct(peer_structs.PeerMessage(), data)
         present = [name for name in _class_by_field if getattr(envelope, name) is not None]
         if len(present) != 1:
             return Err(f"frame holds {len(present)} messages instead of one")
@@ -180,7 +175,7 @@
 
 
 def _build_struct_converter(cls: type[Any]) -> tuple[Converter, Converter]:
-    struct = getattr(idl, cls.__name__)
+    struct = getattr(peer_structs, cls.__name__)
     hints = typing.get_type_hints(cls)
     names = [field.name for field in dataclasses.fields(cls)]
     encoders = {name: _field_converter(name, hints[name]) for name in names}
--- a/lentilchute/peers/heartbeats.py
+++ b/lentilchute/peers/heartbeats.py
@@ -5,7 +5,8 @@
 from enum import Enum
 
 from ..ids import AvailabilityZone, IncarnationId, InstanceId
-from ..settings import Role
+from .codec import peer_message
+from .roles import Role
 
 
 class PeerStatus(Enum):
@@ -65,6 +66,7 @@
         return dataclasses.replace(self, info=info)
 
 
+@peer_message("heartbeat")
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """The sender's state, and reports on other peers: a bounded number, but for a full view."""
--- a/lentilchute/peers/links.py
+++ b/lentilchute/peers/links.py
@@ -15,7 +15,8 @@
 from ..http.messages import READ_BYTES, split_address
 from ..http.server import open_listeners
 from ..ids import IncarnationId, InstanceId
-from .codec import decode_message, encode_message, idl, read_struct, write_struct
+from . import peer_structs
+from .codec import decode_message, encode_message, read_struct, write_struct
 from .frames import MAX_HELLO_BYTES, NONCE_BYTES, FrameError, FrameReader, FrameWriter, derive_key
 
 CONNECT_TIMEOUT_S = 1.0
@@ -225,9 +226,10 @@
 
 
 def _hello(identity: LinkIdentity, nonce: bytes) -> bytes:
-    return write_struct(
-        idl.Hello(instance=identity.instance, incarnation=identity.incarnation, nonce=nonce)
+    hello = peer_structs.Hello(
+        instance=identity.instance, incarnation=identity.incarnation, nonce=nonce
     )
+    return write_struct(hello)
 
 
 async def _read_hello(stream: trio.SocketStream, reader: FrameReader) -> tuple[Any, bytes]:
@@ -240,7 +242,7 @@
         if payloads:
             break
     try:
-        hello = read_struct(idl.Hello(), payloads[0])
+        hello = read_struct(peer_structs.Hello(), payloads[0])
     except ValueError as error:
         raise FrameError(f"invalid hello: {error}") from error
     nonce = hello.nonce if isinstance(hello.nonce, bytes) else (hello.nonce or "").encode()
--- a/lentilchute/peers/membership.py
+++ b/lentilchute/peers/membership.py
@@ -16,7 +16,6 @@
 from collections.abc import Iterable
 
 from ..ids import IncarnationId, InstanceId, ShardId
-from ..settings import MembershipSettings, Role
 from .hash_ring import Direction, HashRing
 from .heartbeats import (
     Heartbeat,
@@ -29,6 +28,8 @@
     PeerStatus,
 )
 from .rendezvous import rendezvous_order
+from .roles import Role
+from .settings import MembershipSettings
 from .view import PeerRecord, PeerView, incarnation_order
 
 JOIN_WINDOW_S = 10.0
--- a/lentilchute/peers/view.py
+++ b/lentilchute/peers/view.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 
 from ..ids import IncarnationId, InstanceId
-from ..settings import MembershipSettings
 from .gossip import GossipQueue
 from .heartbeats import PeerChange, PeerChangeKind, PeerInfo, PeerState, PeerStatus
+from .settings import MembershipSettings
 
 NEW_NEIGHBOUR_TIMEOUT_FACTOR = 3.0
 """A new neighbour on the ring has this many times its timeout for its first heartbeat."""
--- a/lentilchute/scheduler/controller.py
+++ b/lentilchute/scheduler/controller.py
@@ -12,7 +12,11 @@
 from ..node_context import NodeContext, node_controller
 from ..peers.heartbeats import PeerChange, PeerChangeKind
 from ..peers.message_dispatch import MessageHandler
-from ..peers.messages import (
+from ..peers.roles import Role
+from ..upstream.adapters import EngineState, UpstreamAdapter, UpstreamFault
+from ..upstream.controller import UpstreamController
+from ..upstream.directory import KnownUpstream
+from .messages import (
     Declined,
     Dispatched,
     Ended,
@@ -26,10 +30,6 @@
     Submit,
     Withdraw,
 )
-from ..settings import Role
-from ..upstream.adapters import EngineState, UpstreamAdapter, UpstreamFault
-from ..upstream.controller import UpstreamController
-from ..upstream.directory import KnownUpstream
 from .shard import ShardScheduler
 from .shard_status import ShardStatus
 from .tickets import Decision, EndState, Grant, Refusal
--- a/lentilchute/peers/messages.py
+++ b/lentilchute/scheduler/messages.py
@@ -1,20 +1,15 @@
-"""Messages between nodes, one frozen dataclass each.
+"""Messages between entries and schedulers, one frozen dataclass each.
 
-All messages are one-way. A link may drop messages when it breaks: a refresh, a poll or a repeated
-query recovers from the loss. Field names are those of ``peer.thrift``.
+All messages are one-way. A link may drop messages when it breaks: a refresh or a repeated query
+recovers from the loss. Field names are those of ``peers/peer.thrift``.
 """
 
 from dataclasses import dataclass
-from enum import Enum
 
-from ..ids import Attempt, DocumentVersion, InstanceId, RequestId, ServiceName, UpstreamId
-from ..scheduler.suspects import PoisonVerdict
-from ..scheduler.tickets import EndState, Grant, InFlight, Refusal, Ticket
-from ..state.claim_actions import ClaimQuery, ClaimReplyState
-from .codec import peer_message
-from .heartbeats import Heartbeat
-
-peer_message("heartbeat")(Heartbeat)
+from ..ids import Attempt, InstanceId, RequestId, ServiceName, UpstreamId
+from ..peers.codec import peer_message
+from .suspects import PoisonVerdict
+from .tickets import EndState, Grant, InFlight, Refusal, Ticket
 
 
 @peer_message("grant")
@@ -128,32 +123,6 @@
     service: ServiceName
 
 
-@peer_message("config_notice")
-@dataclass(frozen=True, slots=True)
-class ConfigNotice:
-    """A version of a service document that is in force at the sender."""
-
-    service: ServiceName
-    version: DocumentVersion
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceVersion:
-    """A service and the version of its document in force."""
-
-    service: ServiceName
-    version: DocumentVersion
-
-
-@peer_message("config_versions")
-@dataclass(frozen=True, slots=True)
-class ConfigVersions:
-    """The versions in force at the sender, sent when the digests of two nodes differ."""
-
-    versions: tuple[ServiceVersion, ...]
-
-
 @peer_message("poison_notice")
 @dataclass(frozen=True, slots=True)
 class PoisonNotice:
@@ -161,41 +130,3 @@
 
     service: ServiceName
     verdicts: tuple[PoisonVerdict, ...]
-
-
-class UpstreamAvailability(Enum):
-    """Availability of an upstream, as a node broadcasts it."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-    """The upstream itself announced that it is leaving."""
-    DRAINED = "drained"
-    """An operator drained it."""
-    UNDRAINED = "undrained"
-
-
-@peer_message("upstream_notice")
-@dataclass(frozen=True, slots=True)
-class UpstreamNotice:
-    """A change in an upstream's availability, from the upstream itself or an operator."""
-
-    upstream: UpstreamId
-    news: UpstreamAvailability
-
-
-@peer_message("claim_question")
-@dataclass(frozen=True, slots=True)
-class ClaimQuestion:
-    """A node that found another node's claim queries the claimant about it."""
-
-    query_id: int
-    query: ClaimQuery
-
-
-@peer_message("claim_reply")
-@dataclass(frozen=True, slots=True)
-class ClaimReply:
-    """The claimant's reply to a ``ClaimQuestion``."""
-
-    query_id: int
-    state: ClaimReplyState
--- a/lentilchute/settings.py
+++ b/lentilchute/settings.py
@@ -4,26 +4,21 @@
 machine. The defaults are in ``config_default.yaml`` next to this module.
 """
 
-from enum import Enum
 from typing import Annotated
 
 from pydantic import Field
+from result import Result
 
-from .document import ConfigModel, Name, Seconds
+from .errors import Finding
 from .ids import AvailabilityZone, InstanceId
+from .peers.roles import Role
+from .peers.settings import MembershipSettings
+from .util.checked_yaml import default_settings, load_over_defaults, read_text
+from .util.config_model import Address, ConfigModel, Name, Seconds
 
-Address = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
 Bytes = Annotated[int, Field(ge=1)]
 
 
-class Role(Enum):
-    """Roles of a node; a node has all of them by default."""
-
-    ENTRY = "entry"
-    SCHEDULER = "scheduler"
-    CONTROLLERS = "controllers"
-
-
 class Listen(ConfigModel):
     """Addresses that the node binds, as IP address and port."""
 
@@ -107,35 +102,6 @@
     """Prompt tokens per block of the prefix index."""
 
 
-class MembershipSettings(ConfigModel):
-    """Intervals of heartbeats and platform polls."""
-
-    heartbeat_interval_s: Seconds = 0.5
-    """Interval between a node's heartbeats."""
-    suspect_after_s: Seconds = 1.5
-    """A peer without a heartbeat for this long is suspected and assigned no new shards."""
-    forget_after_s: Seconds = 30.0
-    """A peer that stays suspected for this long is removed from the membership."""
-    instance_poll_s: Seconds = 1.0
-    """Interval between reads of the platform's instance list."""
-    table_poll_s: Seconds = 2.0
-    """Interval between reads of the platform's table."""
-    pause_limit_s: Seconds = 5.0
-    """A node paused for longer than this confirms its peers again.
-
-    A node run by `serve` also confirms its configuration again, and admits no requests while its
-    configuration was last confirmed longer ago than this.
-    """
-    full_mesh_nodes: Annotated[int, Field(ge=2)] = 16
-    """Up to this group size, each node sends its heartbeats to all others."""
-    fanout: Annotated[int, Field(ge=2)] = 3
-    """Peers that receive each heartbeat in a larger group: ring neighbours and one at random."""
-    change_states: Annotated[int, Field(ge=1)] = 6
-    """Maximum number of recent changes in one heartbeat."""
-    rotation_states: Annotated[int, Field(ge=1)] = 2
-    """Maximum number of unchanged peers in one heartbeat, taken in rotation."""
-
-
 class ClaimSettings(ConfigModel):
     """Limits on the use of the table for idempotency keys."""
 
@@ -201,3 +167,13 @@
     def zone(self) -> AvailabilityZone:
         """The availability zone as a typed id."""
         return AvailabilityZone(self.availability_zone)
+
+
+def load_settings(path: str) -> Result[NodeSettings, list[Finding]]:
+    """Validate a node's settings file, merged over the packaged defaults."""
+    return read_text(path).and_then(lambda text: load_settings_text(text, path))
+
+
+def load_settings_text(text: str, file: str) -> Result[NodeSettings, list[Finding]]:
+    """Validate the text of a node's settings, merged over the packaged defaults."""
+    return load_over_defaults(text, file, NodeSettings, default_settings())
--- a/lentilchute/state/claim_expiry_controller.py
+++ b/lentilchute/state/claim_expiry_controller.py
@@ -13,7 +13,7 @@
 from ..ids import ServiceName, shard_id
 from ..node_context import NodeContext, node_controller
 from ..peers.message_dispatch import MessageHandler
-from ..settings import Role
+from ..peers.roles import Role
 from .claim_expiry import ClaimExpiry, DeleteExpired, ReadClaims, ScanExpired, SweepAction
 
 SWEEP_SHARD = shard_id(ServiceName("claim-expiry"))
--- a/lentilchute/state/claims_controller.py
+++ b/lentilchute/state/claims_controller.py
@@ -10,7 +10,6 @@
 from ..node_context import NodeContext, wait_until
 from ..peers.heartbeats import PeerChange, PeerChangeKind
 from ..peers.message_dispatch import MessageHandler
-from ..peers.messages import ClaimQuestion, ClaimReply
 from .claim_actions import (
     AskClaimant,
     ClaimAction,
@@ -24,6 +23,7 @@
 )
 from .claim_answers import ClaimAnswer, ClaimRequest, ClaimState, KeptAnswer
 from .claims import ClaimRegistry
+from .messages import ClaimQuestion, ClaimReply
 
 QUERY_TIMEOUT_S = 1.0
 MIN_SLEEP_S = 0.005
--- a/lentilchute/state/configuration.py
+++ b/lentilchute/state/configuration.py
@@ -13,7 +13,7 @@
 
 from ..document import ServiceDocument
 from ..ids import DocumentVersion, InstanceId, ServiceName
-from ..settings import MembershipSettings
+from ..peers.settings import MembershipSettings
 from .configuration_records import (
     DocumentRecord,
     digest_of,
--- a/lentilchute/state/configuration_controller.py
+++ b/lentilchute/state/configuration_controller.py
@@ -10,7 +10,6 @@
 from ..node_context import NodeContext, node_controller
 from ..peers.heartbeats import Heartbeat, PeerChange, PeerChangeKind
 from ..peers.message_dispatch import MessageHandler
-from ..peers.messages import ConfigNotice, ConfigVersions, ServiceVersion
 from .configuration import (
     ConfigAction,
     DocumentInForce,
@@ -21,6 +20,7 @@
     SendVersions,
 )
 from .configuration_records import INDEX_KEY
+from .messages import ConfigNotice, ConfigVersions, ServiceVersion
 
 MAX_SLEEP_S = 0.5
 
--- a/lentilchute/ui/apply.py
+++ b/lentilchute/ui/apply.py
@@ -11,13 +11,13 @@
 from pydantic import ValidationError
 from result import Err
 
-from ..document import ServiceDocument
+from ..document import ServiceDocument, load_document
 from ..errors import ExitCode, FindingsError, UserError
 from ..ids import DocumentVersion, ServiceName
 from ..operators.api import ChangeAnswer, ChangeRequest, ChangeState
 from ..operators.client import OperatorClient
 from ..operators.cluster import ClusterStatus, fetch_cluster_status, submit_change
-from ..util.checked_yaml import load_document, read_text
+from ..util.checked_yaml import read_text
 from .document_texts import diff_from_current, document_in_force, split_version_line
 from .nodes import ConflictError, NodeOptions, UnknownOutcomeError, UnreachableError, open_cluster
 from .progress import Progress
--- a/lentilchute/ui/check.py
+++ b/lentilchute/ui/check.py
@@ -8,8 +8,10 @@
 import cappa
 from result import Err, Result
 
+from ..document import load_document
 from ..errors import ExitCode, Finding
-from ..util.checked_yaml import load_document, load_settings_text, read_bounded, read_text
+from ..settings import load_settings_text
+from ..util.checked_yaml import read_bounded, read_text
 from .registry import register_command
 
 
--- a/lentilchute/ui/nodes.py
+++ b/lentilchute/ui/nodes.py
@@ -15,7 +15,7 @@
 from ..operators.api import operator_key
 from ..operators.client import FaultKind, OperatorClient, OperatorFault
 from ..operators.cluster import ClusterStatus, fetch_cluster_status
-from ..util.checked_yaml import load_settings
+from ..settings import load_settings
 
 Answer = TypeVar("Answer")
 
--- a/lentilchute/ui/operator_key.py
+++ b/lentilchute/ui/operator_key.py
@@ -8,7 +8,7 @@
 
 from ..errors import ExitCode, FindingsError
 from ..operators.api import operator_key
-from ..util.checked_yaml import load_settings
+from ..settings import load_settings
 from .registry import register_command
 
 
--- a/lentilchute/ui/serve.py
+++ b/lentilchute/ui/serve.py
@@ -11,8 +11,7 @@
 from ..errors import ExitCode, FindingsError, UserError
 from ..logs import LogWriter, open_log
 from ..node import Node
-from ..settings import NodeSettings
-from ..util.checked_yaml import load_settings
+from ..settings import NodeSettings, load_settings
 from .registry import register_command
 
 
--- a/lentilchute/upstream/controller.py
+++ b/lentilchute/upstream/controller.py
@@ -11,9 +11,9 @@
 from ..node_context import NodeContext, node_controller
 from ..peers.heartbeats import PeerAddress, PeerChange, PeerChangeKind
 from ..peers.message_dispatch import MessageHandler
-from ..peers.messages import UpstreamAvailability, UpstreamNotice
 from ..state.platform_services import ListedInstance, ListedState
 from .instance_watch import WatchChange, WatchedState
+from .messages import UpstreamAvailability, UpstreamNotice
 
 ENTRY_KIND = "entry"
 
--- a/lentilchute/util/checked_yaml.py
+++ b/lentilchute/util/checked_yaml.py
@@ -1,6 +1,6 @@
 """Validates YAML files against models and reports all findings at once, with their places.
 
-result = load_document(text, "lentil-drafters.yaml")
+result = load_text(text, "lentil-drafters.yaml", ServiceDocument)
 if isinstance(result, Err):
     for finding in result.err_value:
         print(finding)
@@ -14,9 +14,8 @@
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from ..document import ConfigModel, CrossFieldError, ServiceDocument
 from ..errors import Finding, SourceLocation
-from ..settings import NodeSettings
+from .config_model import ConfigModel, CrossFieldError
 from .schema import Schema, describe, schema_at, schema_of
 from .yaml_tree import Path, PlainValue, YamlTree, path_text, read_yaml
 
@@ -37,21 +36,6 @@
     return read_text(path).and_then(lambda text: load_text(text, path, model))
 
 
-def load_document(text: str, file: str) -> Result[ServiceDocument, list[Finding]]:
-    """Validate the text of a service document."""
-    return load_text(text, file, ServiceDocument)
-
-
-def load_settings(path: str) -> Result[NodeSettings, list[Finding]]:
-    """Validate a node's settings file, merged over the packaged defaults."""
-    return read_text(path).and_then(lambda text: load_settings_text(text, path))
-
-
-def load_settings_text(text: str, file: str) -> Result[NodeSettings, list[Finding]]:
-    """Validate the text of a node's settings, merged over the packaged defaults."""
-    return load_over_defaults(text, file, NodeSettings, default_settings())
-
-
 def load_over_defaults(
     text: str, file: str, model: type[Model], defaults: dict[str, PlainValue]
 ) -> Result[Model, list[Finding]]:
--- a/test/peers/test_membership.py
+++ b/test/peers/test_membership.py
@@ -23,7 +23,8 @@
     PeerInfo,
 )
 from lentilchute.peers.membership import Membership
-from lentilchute.settings import MembershipSettings, Role
+from lentilchute.peers.roles import Role
+from lentilchute.peers.settings import MembershipSettings
 
 SETTINGS = MembershipSettings()
 INTERVAL_S = SETTINGS.heartbeat_interval_s
--- a/test/peers/test_peer_codec.py
+++ b/test/peers/test_peer_codec.py
@@ -4,16 +4,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+import lentilchute.gateway.node
+import lentilchute.node  # noqa: F401 - registers the product's messages
 from lentilchute import ids
-from lentilchute.peers import messages
+from lentilchute.peers import peer_structs
 from lentilchute.peers.codec import (
     WIRE_NAMES,
     decode_message,
     encode_message,
-    idl,
     registered_messages,
 )
+from lentilchute.scheduler import messages
 from lentilchute.scheduler.tickets import EndState, Grant, InFlight, Refusal, RefusalReason, Ticket
+from lentilchute.state.messages import ConfigVersions, ServiceVersion
 
 TICKET = Ticket(
     request_id=ids.RequestId("entry-1.a/1"),
@@ -51,7 +54,7 @@
         (TICKET,),
         (InFlight(TICKET, ids.UpstreamId("e"), 99.0, 3),),
     ),
-    messages.ConfigVersions((messages.ServiceVersion(TICKET.service, ids.DocumentVersion(3)),)),
+    ConfigVersions((ServiceVersion(TICKET.service, ids.DocumentVersion(3)),)),
 ]
 
 
@@ -65,9 +68,11 @@
     assert arrived.ticket.deadline_s == 7_030.0
 
 
-def test_every_registered_message_has_its_struct() -> None:
+def test_every_message_of_the_protocol_is_registered_with_its_struct() -> None:
+    messages_of_protocol = {spec[1] for spec in peer_structs.PeerMessage.thrift_spec.values()}
+    assert set(registered_messages()) == messages_of_protocol
     for field, cls in registered_messages().items():
-        wire_names = {spec[1] for spec in getattr(idl, cls.__name__).thrift_spec.values()}
+        wire_names = {spec[1] for spec in getattr(peer_structs, cls.__name__).thrift_spec.values()}
         own_names = {WIRE_NAMES.get(name, name) for name in cls.__dataclass_fields__}
         assert wire_names == own_names, field
 
--- a/test/peers/test_peer_links.py
+++ b/test/peers/test_peer_links.py
@@ -9,9 +9,9 @@
 
 from lentilchute import ids
 from lentilchute.http.messages import split_address
-from lentilchute.peers import messages
 from lentilchute.peers.frames import FrameError, FrameReader, FrameWriter, derive_key
 from lentilchute.peers.links import LinkIdentity, PeerLinks
+from lentilchute.scheduler import messages
 
 KEY = "a-shared-key-of-16"
 ACK = messages.SchedulerAck(ids.ServiceName("agenda-core"))
--- a/test/state/test_configuration.py
+++ b/test/state/test_configuration.py
@@ -17,7 +17,7 @@
 
 from lentilchute.document import ServiceDocument
 from lentilchute.ids import DocumentVersion, InstanceId, ServiceName
-from lentilchute.settings import MembershipSettings
+from lentilchute.peers.settings import MembershipSettings
 from lentilchute.state.configuration import (
     ConfigAction,
     ConfigRegistry,
--- a/test/system_nodes.py
+++ b/test/system_nodes.py
@@ -30,9 +30,9 @@
 )
 from lentilchute.peers.heartbeats import PeerAddress, PeerChangeKind, PeerInfo
 from lentilchute.peers.membership import Membership
+from lentilchute.peers.roles import Role
 from lentilchute.scheduler.shard import ShardScheduler
 from lentilchute.scheduler.tickets import Decision, Grant
-from lentilchute.settings import Role
 from lentilchute.state.claims import ClaimRegistry
 from lentilchute.upstream.adapters import Upstream
 
--- a/test/test_examples.py
+++ b/test/test_examples.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from lentilchute.document import ServiceDocument, UpstreamKind
+from lentilchute.document import ServiceDocument, UpstreamKind, load_document
+from lentilchute.settings import load_settings
 from lentilchute.ui.check import FileKind, check_file, detect_kind
-from lentilchute.util.checked_yaml import load_document, load_settings
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 NOTARY_ZONES = {"tunis-a", "tunis-b", "bizerte", "nabeul"}
--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -4,6 +4,7 @@
 from sample_files import DOCUMENT
 
 from lentilchute import metrics as module
+from lentilchute.document import load_document
 from lentilchute.ids import (
     AvailabilityZone,
     DocumentVersion,
@@ -14,7 +15,6 @@
 )
 from lentilchute.metrics import DocumentInForce, Gauges, LearnedRates, Metrics
 from lentilchute.scheduler.tickets import RefusalReason
-from lentilchute.util.checked_yaml import load_document
 
 SERVICE = ServiceName("drafts")
 TOP = Tier(0)
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -7,7 +7,7 @@
 from lentilchute.events import Event
 from lentilchute.ids import InstanceId, ServiceName
 from lentilchute.node import dispatch
-from lentilchute.peers.messages import SchedulerAck
+from lentilchute.scheduler.messages import SchedulerAck
 
 
 def test_a_handler_that_raises_is_logged_and_does_not_stop_other_handlers() -> None:
--- a/test/util/test_checked_yaml.py
+++ b/test/util/test_checked_yaml.py
@@ -9,16 +9,9 @@
 from result import Err, Ok
 from sample_files import DOCUMENT, SETTINGS
 
-from lentilchute.document import ServiceDocument
-from lentilchute.settings import NodeSettings
-from lentilchute.util.checked_yaml import (
-    MAX_FILE_BYTES,
-    default_settings,
-    load_document,
-    load_file,
-    load_settings,
-    load_text,
-)
+from lentilchute.document import ServiceDocument, load_document
+from lentilchute.settings import NodeSettings, load_settings
+from lentilchute.util.checked_yaml import MAX_FILE_BYTES, default_settings, load_file, load_text
 
 
 def findings_of(text: str) -> list[str]:
