Reserve the ports of the demo and of tests; give idle upstreams their turn

Cause: the demo and the tests looked for free ports and bound them later, so that another process could take one in between. After an undrain, requests that follow each other singly all went to the upstream with the best learned rate; idle ones were probed by time alone, 30 s apart for the highest tier.

Change: ports are reserved by a bound socket that does not listen; the kernel gives such a port to nobody who asks for any free one, and a server that names it binds it. An idle upstream gets a ticket after three grants for each upstream that accepts work, at any speed of the machine.

--- a/lentilchute/demo.py
+++ b/lentilchute/demo.py
@@ -6,7 +6,6 @@
 
 import json
 import random
-import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -28,6 +27,7 @@
 from .state.configuration_apply import ApplyState, DocumentChange
 from .state.document_changes import apply_change
 from .state.platform_services import platform_for
+from .util.reserved_address import AddressReservations
 
 TIERS = ("signing", "client-answer", "summary", "sorting")
 CALLERS_BY_TIER = {"signing": 4, "client-answer": 8, "summary": 16, "sorting": 24}
@@ -107,20 +107,26 @@
         )
         engines[settings.name] = await nursery.start(engine.serve, settings)
     await _submit_documents(platform_address, engines, plain_address)
-    nodes = [Node(settings) for settings in _node_settings(platform_address)]
+    reservations = AddressReservations()
+    nodes = [Node(settings) for settings in _node_settings(platform_address, reservations)]
     for node in nodes:
         await nursery.start(node.run)
+    reservations.close()
     return _Deployment(nodes, engines, plain_address, platform_address)
 
 
-def _node_settings(platform_address: str) -> list[NodeSettings]:
+def _node_settings(platform_address: str, reservations: AddressReservations) -> list[NodeSettings]:
     names = [f"entry-{number}" for number in range(1, len(ZONES) + 1)]
-    peers = {name: free_address() for name in names}
+    peers = {name: reservations.reserve() for name in names}
     return [
         NodeSettings(
             instance=name,
             availability_zone=zone,
-            listen=Listen(callers=free_address(), peers=peers[name], operators=free_address()),
+            listen=Listen(
+                callers=reservations.reserve(),
+                peers=peers[name],
+                operators=reservations.reserve(),
+            ),
             peers=tuple(
                 PeerSeed(instance=other, address=address)
                 for other, address in peers.items()
@@ -135,13 +141,6 @@
     ]
 
 
-def free_address() -> str:
-    """Return a loopback address with a port that was free when checked."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 async def _submit_documents(platform_address: str, engines: dict[str, str], plain: str) -> None:
     adapter = platform_for(
         PlatformSettings(
--- a/lentilchute/scheduler/granting.py
+++ b/lentilchute/scheduler/granting.py
@@ -153,7 +153,7 @@
         self._placements.add(placement)
         self._prefixes.add_prompt(upstream, ticket.prefix_hashes)
         load = self._pool.get_or_create(upstream)
-        load.last_grant_s = now_s
+        self._pool.record_grant(load, now_s)
         load.reserve(ticket.tier, tokens)
         if self._policy.suspects and self._suspects.is_suspect(ticket.fingerprint):
             load.suspect_request = ticket.request_id
--- a/lentilchute/scheduler/upstream_load.py
+++ b/lentilchute/scheduler/upstream_load.py
@@ -35,6 +35,8 @@
         self.awaits_models = False
         """The models of the upstream are not known yet."""
         self.last_grant_s = 0.0
+        self.last_grant_number = 0
+        """Number of the shard's grant that this upstream got last."""
         self.streams = 0
         self.streams_by_tier: dict[Tier, int] = {}
         self.prompt_tokens = 0
--- a/lentilchute/scheduler/upstream_pool.py
+++ b/lentilchute/scheduler/upstream_pool.py
@@ -42,6 +42,9 @@
 MIN_AFFINITY_TOKENS = 256
 """Fewer cached tokens are ignored: they would pile an account's requests onto few upstreams."""
 
+IDLE_TURN_FACTOR = 3
+"""An idle upstream gets a ticket after this many grants for each upstream that accepts work."""
+
 PREFILL_WEIGHT = 2.0
 """Weight of the prefill time in the cost of an upstream, on top of the expected finish time."""
 
@@ -75,6 +78,8 @@
         self._available: dict[UpstreamId, UpstreamLoad] = {}
         self._prefill_tokens_per_s = 1.0
         self._decode_tokens_per_s = 1.0
+        self._grants = 0
+        self._idle_turn_grants = IDLE_TURN_FACTOR
 
     def __len__(self) -> int:
         return len(self._loads)
@@ -88,6 +93,7 @@
         load = self._loads.get(upstream)
         if load is None:
             load = UpstreamLoad(upstream, self._policy)
+            load.last_grant_number = self._grants
             self._loads[upstream] = load
         return load
 
@@ -100,6 +106,22 @@
         """Return every upstream."""
         return list(self._loads.values())
 
+    def record_grant(self, load: UpstreamLoad, now_s: float) -> None:
+        """Record that an upstream was granted a ticket."""
+        self._grants += 1
+        load.last_grant_number = self._grants
+        load.last_grant_s = now_s
+
+    def _is_turn_due(self, load: UpstreamLoad) -> bool:
+        """Return whether an idle upstream has been passed over for long.
+
+        Its learned rates may be out of date, as after a drain; a limit by time alone would leave it
+        idle for many requests.
+        """
+        if load.streams > 0 or load.suspect_request is not None:
+            return False
+        return self._grants - load.last_grant_number >= self._idle_turn_grants
+
     def has_eligible(self, ticket: Ticket) -> bool:
         """Return whether any upstream could serve a ticket once it has capacity."""
         return any(load.accepts_work and load.can_serve(ticket) for load in self._loads.values())
@@ -156,7 +178,7 @@
             choice = self._evaluate(load, ticket, output_tokens)
             if self._is_too_late(choice, ticket, now_s):
                 continue
-            if load.is_probe_due(ticket.tier, now_s):
+            if load.is_probe_due(ticket.tier, now_s) or self._is_turn_due(load):
                 return choice
             if best is None or _cost(choice) < _cost(best):
                 best = choice
@@ -213,6 +235,7 @@
         for load in self._loads.values():
             self.update_availability(load)
         open_loads = [load for load in self._loads.values() if load.accepts_work]
+        self._idle_turn_grants = IDLE_TURN_FACTOR * max(len(open_loads), 1)
         self._prefill_tokens_per_s = max(
             (load.prefill_tokens_per_s for load in open_loads), default=1.0
         )
--- a/test/entry/test_caller_interface.py
+++ b/test/entry/test_caller_interface.py
@@ -11,8 +11,8 @@
 from lentilchute.entry import caller_interface
 from lentilchute.entry.caller_interface import CallerInterface
 from lentilchute.http.client import ClientRequest, HttpAnswer, HttpClient, HttpFault
-from lentilchute.http.messages import join_address
 from lentilchute.node_context import NodeContext
+from lentilchute.util.reserved_address import ReservedAddress
 
 
 class StartingNode:
@@ -33,14 +33,6 @@
         return trio.current_time()
 
 
-async def free_address() -> str:
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    address = join_address(*listeners[0].socket.getsockname()[:2])
-    for listener in listeners:
-        await listener.aclose()
-    return address
-
-
 async def answer_once_open(address: str) -> HttpAnswer:
     """Poll an address until it accepts connections, and return its first answer."""
     with trio.fail_after(10):
@@ -54,7 +46,7 @@
 @pytest.mark.parametrize("missing", ["configuration", "list of instances"])
 def test_a_node_opens_its_address_once_it_is_ready(missing: str) -> None:
     async def main() -> None:
-        node = StartingNode(await free_address())
+        node = StartingNode(ReservedAddress().text)
         node.is_ready = missing != "configuration"
         node.directory.has_read_list = missing != "list of instances"
         address = node.settings.listen.callers
@@ -77,7 +69,7 @@
     monkeypatch.setattr(caller_interface, "READY_WAIT_S", 0.05)
 
     async def main() -> None:
-        node = StartingNode(await free_address())
+        node = StartingNode(ReservedAddress().text)
         async with trio.open_nursery() as nursery:
             callers = CallerInterface(cast(NodeContext, node), cast(Any, None))
             nursery.start_soon(callers.run)
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -1,9 +1,6 @@
 """A small gateway deployment in one process: the store, upstreams and nodes on loopback."""
 
-import itertools
-import os
 import random
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -22,29 +19,15 @@
 from lentilchute.standins.routed_upstream import RoutedUpstream
 from lentilchute.standins.store import StoreStandin
 from lentilchute.util.checked_yaml import default_settings, load_over_defaults
+from lentilchute.util.reserved_address import AddressReservations
 
 HOST = "a.example"
 KEY = "key-1"
 READY_LIMIT_S = 10.0
 
 
-FIRST_PORT = 12_000
-PORT_COUNT = 18_000
-"""The range lies below the ephemeral ports, which outgoing connections may occupy at any time."""
-
-_next_port = itertools.count(os.getpid() * 997)
-
-
-def free_port() -> int:
-    """Return a free loopback port that this process has not returned recently."""
-    while True:
-        port = FIRST_PORT + next(_next_port) % PORT_COUNT
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
+_reservations = AddressReservations()
+"""Held until the process ends: a node of a test may start again at its address."""
 
 
 @dataclass
@@ -185,11 +168,11 @@
 availability_zone: zone-1
 region: region-1
 listen:
-  callers: 127.0.0.1:{free_port()}
-  readiness: 127.0.0.1:{free_port()}
-  directory: 127.0.0.1:{free_port()}
-  peers: 127.0.0.1:{free_port()}
-  metrics: 127.0.0.1:{free_port()}
+  callers: {_reservations.reserve()}
+  readiness: {_reservations.reserve()}
+  directory: {_reservations.reserve()}
+  peers: {_reservations.reserve()}
+  metrics: {_reservations.reserve()}
 store:
   address: {store_address}
 shared_key: key-of-the-test-world
--- a/test/peers/test_peer_links.py
+++ b/test/peers/test_peer_links.py
@@ -12,6 +12,7 @@
 from lentilchute.peers.frames import FrameError, FrameReader, FrameWriter, derive_key
 from lentilchute.peers.links import LinkIdentity, PeerLinks
 from lentilchute.scheduler import messages
+from lentilchute.util.reserved_address import AddressReservations
 
 KEY = "a-shared-key-of-16"
 ACK = messages.SchedulerAck(ids.ServiceName("agenda-core"))
@@ -41,24 +42,20 @@
     async def main() -> None:
         first, second = Node("entry-1"), Node("entry-2", second_key)
         nodes.extend((first, second))
-        address = f"127.0.0.1:{await free_port()}"
+        reservations = AddressReservations()
+        address = reservations.reserve()
         async with trio.open_nursery() as nursery:
             await nursery.start(second.links.run, address)
-            await nursery.start(first.links.run, f"127.0.0.1:{await free_port()}")
+            await nursery.start(first.links.run, reservations.reserve())
             with trio.fail_after(10):
                 await body(first, second, address)
             nursery.cancel_scope.cancel()
+        reservations.close()
 
     trio.run(main)
     return nodes[0], nodes[1]
 
 
-async def free_port() -> int:
-    with trio.socket.socket() as probe:
-        await probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def test_a_message_is_delivered_with_its_senders_name() -> None:
     async def body(first: Node, second: Node, address: str) -> None:
         first.links.send(second.name, address, ACK)
--- a/test/processes.py
+++ b/test/processes.py
@@ -20,6 +20,7 @@
 from lentilchute.state.configuration_apply import ApplyState, DocumentChange
 from lentilchute.state.document_changes import apply_change
 from lentilchute.state.platform_http import HttpPlatform
+from lentilchute.util.reserved_address import AddressReservations
 
 ROOT = Path(__file__).parent.parent
 SHARED_KEY = "a-shared-key-for-tests"
@@ -28,16 +29,6 @@
 POLL_S = 0.02
 
 
-def free_address() -> str:
-    """Return a loopback address with a port that was free when checked.
-
-    Another process may bind the port before the caller does.
-    """
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @dataclass
 class Deployment:
     """The processes of one test, killed when the ``with`` block exits."""
@@ -48,6 +39,7 @@
     """The address for callers of each node, and the address of each stand-in."""
     operators: dict[str, str] = field(default_factory=dict)
     _peers: dict[str, str] = field(default_factory=dict)
+    _reservations: AddressReservations = field(default_factory=AddressReservations)
 
     def __enter__(self) -> "Deployment":
         return self
@@ -57,10 +49,11 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        self._reservations.close()
 
     def standin(self, name: str, kind: str, *arguments: str) -> None:
         """Start a stand-in without waiting for it; see ``wait_for``."""
-        address = self.addresses.setdefault(name, free_address())
+        address = self.addresses.setdefault(name, self._reservations.reserve())
         self._start(name, "standin", kind, "--listen", address, *arguments)
 
     def wait_for(self, *names: str) -> None:
@@ -71,9 +64,9 @@
     def nodes(self, zones: dict[str, str]) -> None:
         """Start one node per name, in the given availability zones, and wait for all of them."""
         for name in zones:
-            self.addresses[name] = free_address()
-            self.operators[name] = free_address()
-            self._peers[name] = free_address()
+            self.addresses[name] = self._reservations.reserve()
+            self.operators[name] = self._reservations.reserve()
+            self._peers[name] = self._reservations.reserve()
         for name, zone in zones.items():
             self.start_node(name, zone)
         self.wait_for(*zones)
--- a/test/scheduler/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -1,8 +1,10 @@
+import pytest
 from schedulers import document, grants, group, refusals, scheduler, ticket
 
 from lentilchute.document import TierEntry
 from lentilchute.ids import Attempt, InstanceId, UpstreamId
 from lentilchute.scheduler.policy import Policy
+from lentilchute.scheduler.shard import ShardScheduler
 from lentilchute.scheduler.tickets import EndState, InFlight, RefusalReason
 
 ONE_SLOT = {"max_streams": 1}
@@ -148,3 +150,33 @@
     assert shard_scheduler.next_tick_s() <= 75.0
     (granted,) = grants(shard_scheduler.tick(75.0))
     assert granted.request_id == ticket("next").request_id
+
+
+def _next_upstream(shard_scheduler: ShardScheduler, number: int, answer_s: dict[str, float]) -> str:
+    """Send one request, let it end before the next is sent, and return where it ran."""
+    now_s = 10.0 + number
+    sent = ticket(f"in-turn-{number}", deadline_s=now_s + 30.0)
+    (grant,) = grants(shard_scheduler.submit(sent, now_s))
+    upstream = grant.upstream
+    shard_scheduler.dispatched(sent.request_id, Attempt(1), upstream, now_s)
+    shard_scheduler.progress(sent.request_id, 1, now_s + answer_s[upstream] / 2)
+    shard_scheduler.ended(sent.request_id, EndState.COMPLETE, 0, now_s + answer_s[upstream])
+    return upstream
+
+
+@pytest.mark.parametrize("slow_s", [0.02, 0.2, 0.9])
+def test_returned_upstreams_get_work_within_a_dozen_requests(slow_s: float) -> None:
+    # Pattern: one request at a time, as on a machine so slow that each ends before the next one.
+    answer_s = {"e1": slow_s, "e2": slow_s, "e3": 0.01}
+    shard_scheduler = scheduler(document(group(list(answer_s))))
+    for number in range(30):
+        _next_upstream(shard_scheduler, number, answer_s)
+    for name in ("e1", "e2"):
+        shard_scheduler.mark_leaving(UpstreamId(name), 41.0)
+    alone = {_next_upstream(shard_scheduler, number, answer_s) for number in range(32, 60)}
+    assert alone == {"e3"}
+    for name in ("e1", "e2"):
+        shard_scheduler.clear_leaving(UpstreamId(name), 71.0)
+    ran_on = [_next_upstream(shard_scheduler, number, answer_s) for number in range(62, 98)]
+    for first in range(len(ran_on) - 11):
+        assert set(ran_on[first : first + 12]) == set(answer_s), ran_on
--- a/test/soak/soak_nodes.py
+++ b/test/soak/soak_nodes.py
@@ -8,13 +8,15 @@
 from pathlib import Path
 
 import trio
-from gateway_world import free_port
 from soak_proxy import LinkProxy
 from soak_records import Records
 
 from lentilchute.node_context import wait_until
+from lentilchute.util.reserved_address import AddressReservations
 
 ROOT = Path(__file__).parents[2]
+_reservations = AddressReservations()
+"""Held until the process ends: nodes start again at their addresses."""
 SHARED_KEY = "a-shared-key-of-the-soak"
 STOP_GRACE_S = 5.0
 """Time that the nodes' settings allow for a planned stop."""
@@ -38,9 +40,9 @@
         self.name = name
         self.records = records
         self.store_link = LinkProxy("")
-        self.peers_link = LinkProxy(f"127.0.0.1:{free_port()}")
-        self.callers = f"127.0.0.1:{free_port()}"
-        self.directory = f"127.0.0.1:{free_port()}"
+        self.peers_link = LinkProxy(_reservations.reserve())
+        self.callers = _reservations.reserve()
+        self.directory = _reservations.reserve()
         self.incarnation = 0
         self.is_stopping = False
         self._path = directory / f"{name}.yaml"
@@ -131,11 +133,11 @@
             "region": "region-1",
             "listen": {
                 "callers": self.callers,
-                "readiness": f"127.0.0.1:{free_port()}",
+                "readiness": _reservations.reserve(),
                 "directory": self.directory,
                 "peers": self.peers_link.target,
                 "peers_advertised": self.peers_link.address,
-                "metrics": f"127.0.0.1:{free_port()}",
+                "metrics": _reservations.reserve(),
             },
             "store": {"address": self.store_link.address},
             "shared_key": SHARED_KEY,
