Honour what an upstream says of itself: Server-Leaving, and 503 with Retry-After

Cause: neither was read. An upstream that announces its leaving in its answers may never change its row in the store, and one that asks for a pause went on to get requests from every node.

Change: an answer with Server-Leaving makes the incarnation leave, whatever its row says later, here and by a notice at all nodes at once, and again at a node that starts. A 503 with Retry-After pauses the upstream: this node sends it nothing from then on, and the coordinator places nothing there, with a tenth of jitter at the end. While all upstreams of a service want a pause, callers are refused at once with the time that is left. A pause is no failure in the upstream's record. The stand-in of an upstream plays both.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -63,6 +63,9 @@
         403, "An upstream became slower than its baseline or its peers, or recovered."
     )
     UPSTREAM_CRASHED = EventInfo(404, "An upstream failed with requests in flight.")
+    UPSTREAM_PAUSED = EventInfo(
+        407, "An upstream refused a request and asked for a pause, in seconds."
+    )
     POISON_VERDICT = EventInfo(
         405, "A request's content was suspected of crashing upstreams, cleared or condemned."
     )
--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -90,6 +90,9 @@
         """Return the decision about a new ticket, or ``None`` when the ticket is queued."""
         if not self._has_candidate(ticket):
             return self._refuse(RefusalReason.NO_UPSTREAM, now_s)
+        pause_s = self._shortest_pause_s(ticket, now_s)
+        if pause_s > 0:
+            return self._refuse_for(RefusalReason.PAUSED, pause_s)
         if not ticket.is_repeat:
             self._shares.record_request(ticket.tier, now_s)
         if not self._has_earlier_waiting(ticket, now_s):
@@ -145,6 +148,9 @@
             return self._refuse(RefusalReason.DEADLINE, now_s)
         if not self._has_candidate(ticket):
             return self._refuse(RefusalReason.NO_UPSTREAM, now_s)
+        pause_s = self._shortest_pause_s(ticket, now_s)
+        if pause_s > 0:
+            return self._refuse_for(RefusalReason.PAUSED, pause_s)
         placement = self._place(ticket, now_s)
         if placement is not None:
             return placement
@@ -157,6 +163,9 @@
         # An overload is expected to last about as long again as it has lasted so far.
         overload_s = self._record_refusal(now_s)
         retry_after_s = min(settings.retry_after_min_s + overload_s, settings.retry_after_max_s)
+        return self._refuse_for(reason, retry_after_s)
+
+    def _refuse_for(self, reason: RefusalReason, retry_after_s: float) -> Refused:
         return Refused(reason, retry_after_s * (1 + RETRY_AFTER_JITTER * self._rng.random()))
 
     def _record_refusal(self, now_s: float) -> float:
@@ -174,6 +183,15 @@
     def _has_candidate(self, ticket: Ticket) -> bool:
         return any(upstream not in ticket.excluded for upstream in self._models)
 
+    def _shortest_pause_s(self, ticket: Ticket, now_s: float) -> float:
+        """Return how long all upstreams that could take a ticket want no requests."""
+        pauses_s = (
+            model.pause_left_s(now_s)
+            for upstream, model in self._models.items()
+            if upstream not in ticket.excluded
+        )
+        return min(pauses_s, default=0.0)
+
     def _place(self, ticket: Ticket, now_s: float) -> Placement | None:
         available = [
             model
--- a/lentilchute/gateway/fleet.py
+++ b/lentilchute/gateway/fleet.py
@@ -4,6 +4,7 @@
 a short time after the store's recovery, so that an empty list does not stop all services.
 """
 
+import dataclasses
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -14,6 +15,10 @@
 """The platform lists live upstreams again within about two seconds of the store's recovery."""
 
 
+MAX_ANNOUNCED_LEAVING = 1_024
+"""Upstreams that said that they are leaving and are remembered; the oldest are forgotten first."""
+
+
 class UpstreamState(Enum):
     """State of an upstream, as it reports itself."""
 
@@ -58,6 +63,9 @@
     def __init__(self) -> None:
         self._listed: dict[UpstreamId, UpstreamListing] = {}
         self._unlisted_until_s: dict[UpstreamId, float] = {}
+        self._announced_leaving: dict[UpstreamId, int] = {}
+        """Start times of the incarnations that said in an answer that they are leaving."""
+        self._paused_until_s: dict[UpstreamId, float] = {}
         self.is_known = False
         """Whether a list has been read yet."""
 
@@ -65,12 +73,38 @@
         """Return an upstream's listing, or ``None`` if it has been removed."""
         return self._listed.get(upstream)
 
-    def takes_work(self, upstream: UpstreamId, started_ms: int) -> bool:
+    def takes_work(self, upstream: UpstreamId, started_ms: int, now_s: float) -> bool:
         """Return whether this incarnation of an upstream may be sent new requests."""
         listing = self._listed.get(upstream)
         if listing is None or listing.started_ms != started_ms:
             return False
-        return listing.state is UpstreamState.READY
+        return listing.state is UpstreamState.READY and not self.is_paused(upstream, now_s)
+
+    def is_paused(self, upstream: UpstreamId, now_s: float) -> bool:
+        """Return whether an upstream has asked for no requests until later."""
+        return now_s < self._paused_until_s.get(upstream, float("-inf"))
+
+    def mark_leaving(self, upstream: UpstreamId, started_ms: int) -> list[UpstreamChange]:
+        """Record that an incarnation said itself that it is leaving.
+
+        It stays so whatever its listing says: some upstreams never change their listing before
+        they leave.
+        """
+        if started_ms < self._announced_leaving.get(upstream, started_ms):
+            return []
+        self._announced_leaving[upstream] = started_ms
+        if len(self._announced_leaving) > MAX_ANNOUNCED_LEAVING:
+            del self._announced_leaving[next(iter(self._announced_leaving))]
+        listing = self._listed.get(upstream)
+        return [] if listing is None else self._put(listing)
+
+    def announced_leaving(self) -> dict[UpstreamId, int]:
+        """Return the start times of listed incarnations that said that they are leaving."""
+        return {name: at for name, at in self._announced_leaving.items() if name in self._listed}
+
+    def pause(self, upstream: UpstreamId, until_s: float) -> None:
+        """Send an upstream nothing until a time, as it asked."""
+        self._paused_until_s[upstream] = max(until_s, self._paused_until_s.get(upstream, until_s))
 
     def of_service(self, service: ServiceName) -> list[UpstreamListing]:
         """Return the upstreams of a service that take new work."""
@@ -117,8 +151,12 @@
 
     def _put(self, listing: UpstreamListing) -> list[UpstreamChange]:
         self._unlisted_until_s.pop(listing.upstream, None)
+        if self._announced_leaving.get(listing.upstream) == listing.started_ms:
+            listing = dataclasses.replace(listing, state=UpstreamState.LEAVING)
         previous = self._listed.get(listing.upstream)
         self._listed[listing.upstream] = listing
+        if previous is None or previous.started_ms != listing.started_ms:
+            self._paused_until_s.pop(listing.upstream, None)
         if previous is None:
             return [UpstreamChange(UpstreamChangeKind.ADDED, listing)]
         if previous.started_ms != listing.started_ms or previous.address != listing.address:
@@ -133,5 +171,6 @@
 
     def _remove(self, upstream: UpstreamId) -> list[UpstreamChange]:
         self._unlisted_until_s.pop(upstream, None)
+        self._paused_until_s.pop(upstream, None)
         listing = self._listed.pop(upstream, None)
         return [] if listing is None else [UpstreamChange(UpstreamChangeKind.REMOVED, listing)]
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -16,7 +16,7 @@
 from ..http.requests import HttpRequest
 from ..http.responder import Responder
 from ..ids import Tier
-from ..platform.headers import decode_answer, decode_call, upstream_headers
+from ..platform.headers import AnswerHeaders, decode_answer, decode_call, upstream_headers
 from .active_request import ActiveRequest
 from .admission import admit
 from .attempts import AttemptEnd, AttemptTracker, NextStep
@@ -24,6 +24,7 @@
 from .context import GatewayContext
 from .crash_reports import CrashReportController
 from .event_relay import EventRelay
+from .leaving_notices import LeavingNoticeController
 from .messages import NOT_MEASURED
 from .placement_client import PlacementClient
 from .request_log import RequestLog
@@ -49,12 +50,15 @@
 EXPECTED_TIME_FACTOR = 3.0
 """An attempt waits for the head of an answer at least this many times as long as its placement
 expected, if the deadline allows."""
+MAX_PAUSE_S = 300.0
+"""Longest pause that an upstream is granted at a time; it can ask again."""
 MIN_EVENTS_FOR_GAP = 4
 """Shorter streams give no useful estimate of the time between events."""
 _REFUSAL_CAUSES = {
     RefusalReason.NO_UPSTREAM: RefusalCause.NO_UPSTREAM,
     RefusalReason.OVERLOADED: RefusalCause.OVERLOADED,
     RefusalReason.DEADLINE: RefusalCause.OVERLOADED,
+    RefusalReason.PAUSED: RefusalCause.OVERLOADED,
     RefusalReason.OVER_QUOTA: RefusalCause.OVER_QUOTA,
     RefusalReason.NO_BUDGET: RefusalCause.NOT_EXECUTED,
 }
@@ -70,6 +74,7 @@
         self._context = context
         self._placement_client = context.controller(PlacementClient)
         self._crash_reports = context.controller(CrashReportController)
+        self._leaving_notices = context.controller(LeavingNoticeController)
         self._last_number = 0
         self._request_log = RequestLog(context)
         self._client_settings = HttpClientSettings(
@@ -162,12 +167,17 @@
             self._context.metrics.record_attempt(
                 active.ticket.service, end.value, is_repeat=is_repeat
             )
-            if end is not AttemptEnd.NOT_SENT:
+            if end is not AttemptEnd.NOT_SENT and not self._asked_for_pause(end, placement):
                 failure = active.failure_weight(end)
         finally:
             self._placement_client.report(active.ticket, placement, failure=failure, ended=True)
         return end
 
+    def _asked_for_pause(self, end: AttemptEnd, placement: Placement) -> bool:
+        """Return whether an upstream refused a request with a pause, which is not a failure."""
+        paused = self._context.fleet.is_paused(placement.listing.upstream, self._context.now_s())
+        return end is AttemptEnd.NOT_EXECUTED and paused
+
     async def _exchange(self, active: ActiveRequest, placement: Placement) -> AttemptEnd:
         client = HttpClient(placement.listing.address, self._client_settings)
         request = self._upstream_request(active, placement)
@@ -177,7 +187,8 @@
             nonlocal was_connected
             was_connected = True
             listing = placement.listing
-            if not self._context.fleet.takes_work(listing.upstream, listing.started_ms):
+            now_s = self._context.now_s()
+            if not self._context.fleet.takes_work(listing.upstream, listing.started_ms, now_s):
                 return False
             active.attempts.record_send()
             return True
@@ -265,6 +276,7 @@
         self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
         answer = decode_answer(head.headers)
+        self._apply_notices(active, placement, head.status, answer)
         if answer.attempt_id is not None and answer.attempt_id != active.call.headers.attempt_id:
             return AttemptEnd.BROKEN
         if answer.is_not_executed or head.status == 421:
@@ -276,6 +288,24 @@
             return await self._relay_events(active, placement, exchange, head)
         return await self._relay_complete_answer(active, placement, exchange, head)
 
+    def _apply_notices(
+        self, active: ActiveRequest, placement: Placement, status: int, answer: AnswerHeaders
+    ) -> None:
+        """Apply what an upstream says of itself in any answer: that it leaves, or wants a pause."""
+        listing = placement.listing
+        if answer.is_leaving:
+            self._leaving_notices.announce(listing.upstream, listing.started_ms)
+        if status == 503 and answer.retry_after_s:
+            pause_s = min(answer.retry_after_s, MAX_PAUSE_S)
+            self._context.fleet.pause(listing.upstream, self._context.now_s() + pause_s)
+            self._placement_client.report(active.ticket, placement, pause_s=pause_s)
+            log_event(
+                Event.UPSTREAM_PAUSED,
+                request_id=active.call.log_id,
+                upstream=listing.upstream,
+                pause_s=round(pause_s, 3),
+            )
+
     async def _relay_complete_answer(
         self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -92,6 +92,8 @@
     ended: bool
     unreachable: bool
     """Connecting to the upstream failed."""
+    pause_s: float
+    """Time for which the upstream asked for no requests."""
 
 
 @peer_message("ticket_withdrawal")
@@ -201,6 +203,22 @@
     after_outage: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingUpstream:
+    """An incarnation of an upstream that said that it is leaving."""
+
+    upstream: UpstreamId
+    started_ms: int
+
+
+@peer_message("leaving_notice")
+@dataclass(frozen=True, slots=True)
+class LeavingNotice:
+    """Upstreams that announced their leaving in an answer to the sender."""
+
+    leaving: tuple[LeavingUpstream, ...]
+
+
 @peer_message("crash_notice")
 @dataclass(frozen=True, slots=True)
 class CrashNotice:
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -24,7 +24,15 @@
 from ..peers.roles import Role
 from ..platform import endpoints
 from ..platform.store import StoreClient
-from . import coordinator, crash_reports, peering, placement_client, quota_persistence, reading
+from . import (
+    coordinator,
+    crash_reports,
+    leaving_notices,
+    peering,
+    placement_client,
+    quota_persistence,
+    reading,
+)
 from .context import GatewayContext, build_controllers
 from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
@@ -41,6 +49,7 @@
 CONTROLLER_MODULES = (
     coordinator,
     crash_reports,
+    leaving_notices,
     placement_client,
     peering,
     quota_persistence,
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -9,12 +9,13 @@
 from ..events import Event, log_event
 from ..ids import InstanceId
 from ..peers.events import PEER_EVENTS
-from ..peers.heartbeats import Heartbeat, PeerAddress, PeerChange
+from ..peers.heartbeats import Heartbeat, PeerAddress, PeerChange, PeerChangeKind
 from ..peers.message_dispatch import MessageHandler
 from ..platform import rows
 from ..platform.store import RowWrite
 from .context import GatewayContext, gateway_controller
 from .coordinator import CoordinatorController
+from .leaving_notices import LeavingNoticeController
 
 REGISTER_RETRY_S = 0.5
 """Delay before a failed write of this node's row is retried."""
@@ -111,6 +112,8 @@
             )
             controller = self._context.controller(CoordinatorController)
             controller.peer_changed(change.kind, change.info.incarnation)
+            if change.kind is PeerChangeKind.ALIVE:
+                self._context.controller(LeavingNoticeController).repeat_to(change.info.instance)
         if changes:
             self._choose_coordinator()
 
--- a/lentilchute/gateway/placement_client.py
+++ b/lentilchute/gateway/placement_client.py
@@ -83,6 +83,7 @@
         failure: float = NOT_MEASURED,
         ended: bool = False,
         unreachable: bool = False,
+        pause_s: float = NOT_MEASURED,
     ) -> None:
         """Record the progress of a request locally and queue a report to the coordinator."""
         report = Report(
@@ -94,6 +95,7 @@
             failure=failure,
             ended=ended,
             unreachable=unreachable,
+            pause_s=pause_s,
         )
         context = self._context
         context.placements.record_report(context.incarnation, report, context.now_s())
--- a/lentilchute/gateway/placement_registry.py
+++ b/lentilchute/gateway/placement_registry.py
@@ -37,6 +37,10 @@
 about this time."""
 
 
+PAUSE_JITTER = 0.1
+"""Largest random fraction added to the time for which an upstream wants no requests."""
+
+
 @dataclass(frozen=True, slots=True)
 class Scope:
     """The nodes that a registry decides for."""
@@ -124,6 +128,9 @@
             model.statistics.record_result(report.failure, now_s)
         if report.unreachable:
             model.block(now_s)
+        if report.pause_s > 0:
+            # The jitter keeps nodes from returning to the upstream all at once.
+            model.pause(now_s + report.pause_s * (1 + PAUSE_JITTER * self._rng.random()))
         if report.ended:
             model.remove_request(key)
 
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -103,7 +103,7 @@
     def _expire_upstreams(self, now_s: float) -> None:
         changes = self._context.fleet.expire(now_s)
         if changes:
-            self._announce(changes)
+            self.announce(changes)
 
     def _rank(self) -> int:
         context = self._context
@@ -248,7 +248,7 @@
         else:
             changes = fleet.apply(listed, removed, now_s, after_outage=after_outage)
         if changes:
-            self._announce(changes)
+            self.announce(changes)
         return changed
 
     def _decode_upstream(self, row: StoreRow) -> UpstreamListing | None:
@@ -260,7 +260,8 @@
             return None
         return decoded.ok_value
 
-    def _announce(self, changes: list[UpstreamChange]) -> None:
+    def announce(self, changes: list[UpstreamChange]) -> None:
+        """Log changes of upstreams and tell the listeners."""
         for change in changes:
             log_event(
                 _EVENT_OF_CHANGE[change.kind],
--- a/lentilchute/gateway/tickets.py
+++ b/lentilchute/gateway/tickets.py
@@ -51,6 +51,8 @@
     OVERLOADED = "overloaded"
     """No upstream had a free slot in time."""
     DEADLINE = "deadline"
+    PAUSED = "paused"
+    """Every upstream of the service has asked for a pause."""
     OVER_QUOTA = "over-quota"
     NO_BUDGET = "no-retry-budget"
 
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -51,14 +51,24 @@
         self._digest_s = float("-inf")
         self._blocked_until_s = float("-inf")
         self._block_s = INITIAL_BLOCK_S
+        self._paused_until_s = float("-inf")
         self._estimates: list[UpstreamEstimate] = []
         self._estimated_s = float("-inf")
         self._failure_rate = 0.0
         self._failure_rate_s = float("-inf")
 
     def is_blocked(self, now_s: float) -> bool:
-        """Return whether connecting to the upstream failed a moment ago."""
-        return now_s < self._blocked_until_s
+        """Return whether connecting to the upstream failed a moment ago, or it asked for a
+        pause."""
+        return now_s < max(self._blocked_until_s, self._paused_until_s)
+
+    def pause_left_s(self, now_s: float) -> float:
+        """Return how long the upstream still wants no requests."""
+        return max(0.0, self._paused_until_s - now_s)
+
+    def pause(self, until_s: float) -> None:
+        """Place nothing at the upstream until a time, as it asked."""
+        self._paused_until_s = max(self._paused_until_s, until_s)
 
     def running(self, now_s: float) -> int:
         """Return the requests in flight: those counted locally, or the digest's count if it is
@@ -171,7 +181,7 @@
 
     def block(self, now_s: float) -> None:
         """Block the upstream for a while after a failed connection."""
-        if self.is_blocked(now_s):
+        if now_s < self._blocked_until_s:
             return
         self._blocked_until_s = now_s + self._block_s
         self._block_s = min(2 * self._block_s, MAX_BLOCK_S)
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -229,6 +229,7 @@
   6: double failure
   7: bool ended
   8: bool unreachable
+  9: double pause_s
 }
 
 struct TicketWithdrawal {
@@ -299,6 +300,15 @@
   7: bool after_outage
 }
 
+struct LeavingUpstream {
+  1: string upstream
+  2: i64 started_ms
+}
+
+struct LeavingNotice {
+  1: list<LeavingUpstream> leaving
+}
+
 struct CrashNotice {
   1: string upstream
   2: list<string> contents
@@ -336,6 +346,7 @@
   25: optional CrashNotice crash_notice
   26: optional ClearedNotice cleared_notice
   27: optional TicketWithdrawal ticket_withdrawal
+  28: optional LeavingNotice leaving_notice
 }
 
 struct Hello {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -444,6 +444,7 @@
         6: (TType.DOUBLE, "failure", False),
         7: (TType.BOOL, "ended", False),
         8: (TType.BOOL, "unreachable", False),
+        9: (TType.DOUBLE, "pause_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("number", None),
@@ -454,6 +455,7 @@
         ("failure", None),
         ("ended", None),
         ("unreachable", None),
+        ("pause_s", None),
     ]
 
 
@@ -593,6 +595,21 @@
     ]
 
 
+class LeavingUpstream(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "upstream", False),
+        2: (TType.I64, "started_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("upstream", None), ("started_ms", None)]
+
+
+class LeavingNotice(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.LIST, "leaving", (TType.STRUCT, LeavingUpstream), False)
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("leaving", None)]
+
+
 class CrashNotice(Struct):
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "upstream", False),
@@ -635,6 +652,7 @@
         25: (TType.STRUCT, "crash_notice", CrashNotice, False),
         26: (TType.STRUCT, "cleared_notice", ClearedNotice, False),
         27: (TType.STRUCT, "ticket_withdrawal", TicketWithdrawal, False),
+        28: (TType.STRUCT, "leaving_notice", LeavingNotice, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("submit", None),
@@ -664,6 +682,7 @@
         ("crash_notice", None),
         ("cleared_notice", None),
         ("ticket_withdrawal", None),
+        ("leaving_notice", None),
     ]
 
 
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-from ..http.messages import HOP_BY_HOP_HEADERS, Headers, header_value, without_headers
+from ..http.messages import (
+    HOP_BY_HOP_HEADERS,
+    RETRY_AFTER_HEADER,
+    Headers,
+    header_value,
+    without_headers,
+)
 from ..ids import ClientAccountId, UpstreamId
 
 # Names of the platform's headers, in lower case.
@@ -17,6 +23,7 @@
 LAST_EVENT_ID = "last-event-id"
 STAMP = "lentilchute-engine-stamp"
 NOT_EXECUTED = "lentilchute-not-executed"
+LEAVING = "server-leaving"
 
 _STRIPPED_HEADERS = HOP_BY_HOP_HEADERS | {
     "content-length",
@@ -62,6 +69,10 @@
     """The upstream declares that it did not execute the request."""
     has_encoding: bool
     """The body was altered on the way: callers do not request a content encoding."""
+    is_leaving: bool
+    """The upstream announces that it is leaving."""
+    retry_after_s: float | None
+    """How long the upstream wants no requests from this node, if its status is 503."""
 
 
 def decode_call(headers: Headers) -> CallHeaders:
@@ -114,6 +125,8 @@
         is_signed=header_value(headers, STAMP) is not None,
         is_not_executed=header_value(headers, NOT_EXECUTED) is not None,
         has_encoding=encoding is not None and encoding.strip().lower() != "identity",
+        is_leaving=header_value(headers, LEAVING) == "1",
+        retry_after_s=_decimal(header_value(headers, RETRY_AFTER_HEADER)),
     )
 
 
--- a/lentilchute/standins/routed_upstream.py
+++ b/lentilchute/standins/routed_upstream.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from ..http.messages import Headers, header_value
+from ..http.messages import RETRY_AFTER_HEADER, Headers, header_value
 from ..http.requests import HttpRequest, HttpServerSettings
 from ..http.responder import Responder
 from ..http.server import HttpServer
@@ -29,6 +29,10 @@
     """Stop sending after this event without closing the connection, once."""
     drops_answer: bool = False
     """Run the request and close the connection without an answer."""
+    retry_after_s: float | None = None
+    """Sent with the answer of a request that is shed."""
+    says_leaving: bool = False
+    """Announce the leaving in every answer."""
     omits_signature: bool = False
     wrong_id: bool = False
 
@@ -55,10 +59,10 @@
         self.received.append(request)
         attempt = header_value(request.headers, names.ATTEMPT_ID) or ""
         if header_value(request.headers, names.EXPECTED_UPSTREAM) != self.upstream:
-            await responder.answer(421, ((names.UPSTREAM_ID, self.upstream),), b"")
+            await responder.answer(421, ((names.UPSTREAM_ID, self.upstream), *self._notices()), b"")
             return
         if self.behaviour.sheds:
-            await responder.answer(503, ((names.NOT_EXECUTED, "1"),), b"")
+            await responder.answer(503, ((names.NOT_EXECUTED, "1"), *self._notices()), b"")
             return
         self.runs[attempt] += 1
         self.running += 1
@@ -83,9 +87,18 @@
 
     def _signature(self, attempt: str) -> Headers:
         echoed_id = "another" if self.behaviour.wrong_id else attempt
+        headers = ((names.ATTEMPT_ID, echoed_id), *self._notices())
         if self.behaviour.omits_signature:
-            return ((names.ATTEMPT_ID, echoed_id),)
-        return ((names.ATTEMPT_ID, echoed_id), (names.STAMP, f"signed.{self.upstream}"))
+            return headers
+        return (*headers, (names.STAMP, f"signed.{self.upstream}"))
+
+    def _notices(self) -> Headers:
+        """Return what the upstream says of itself."""
+        behaviour = self.behaviour
+        leaving = ((names.LEAVING, "1"),) if behaviour.says_leaving else ()
+        if not behaviour.sheds or behaviour.retry_after_s is None:
+            return leaving
+        return (*leaving, (RETRY_AFTER_HEADER, f"{behaviour.retry_after_s:g}"))
 
     async def _stream(self, request: HttpRequest, responder: Responder, headers: Headers) -> None:
         behaviour = self.behaviour
--- a/test/gateway/test_dispatcher.py
+++ b/test/gateway/test_dispatcher.py
@@ -201,3 +201,43 @@
     # The platform calls a kind of request starved below a quarter.
     assert 0.25 * overall < placed[2] / requested[2] < overall
     assert placed[0] / requested[0] >= overall
+
+
+def paused(dispatcher: Dispatcher, name: str, until_s: float) -> None:
+    model = dispatcher.model(UpstreamId(name))
+    assert model is not None
+    model.pause(until_s)
+
+
+def test_a_paused_upstream_gets_nothing_while_others_can_serve() -> None:
+    dispatcher = make_dispatcher("a", "b", slots=10)
+    paused(dispatcher, "a", 5.0)
+    model = dispatcher.model(UpstreamId("a"))
+    assert model is not None
+    model.unblock()
+    assert {chosen_upstream(dispatcher.submit(ticket(n), 1.0)) for n in range(6)} == {"b"}
+    assert "a" in {chosen_upstream(dispatcher.submit(ticket(n + 10), 5.0)) for n in range(4)}
+
+
+def test_callers_are_refused_at_once_while_all_upstreams_want_a_pause() -> None:
+    # Pattern: a whole service that sheds load and says for how long.
+    dispatcher = make_dispatcher("a", "b")
+    paused(dispatcher, "a", 9.0)
+    paused(dispatcher, "b", 7.0)
+    refusals = [dispatcher.submit(ticket(number), 3.0) for number in range(50)]
+    waits_s = [refused.retry_after_s for refused in refusals if isinstance(refused, Refused)]
+    assert len(waits_s) == 50
+    assert all(refused.reason is RefusalReason.PAUSED for refused in refusals)  # type: ignore[union-attr]
+    assert min(waits_s) >= 4.0
+    assert max(waits_s) - min(waits_s) > 1.0
+    assert dispatcher.waiting == 0
+
+
+def test_a_waiting_ticket_is_refused_once_all_upstreams_want_a_pause() -> None:
+    dispatcher = make_dispatcher("a", slots=1)
+    chosen_upstream(dispatcher.submit(ticket(1), 0.0))
+    assert dispatcher.submit(ticket(2), 0.0) is None
+    paused(dispatcher, "a", 4.0)
+    ((waiting, refused),) = dispatcher.poll(0.01)
+    assert waiting.key == key(2)
+    assert isinstance(refused, Refused) and refused.retry_after_s >= 3.9
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -195,6 +195,69 @@
     run_world(scenario)
 
 
+def test_an_upstream_that_says_that_it_is_leaving_gets_nothing_new_from_any_node() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        leaving = world.upstreams["a0"].standin
+        leaving.behaviour.says_leaving = True
+        while not leaving.received:
+            await world.call("/view/first")
+        await world.until(
+            lambda: all("a0" in node.node.context.fleet.announced_leaving() for node in world.nodes)
+        )
+        # Its row goes on to say that it is ready.
+        world.list_upstream("a0")
+        await trio.sleep(1.2)
+        received = len(leaving.received)
+        for number in range(12):
+            answer = await world.call(f"/view/{number}", number % 2)
+            assert answer is not None and answer.status == 200
+        assert len(leaving.received) == received
+        world.add_node("late")
+        late = world.nodes[-1].node.context
+        await world.until(lambda: late.is_ready and "a0" in late.fleet.announced_leaving())
+
+    run_world(scenario)
+
+
+def test_an_upstream_that_asks_for_a_pause_gets_nothing_from_any_node_meanwhile() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        busy = world.upstreams["a0"].standin
+        busy.behaviour.sheds, busy.behaviour.retry_after_s = True, 1.5
+        while not busy.received:
+            await world.call("/view/first")
+        paused_s = trio.current_time()
+        await trio.sleep(0.1)
+        received, number = len(busy.received), 0
+        while trio.current_time() < paused_s + 1.3:
+            number += 1
+            answer = await world.call(f"/view/{number}", number % 2)
+            assert answer is not None and answer.status == 200
+        assert len(busy.received) == received
+        busy.behaviour.sheds = False
+        with trio.fail_after(5):
+            while len(busy.received) == received:
+                number += 1
+                await world.call(f"/view/{number}", number % 2)
+
+    run_world(scenario)
+
+
+def test_callers_are_refused_at_once_when_every_upstream_asks_for_a_pause() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for name in ("a0", "a1"):
+            behaviour = world.upstreams[name].standin.behaviour
+            behaviour.sheds, behaviour.retry_after_s = True, 3.0
+        for number in range(3):
+            await world.call(f"/view/{number}")
+        received = sum(len(each.standin.received) for each in world.upstreams.values())
+        answer = await world.call("/book/1", method="POST", attempt="refused")
+        assert answer is not None and answer.status == 503
+        assert float(header_value(answer.headers, "retry-after") or 0) > 2.0
+        assert sum(len(each.standin.received) for each in world.upstreams.values()) == received
+
+    run_world(scenario)
+
+
 def test_every_node_follows_a_new_configuration_and_none_goes_back() -> None:
     async def scenario(world: GatewayWorld) -> None:
         routes = json.loads(config_row())["routes"]
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -89,3 +89,12 @@
     call = decode_call(headers)
     assert call.prompt_tokens >= 0
     assert header_value(headers, "lentilchute-key") is None
+
+
+def test_what_an_upstream_says_of_itself_is_decoded() -> None:
+    answer = decode_answer((("server-leaving", "1"), ("retry-after", "1.5")))
+    assert answer.is_leaving and answer.retry_after_s == 1.5
+    plain = decode_answer(
+        (("server-leaving", "0"), ("retry-after", "Fri, 04 Dec 2026 10:00:00 GMT"))
+    )
+    assert not plain.is_leaving and plain.retry_after_s is None
