Survive a store that comes back from an older copy

Cause: nodes compared versions across a restore of the store, which gives versions out again: rows written after it were taken for old ones, and a read of changes from a lost version returned nothing or something else. An upstream that had left was listed as ready again by the older copy, and a node that started then served an older configuration with withdrawn keys.

Change: Store-Era is read from all answers. A rise of it ends the era at once: versions are forgotten, answers and peers' changes of the old era are dropped, tables are read in full, missing rows count as not yet back for two seconds, the node's row and the usage of quotas are written again. An upstream's row with a lower sequence is older and ignored; for ten seconds a departed incarnation is back only when its sequence rises. Peers send the configuration in force to a node that serves an older one, and tell a node that starts which upstreams have left. Peers' rows are applied also when earlier changes are missing.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -101,6 +101,9 @@
         506, "The coordinator did not place a request; the node decided locally."
     )
     PLATFORM_DOWN = EventInfo(800, "A platform service does not respond.")
+    STORE_RESTORED = EventInfo(
+        802, "The store has come back from an older copy; all of it is read again."
+    )
     PLATFORM_BACK = EventInfo(801, "A platform service responds again.")
 
 
--- a/lentilchute/gateway/fleet.py
+++ b/lentilchute/gateway/fleet.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from ..ids import AvailabilityZone, ServiceName, UpstreamId
@@ -19,6 +19,16 @@
 """Upstreams that said that they are leaving and are remembered; the oldest are forgotten first."""
 
 
+DISTRUST_S = 10.0
+"""How long after the store came back from an older copy rows of departed upstreams are distrusted;
+the platform removes an upstream's row after three of its heartbeats of silence."""
+MAX_DEPARTED = 4_096
+"""Incarnations of upstreams that are remembered; the oldest are forgotten first."""
+
+Incarnation = tuple[UpstreamId, int]
+"""An upstream and its start time in milliseconds."""
+
+
 class UpstreamState(Enum):
     """State of an upstream, as it reports itself."""
 
@@ -47,6 +57,8 @@
     state: UpstreamState
     started_ms: int
     """Identifies the incarnation: a different start time under the same id is another one."""
+    sequence: int | None = field(default=None, compare=False)
+    """Rises with each report of the incarnation; ``None`` if the row does not say."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +69,59 @@
     listing: UpstreamListing
 
 
+class Departures:
+    """Upstreams that have left, so that rows from an older copy of the store do not bring them
+    back; free of I/O."""
+
+    def __init__(self) -> None:
+        self._sequences: dict[Incarnation, int] = {}
+        """Highest known sequence of each incarnation."""
+        self._departed: dict[Incarnation, int | None] = {}
+        """For each, the sequence in its first row of the present era, if there was one."""
+        self._distrust_until_s = float("-inf")
+
+    def begin_era(self, now_s: float) -> None:
+        """Trust no row of a departed incarnation for a while."""
+        self._distrust_until_s = now_s + DISTRUST_S
+        self._departed = dict.fromkeys(self._departed)
+
+    def record(self, incarnation: Incarnation) -> None:
+        """Record that an incarnation has left."""
+        self._departed.setdefault(incarnation, None)
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
+    def has(self, listing: UpstreamListing) -> bool:
+        """Return whether an incarnation has left."""
+        return (listing.upstream, listing.started_ms) in self._departed
+
+    def distrusted(self, now_s: float) -> list[Incarnation]:
+        """Return the departed incarnations while their rows are not trusted."""
+        return list(self._departed) if now_s < self._distrust_until_s else []
+
+    def accepts(self, listing: UpstreamListing, now_s: float) -> bool:
+        """Return whether a row is the upstream's latest word, as far as can be told.
+
+        A row with a lower sequence than a known one is older. While the store's rows are
+        distrusted, an incarnation that had left is back only once its sequence rises.
+        """
+        incarnation = (listing.upstream, listing.started_ms)
+        sequence = listing.sequence
+        if sequence is not None:
+            if sequence < self._sequences.get(incarnation, sequence):
+                return False
+            self._sequences[incarnation] = sequence
+            if len(self._sequences) > MAX_DEPARTED:
+                del self._sequences[next(iter(self._sequences))]
+        if incarnation in self._departed and now_s < self._distrust_until_s:
+            first = self._departed[incarnation]
+            if sequence is None or first is None or sequence <= first:
+                self._departed[incarnation] = sequence if first is None else first
+                return False
+        self._departed.pop(incarnation, None)
+        return True
+
+
 class Fleet:
     """The upstreams of all services."""
 
@@ -66,6 +131,7 @@
         self._announced_leaving: dict[UpstreamId, int] = {}
         """Start times of the incarnations that said in an answer that they are leaving."""
         self._paused_until_s: dict[UpstreamId, float] = {}
+        self._departures = Departures()
         self.is_known = False
         """Whether a list has been read yet."""
 
@@ -102,6 +168,27 @@
         """Return the start times of listed incarnations that said that they are leaving."""
         return {name: at for name, at in self._announced_leaving.items() if name in self._listed}
 
+    def begin_era(self, now_s: float) -> None:
+        """Distrust rows of upstreams that had left, as the store came back from an older copy."""
+        self._departures.begin_era(now_s)
+
+    def distrusted(self, now_s: float) -> list[tuple[UpstreamId, int]]:
+        """Return the departed incarnations whose rows are not trusted at present."""
+        return self._departures.distrusted(now_s)
+
+    def distrust(self, upstream: UpstreamId, started_ms: int, now_s: float) -> list[UpstreamChange]:
+        """Record that an incarnation had left before the store came back, by a peer's word."""
+        self._departures.record((upstream, started_ms))
+        if not self._departures.distrusted(now_s):
+            self._departures.begin_era(now_s)
+        listing = self._listed.get(upstream)
+        is_listed = listing is not None and listing.started_ms == started_ms
+        return self._remove(upstream) if is_listed else []
+
+    def is_departed(self, listing: UpstreamListing) -> bool:
+        """Return whether an incarnation had left and has not returned."""
+        return self._departures.has(listing)
+
     def pause(self, upstream: UpstreamId, until_s: float) -> None:
         """Send an upstream nothing until a time, as it asked."""
         self._paused_until_s[upstream] = max(until_s, self._paused_until_s.get(upstream, until_s))
@@ -128,7 +215,12 @@
         that were live are kept for a grace period.
         """
         self.is_known = True
-        changes = [change for listing in listed for change in self._put(listing)]
+        changes = [
+            change
+            for listing in listed
+            if self._departures.accepts(listing, now_s)
+            for change in self._put(listing)
+        ]
         for upstream in removed:
             if after_outage and self._may_be_relisted(upstream):
                 self._unlisted_until_s.setdefault(upstream, now_s + RELIST_GRACE_S)
@@ -154,6 +246,8 @@
         if self._announced_leaving.get(listing.upstream) == listing.started_ms:
             listing = dataclasses.replace(listing, state=UpstreamState.LEAVING)
         previous = self._listed.get(listing.upstream)
+        if previous is not None and _takes_back_leaving(previous, listing):
+            return []
         self._listed[listing.upstream] = listing
         if previous is None or previous.started_ms != listing.started_ms:
             self._paused_until_s.pop(listing.upstream, None)
@@ -173,4 +267,15 @@
         self._unlisted_until_s.pop(upstream, None)
         self._paused_until_s.pop(upstream, None)
         listing = self._listed.pop(upstream, None)
+        if listing is not None:
+            self._departures.record((upstream, listing.started_ms))
         return [] if listing is None else [UpstreamChange(UpstreamChangeKind.REMOVED, listing)]
+
+
+def _takes_back_leaving(previous: UpstreamListing, listing: UpstreamListing) -> bool:
+    """Return whether an older row of the same incarnation would undo its leaving."""
+    if previous.state is not UpstreamState.LEAVING or previous.started_ms != listing.started_ms:
+        return False
+    if previous.sequence is None or listing.sequence is None:
+        return False
+    return listing.state is UpstreamState.READY and listing.sequence <= previous.sequence
--- a/lentilchute/gateway/leaving_notices.py
+++ b/lentilchute/gateway/leaving_notices.py
@@ -31,16 +31,23 @@
         """Record that an incarnation of an upstream is leaving, here and at all peers."""
         leaving = LeavingUpstream(upstream, started_ms)
         if self._record((leaving,)):
-            self._context.broadcast(LeavingNotice((leaving,)))
+            self._context.broadcast(LeavingNotice((leaving,), ()))
 
     def repeat_to(self, instance: InstanceId) -> None:
         """Tell a node that has just started, which knows of no earlier notice."""
-        announced = self._context.fleet.announced_leaving()
-        if announced:
-            leaving = (LeavingUpstream(name, started_ms) for name, started_ms in announced.items())
-            self._context.post(instance, LeavingNotice(tuple(leaving)))
+        fleet = self._context.fleet
+        leaving = tuple(LeavingUpstream(*item) for item in fleet.announced_leaving().items())
+        departed = tuple(LeavingUpstream(*item) for item in fleet.distrusted(self._context.now_s()))
+        if leaving or departed:
+            self._context.post(instance, LeavingNotice(leaving, departed))
 
     def _on_notice(self, _sender: InstanceId, notice: LeavingNotice) -> None:
+        now_s = self._context.now_s()
+        changes: list[UpstreamChange] = []
+        for item in notice.departed:
+            changes += self._context.fleet.distrust(item.upstream, item.started_ms, now_s)
+        if changes:
+            self._context.controller(ReadingController).announce(changes)
         self._record(notice.leaving)
 
     def _record(self, leaving: Iterable[LeavingUpstream]) -> bool:
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -201,6 +201,17 @@
     is_partial: bool
     """Rows were left out because of their size; the receiver reads them itself."""
     after_outage: bool
+    era: int
+    """The store's era that the versions belong to."""
+
+
+@peer_message("config_relay")
+@dataclass(frozen=True, slots=True)
+class ConfigRelay:
+    """The configuration in force at the sender, for a peer that serves an older one."""
+
+    value: bytes
+    """The value of its row in the store."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,9 +225,12 @@
 @peer_message("leaving_notice")
 @dataclass(frozen=True, slots=True)
 class LeavingNotice:
-    """Upstreams that announced their leaving in an answer to the sender."""
+    """Upstreams that take no new work whatever their rows in the store say."""
 
     leaving: tuple[LeavingUpstream, ...]
+    """Upstreams that announced their leaving in an answer."""
+    departed: tuple[LeavingUpstream, ...]
+    """Upstreams that had left before the store came back from an older copy, a moment ago."""
 
 
 @peer_message("crash_notice")
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -16,9 +16,12 @@
 from .context import GatewayContext, gateway_controller
 from .coordinator import CoordinatorController
 from .leaving_notices import LeavingNoticeController
+from .reading import ReadingController
 
 REGISTER_RETRY_S = 0.5
 """Delay before a failed write of this node's row is retried."""
+REGISTER_SPREAD_S = 2.0
+"""Time over which the nodes write their rows after a restore of the store."""
 INITIAL_DISCOVERY_READS = 3
 INITIAL_DISCOVERY_INTERVAL_S = 1.5
 """Nodes that start together find each other's rows within the first few reads of the table."""
@@ -33,6 +36,8 @@
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
+        self._store_was_restored = trio.Event()
+        context.store.era_listeners.append(self._request_registration)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
         return {Heartbeat: self._on_heartbeat}
@@ -41,6 +46,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_heartbeats)
             nursery.start_soon(self._run_discovery)
+            nursery.start_soon(self._register_after_restores)
 
     async def _run_heartbeats(self) -> None:
         context = self._context
@@ -75,6 +81,18 @@
         listed = self._context.listed_nodes
         return listed is not None and len(self._context.membership.present()) + 1 >= listed
 
+    def _request_registration(self) -> None:
+        self._store_was_restored.set()
+
+    async def _register_after_restores(self) -> None:
+        """Write this node's row again whenever the store has come back from an older copy."""
+        while True:
+            await self._store_was_restored.wait()
+            self._store_was_restored = trio.Event()
+            # All nodes write to one part of the table.
+            await trio.sleep(REGISTER_SPREAD_S * self._context.rng.random())
+            await self._register()
+
     async def _register(self) -> None:
         address = self._context.settings.listen.peers_public_address
         row = RowWrite(rows.NODES_TABLE, self._context.instance, rows.encode_node(address))
@@ -97,7 +115,8 @@
         self._context.membership.set_listed_peers(found, self._context.now_s())
         self._context.listed_nodes = len(found)
 
-    def _on_heartbeat(self, _sender: InstanceId, heartbeat: Heartbeat) -> None:
+    def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
+        self._context.controller(ReadingController).relay_config(sender, heartbeat.digest)
         self._handle_peer_changes(
             self._context.membership.received(heartbeat, self._context.now_s())
         )
--- a/lentilchute/gateway/quota_persistence.py
+++ b/lentilchute/gateway/quota_persistence.py
@@ -34,8 +34,10 @@
         self._store_clock_offset_s = 0.0
         """Time by which the store's clock is ahead of this process's clock."""
         self._is_unavailable = False
+        self._is_write_requested = False
         self._role_changed = trio.Event()
         context.coordinator_listeners.append(self._wake)
+        context.store.era_listeners.append(self._request_write)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
         return {}
@@ -47,6 +49,9 @@
             await trio.sleep(READ_RETRY_S * (1 + self._context.rng.random()))
         last_write_s = self._context.now_s()
         while True:
+            if self._is_write_requested:
+                last_write_s = float("-inf")
+                self._is_write_requested = False
             if not self._context.choice.is_coordinator:
                 await self._role_changed.wait()
                 continue
@@ -57,6 +62,10 @@
                 last_write_s = now_s
                 await self._write()
 
+    def _request_write(self) -> None:
+        """Write at the next check, as the store may have lost what was written lately."""
+        self._is_write_requested = True
+
     def _wake(self) -> None:
         self._role_changed.set()
         self._role_changed = trio.Event()
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -15,7 +15,7 @@
 from ..platform.store import StoreFault, StoreRow, TablePage
 from .context import GatewayContext, gateway_controller
 from .fleet import UpstreamChange, UpstreamChangeKind, UpstreamListing
-from .messages import ChangedRow, TableChanges
+from .messages import ChangedRow, ConfigRelay, TableChanges
 from .table_freshness import TableCopy
 
 CHECK_INTERVAL_S = 0.25
@@ -25,6 +25,9 @@
 """Delay after a failed read, so that an outage causes few calls."""
 MAX_BROADCAST_BYTES = 8_192
 """Each node reads larger changes itself: traffic between zones costs more than a call."""
+CONFIG_RELAY_INTERVAL_S = 1.0
+"""A peer that has served an older configuration for this long gets the one in force; by then it
+should have read it."""
 MIN_PAUSE_S = 0.5
 """A loop that was delayed by more than this, or clocks that diverge by more, indicate a pause."""
 
@@ -43,6 +46,8 @@
     """Applies changed rows, given whether they are the full table and whether the store was
     unavailable; returns the rows to broadcast to peers."""
     is_unavailable: bool = False
+    was_read: bool = False
+    """Whether the table has been read in full, in any era."""
     read_requested: trio.Event = field(default_factory=trio.Event)
     """Set when the copy must be read before it is due."""
 
@@ -63,9 +68,12 @@
         self._upstreams = _Table(TableCopy(rows.UPSTREAMS_TABLE, reading), self._apply_upstreams)
         self._tables = {table.copy.table: table for table in (self._config, self._upstreams)}
         self._announced: dict[str, UpstreamListing] = {}
+        self._config_value: bytes | None = None
+        self._config_relayed_s: dict[InstanceId, float] = {}
+        context.store.era_listeners.append(self._begin_era)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
-        return {TableChanges: self._on_table_changes}
+        return {TableChanges: self._on_table_changes, ConfigRelay: self._on_config_relay}
 
     def ages_s(self, now_s: float) -> dict[str, float]:
         """Return the age of each table's copy; a table that has not been read is left out."""
@@ -78,6 +86,35 @@
             for table in self._tables.values():
                 nursery.start_soon(self._follow, table)
 
+    def relay_config(self, instance: InstanceId, version: int) -> None:
+        """Send the configuration in force to a peer that serves an older ``version``.
+
+        A peer that starts after the store has come back from an older copy finds an old
+        configuration there, whose keys may have been withdrawn.
+        """
+        context, now_s = self._context, self._context.now_s()
+        if context.config is None or self._config_value is None:
+            return
+        if version >= context.config.version:
+            self._config_relayed_s.pop(instance, None)
+            return
+        due_s = self._config_relayed_s.setdefault(instance, now_s + CONFIG_RELAY_INTERVAL_S)
+        if now_s >= due_s:
+            self._config_relayed_s[instance] = now_s + CONFIG_RELAY_INTERVAL_S
+            context.post(instance, ConfigRelay(self._config_value))
+
+    def _on_config_relay(self, _sender: InstanceId, message: ConfigRelay) -> None:
+        self._apply_config([StoreRow(rows.CONFIG_KEY, 0, message.value)], False, False)
+
+    def _begin_era(self) -> None:
+        """Read everything again, as the store has come back from an older copy."""
+        now_s = self._context.now_s()
+        log_event(Event.STORE_RESTORED, era=self._context.store.era)
+        self._context.fleet.begin_era(now_s)
+        for table in self._tables.values():
+            table.copy.begin_era(now_s)
+            table.read_requested.set()
+
     async def _follow(self, table: _Table) -> None:
         while True:
             is_due = table.copy.is_due(self._rank(), self._context.now_s())
@@ -126,6 +163,10 @@
         self._record_success(table)
         table.read_requested = trio.Event()
         page = result.ok_value
+        has_begun_era = base is not None and copy.version is None
+        if page.era != self._context.store.era or has_begun_era:
+            # The versions of this page belong to an era that has ended.
+            return True
         copy.record_read(page.version, requested_s, self._context.now_s())
         after_outage = copy.is_after_outage(self._context.now_s())
         self._apply_page(table, page, base, requested_s, after_outage)
@@ -144,6 +185,7 @@
         updated_rows = list(page.rows) if base is None else newer
         changed = table.apply_rows(updated_rows, base is None, after_outage)
         if base is None:
+            table.was_read = True
             return
         size = sum(len(row.value or b"") for row in changed)
         is_partial = size > MAX_BROADCAST_BYTES
@@ -158,19 +200,22 @@
             ),
             is_partial=is_partial,
             after_outage=after_outage,
+            era=page.era,
         )
         self._context.broadcast(message)
 
     def _on_table_changes(self, _sender: InstanceId, message: TableChanges) -> None:
         table = self._tables.get(message.table_name)
-        if table is None:
+        if table is None or message.era < self._context.store.era:
             return
+        self._context.store.learn_era(message.era)
         if message.is_partial:
             if message.version > (table.copy.version or 0):
                 table.mark_stale()
             return
         as_of_s = self._context.now_s() - message.age_s
-        if not table.copy.record_peer_changes(message.base, message.version, as_of_s):
+        is_complete = table.copy.record_peer_changes(message.base, message.version, as_of_s)
+        if not is_complete and not table.was_read:
             return
         received = [
             StoreRow(row.key, row.version, None if row.removed else row.value)
@@ -178,7 +223,8 @@
         ]
         newer = table.copy.accept_newer(received)
         if newer:
-            table.apply_rows(newer, False, message.after_outage)
+            after_outage = message.after_outage or table.copy.is_after_outage(self._context.now_s())
+            table.apply_rows(newer, False, after_outage)
 
     def _record_fault(self, table: _Table, fault: StoreFault) -> None:
         if fault is StoreFault.HISTORY_GONE:
@@ -214,6 +260,7 @@
             if context.config is not None and config.version <= context.config.version:
                 continue
             context.config = config
+            self._config_value = row.value
             log_event(
                 Event.CONFIG_IN_FORCE,
                 version=config.version,
@@ -239,7 +286,7 @@
                 changed.append(row)
                 continue
             listed.append(listing)
-            if self._announced.get(row.key) != listing:
+            if self._announced.get(row.key) != listing or self._context.fleet.is_departed(listing):
                 self._announced[row.key] = listing
                 changed.append(row)
         fleet, now_s = self._context.fleet, self._context.now_s()
--- a/lentilchute/gateway/table_freshness.py
+++ b/lentilchute/gateway/table_freshness.py
@@ -72,6 +72,16 @@
         """Record that the history of changes is lost; the next read is a full read."""
         self._freshness = None
 
+    def begin_era(self, now_s: float) -> None:
+        """Forget all versions, since the store has come back from an older copy.
+
+        The next read is a full read. Rows that are missing from it may be written again.
+        """
+        self._freshness = None
+        self._versions.clear()
+        self._is_stale = True
+        self._last_outage_end_s = now_s
+
     def record_failure(self, now_s: float) -> None:
         """Record a read that failed."""
         if self._failing_since_s is None:
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -298,6 +298,11 @@
   5: list<ChangedRow> rows
   6: bool is_partial
   7: bool after_outage
+  8: i64 era
+}
+
+struct ConfigRelay {
+  1: binary value
 }
 
 struct LeavingUpstream {
@@ -307,6 +312,7 @@
 
 struct LeavingNotice {
   1: list<LeavingUpstream> leaving
+  2: list<LeavingUpstream> departed
 }
 
 struct CrashNotice {
@@ -347,6 +353,7 @@
   26: optional ClearedNotice cleared_notice
   27: optional TicketWithdrawal ticket_withdrawal
   28: optional LeavingNotice leaving_notice
+  29: optional ConfigRelay config_relay
 }
 
 struct Hello {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -583,6 +583,7 @@
         5: (TType.LIST, "rows", (TType.STRUCT, ChangedRow), False),
         6: (TType.BOOL, "is_partial", False),
         7: (TType.BOOL, "after_outage", False),
+        8: (TType.I64, "era", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("table_name", None),
@@ -592,9 +593,15 @@
         ("rows", None),
         ("is_partial", None),
         ("after_outage", None),
+        ("era", None),
     ]
 
 
+class ConfigRelay(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {1: (TType.BINARY, "value", False)}
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("value", None)]
+
+
 class LeavingUpstream(Struct):
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "upstream", False),
@@ -605,9 +612,10 @@
 
 class LeavingNotice(Struct):
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
-        1: (TType.LIST, "leaving", (TType.STRUCT, LeavingUpstream), False)
+        1: (TType.LIST, "leaving", (TType.STRUCT, LeavingUpstream), False),
+        2: (TType.LIST, "departed", (TType.STRUCT, LeavingUpstream), False),
     }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [("leaving", None)]
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("leaving", None), ("departed", None)]
 
 
 class CrashNotice(Struct):
@@ -653,6 +661,7 @@
         26: (TType.STRUCT, "cleared_notice", ClearedNotice, False),
         27: (TType.STRUCT, "ticket_withdrawal", TicketWithdrawal, False),
         28: (TType.STRUCT, "leaving_notice", LeavingNotice, False),
+        29: (TType.STRUCT, "config_relay", ConfigRelay, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("submit", None),
@@ -683,6 +692,7 @@
         ("cleared_notice", None),
         ("ticket_withdrawal", None),
         ("leaving_notice", None),
+        ("config_relay", None),
     ]
 
 
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -196,6 +196,7 @@
         state=_UPSTREAM_STATES[row["state"]],
         # Start time of the upstream; the same id with another start time is another incarnation.
         started_ms=_integer(row.get("born") or 0),
+        sequence=None if row.get("sequence") is None else _integer(row["sequence"]),
     )
 
 
--- a/lentilchute/platform/store.py
+++ b/lentilchute/platform/store.py
@@ -3,7 +3,8 @@
 import base64
 import binascii
 import json
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
 from urllib.parse import urlencode
@@ -11,10 +12,13 @@
 from result import Err, Ok, Result
 
 from ..http.client import ClientRequest, HttpAnswer, HttpClient, HttpClientSettings, HttpFault
+from ..http.messages import header_value
 
 ROWS_GET_PATH = "/api/rows-get"
 ROWS_FEED_PATH = "/api/rows-feed"
 ROWS_TX_PATH = "/api/rows-tx"
+ERA = "store-era"
+"""Header of all answers; rises when the store has come back from an older copy."""
 
 CONNECT_TIMEOUT_S = 1.0
 """The platform's own callers also allow one second for a new connection."""
@@ -22,6 +26,7 @@
 """Bounds the memory for an answer; a page of rows is at most 1 MB before encoding."""
 IDLE_TIMEOUT_S = 4.0
 """A connection idle for longer is not reused: it may have been dropped silently."""
+MAX_ERA_DIGITS = 15
 PAGE_ROWS = 500
 """Rows to request per page; the store returns no more than this at once."""
 
@@ -39,6 +44,8 @@
     """This client may not write to the table."""
     HISTORY_GONE = "history-gone"
     """The store no longer has the changes since that version; the table must be read in full."""
+    OLD_ERA = "old-era"
+    """The answer is from before the store came back from an older copy."""
     UNREADABLE = "unreadable"
     """The answer does not match the documented format."""
 
@@ -60,6 +67,8 @@
     version: int
     now_s: float
     """The store's monotonic clock at the time of the answer."""
+    era: int = 0
+    """Era of the store in which the rows were read; versions of two eras cannot be compared."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +101,27 @@
             ),
         )
         self.calls = 0
+        self.era = 0
+        """Highest era of the store that is known."""
+        self.era_listeners: list[Callable[[], None]] = []
+        """Called when the era has risen: rows written lately may be gone, and versions go back."""
+
+    def learn_era(self, era: int) -> None:
+        """Apply an era that the store or a peer has named; a lower one changes nothing."""
+        if era <= self.era:
+            return
+        is_first = self.era == 0
+        self.era = era
+        if not is_first:
+            for listener in self.era_listeners:
+                listener()
 
     async def read_table(self, table: str) -> Result[TablePage, StoreFault]:
         """Return all rows of a table, in its empty part."""
         rows: list[StoreRow] = []
         version: int | None = None
         start: str | None = None
+        era: int | None = None
         while True:
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start is not None:
@@ -108,12 +132,15 @@
             page = _decode_page(answered.ok_value)
             if isinstance(page, Err):
                 return page
+            if era is not None and era != self.era:
+                return Err(StoreFault.OLD_ERA)
+            era = self.era
             rows += page.ok_value.rows
             # Later pages may hold newer rows: changes are read from the first page's version.
             version = page.ok_value.version if version is None else version
             now_s = page.ok_value.now_s
             if not answered.ok_value.get("truncated") or not page.ok_value.rows:
-                return Ok(TablePage(tuple(rows), version, now_s))
+                return Ok(TablePage(tuple(rows), version, now_s, era))
             start = page.ok_value.rows[-1].key + "\0"
 
     async def read_changes(self, table: str, after_version: int) -> Result[TablePage, StoreFault]:
@@ -122,7 +149,8 @@
         answered = await self._get(ROWS_FEED_PATH, query)
         if isinstance(answered, Err):
             return answered
-        return _decode_page(answered.ok_value)
+        era = self.era
+        return _decode_page(answered.ok_value).map(lambda page: replace(page, era=era))
 
     async def write(self, writes: tuple[RowWrite, ...]) -> Result[int, StoreFault]:
         """Apply writes in one transaction and return the store's new version."""
@@ -164,6 +192,11 @@
         if isinstance(answered, Err):
             is_unsent = answered.err_value is HttpFault.NOT_SENT
             return Err(StoreFault.NOT_APPLIED if is_unsent else StoreFault.UNKNOWN)
+        era = header_value(answered.ok_value.headers, ERA) or ""
+        if era.isascii() and era.isdecimal() and len(era) <= MAX_ERA_DIGITS:
+            if int(era) < self.era:
+                return Err(StoreFault.OLD_ERA)
+            self.learn_era(int(era))
         return _decode_answer(answered.ok_value)
 
 
--- a/lentilchute/standins/store.py
+++ b/lentilchute/standins/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from copy import deepcopy
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -42,6 +43,8 @@
     compacted_version: int = 0
     """A feed request that starts before this version is answered with status 410."""
     tables: dict[str, dict[str, _Row]] = field(default_factory=dict)
+    era: int = 1
+    """Rises by one with each restore."""
 
     def put(self, table: str, key: str, value: bytes | None) -> int:
         """Set a row, or delete it with ``None``, and return the store's new version."""
@@ -50,6 +53,18 @@
         self.tables.setdefault(table, {})[key] = _Row(encoded, self.version)
         return self.version
 
+    def copy(self) -> "StoreState":
+        """Return a copy to restore the store from later."""
+        return deepcopy(self)
+
+    def restore(self, earlier: "StoreState") -> None:
+        """Go back to an earlier copy: what was written since is lost, and its versions are given
+        out again."""
+        self.version = earlier.version
+        self.compacted_version = earlier.compacted_version
+        self.tables = deepcopy(earlier.tables)
+        self.era += 1
+
     def compact(self) -> None:
         """Drop all changes up to now from the change feed."""
         self.compacted_version = self.version
@@ -81,14 +96,16 @@
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         self.calls += 1
         if self.mode is StoreFaultMode.BUSY:
-            await responder.answer(503, (), b"")
+            await responder.answer(503, ((names.ERA, str(self.state.era)),), b"")
             return
         if self.mode is StoreFaultMode.SILENT:
             await trio.sleep_forever()
         status, body = self._perform(request)
+        era = str(self.state.era)
         if self.mode is StoreFaultMode.LOSE_ANSWERS:
             await trio.sleep_forever()
-        await responder.answer(status, (JSON_HEADER,), json.dumps(body).encode())
+        headers = (JSON_HEADER, (names.ERA, era))
+        await responder.answer(status, headers, json.dumps(body).encode())
 
     def _perform(self, request: HttpRequest) -> tuple[int, dict[str, Any]]:
         url = urlsplit(request.path)
@@ -97,7 +114,7 @@
             return 200, self._page(query["table"], -1, with_removed=False)
         if url.path == names.ROWS_FEED_PATH:
             after = int(query["start-after"])
-            if after < self.state.compacted_version:
+            if after < self.state.compacted_version or after > self.state.version:
                 return 410, {}
             return 200, self._page(query["table"], after, with_removed=True)
         if url.path == names.ROWS_TX_PATH:
