Read the store as often as the platform's bounds need, and less in an outage

Change: the intervals follow from the times within which nodes must notice a leaving upstream and a configuration, which the template takes from the bounds. After a failed read most nodes double their delay up to 1.2 s; the first three in order go on as before and tell the others. The interval between digests grows by itself for each 64 nodes.

--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,6 +33,8 @@
 JOIN_PERIOD_S = 5.0
 """Time by which nodes that started together have discovered each other, even if their first
 heartbeats are lost."""
+DIGEST_NODES = 64
+"""For each so many nodes, the interval between digests is lengthened by itself."""
 POLL_INTERVAL_S = 0.02
 """Interval between polls of queued tickets, besides the poll after each change; a small fraction of
 any latency objective."""
@@ -114,7 +117,7 @@
 
     async def _broadcast_digests(self) -> None:
         while True:
-            await trio.sleep(self._context.settings.dispatch.digest_interval_s)
+            await trio.sleep(self._digest_interval_s())
             if self._context.choice.is_coordinator and self._context.is_ready:
                 digest = self._context.placements.digest(self._context.now_s())
                 if self._is_joining():
@@ -122,6 +125,11 @@
                     digest = dataclasses.replace(digest, accounts=())
                 self._context.broadcast(digest)
 
+    def _digest_interval_s(self) -> float:
+        """Return the interval between digests, which grows with the fleet: each goes to all."""
+        nodes = len(self._context.membership.present()) + 1
+        return self._context.settings.dispatch.digest_interval_s * math.ceil(nodes / DIGEST_NODES)
+
     def _is_joining(self) -> bool:
         return self._context.now_s() - self._context.started_s < JOIN_PERIOD_S
 
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -22,7 +22,11 @@
 """Interval between checks for a pause of the process; a small fraction of the lag allowed for the
 copies."""
 RETRY_INTERVAL_S = 0.3
-"""Delay after a failed read, so that an outage causes few calls."""
+"""Delay after a failed read."""
+MAX_RETRY_INTERVAL_S = 1.2
+"""The delay of most nodes doubles up to this, so that an outage causes few calls."""
+PERSISTENT_READERS = 3
+"""The first readers in order go on at the shortest delay; they tell the others of the recovery."""
 MAX_BROADCAST_BYTES = 8_192
 """Each node reads larger changes itself: traffic between zones costs more than a call."""
 CONFIG_RELAY_INTERVAL_S = 1.0
@@ -116,13 +120,23 @@
             table.read_requested.set()
 
     async def _follow(self, table: _Table) -> None:
+        failures = 0
         while True:
             is_due = table.copy.is_due(self._rank(), self._context.now_s())
-            if is_due and not await self._read(table):
-                await trio.sleep(RETRY_INTERVAL_S * (1 + self._context.rng.random()))
+            if is_due and await self._read(table):
+                failures = 0
+            elif is_due:
+                await trio.sleep(self._retry_delay_s(failures))
+                failures += 1
             with trio.move_on_after(table.copy.due_in_s(self._rank(), self._context.now_s())):
                 await table.read_requested.wait()
 
+    def _retry_delay_s(self, failures: int) -> float:
+        """Return the delay before the next read, after this many earlier failures in a row."""
+        is_persistent = self._rank() < PERSISTENT_READERS
+        delay_s = RETRY_INTERVAL_S if is_persistent else RETRY_INTERVAL_S * 2.0 ** min(failures, 8)
+        return min(delay_s, MAX_RETRY_INTERVAL_S) * (1 + self._context.rng.random())
+
     async def _watch_pauses(self) -> None:
         last_s = self._context.now_s()
         last_offset_s = _suspended_s()
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -46,17 +46,20 @@
 class ReadingSettings(ConfigModel):
     """How often the store's tables are read."""
 
-    poll_interval_s: Seconds
-    """Interval between reads by the node that reads for all nodes."""
-    self_read_after_s: Seconds
-    """Any other node reads the store itself once its copy is older than this."""
-    stagger_s: Seconds
-    """Additional delay of each node over its predecessor in the order of stand-by readers."""
+    leaving_within_s: Seconds
+    """Nodes must notice a leaving upstream within this time."""
+    config_within_s: Seconds
+    """Nodes must notice a new configuration within this time."""
     outage_after_s: Seconds
     """The store counts as down after reads have failed for this long."""
     outage_memory_s: Seconds
     """Rows that are missing within this time after an outage may reappear."""
 
+    @property
+    def notice_within_s(self) -> float:
+        """The shortest time within which nodes must notice a change."""
+        return min(self.leaving_within_s, self.config_within_s)
+
 
 class RetrySettings(ConfigModel):
     """The retry budget, shared by all nodes."""
--- a/lentilchute/gateway/table_freshness.py
+++ b/lentilchute/gateway/table_freshness.py
@@ -13,6 +13,12 @@
 
 MIN_WAIT_S = 0.02
 """Shortest delay between two checks of a copy's age."""
+POLL_SHARE = 0.25
+"""The reader's interval, as a share of the time within which nodes must notice a change."""
+SELF_READ_SHARE = 0.45
+"""The age at which another node reads itself; it leaves time for the read."""
+STAGGER_SHARE = 0.075
+"""Additional delay for each rank: a stand-by finishes its read before the next one would start."""
 MAX_STAGGERED_RANK = 5
 """Nodes of a higher rank use the same delay as this one, so that the copy's age stays bounded."""
 
@@ -120,9 +126,9 @@
 
     def _threshold_s(self, rank: int) -> float:
         """Return the age of the copy at which a node of this rank reads."""
-        step_s = min(rank, MAX_STAGGERED_RANK) * self._settings.stagger_s
-        base_s = self._settings.poll_interval_s if rank == 0 else self._settings.self_read_after_s
-        return base_s + step_s
+        share = POLL_SHARE if rank == 0 else SELF_READ_SHARE
+        share += min(rank, MAX_STAGGERED_RANK) * STAGGER_SHARE
+        return share * self._settings.notice_within_s
 
     def _advance(self, freshness: Freshness) -> None:
         current = self._freshness
--- a/test/gateway/test_table_freshness.py
+++ b/test/gateway/test_table_freshness.py
@@ -109,3 +109,13 @@
     copy.record_failure(1.0)
     copy.record_read(11, 1.5, 1.5)
     assert not copy.is_after_outage(1.6)
+
+
+def test_a_longer_limit_of_the_platform_means_fewer_reads() -> None:
+    settings = READING.model_copy(update={"leaving_within_s": 4.0, "config_within_s": 6.0})
+    copy = TableCopy("op", settings)
+    copy.record_read(10, 0.0, 0.0)
+    assert not copy.is_due(0, 0.9)
+    assert copy.is_due(0, 1.0)
+    assert not copy.is_due(1, 2.0)
+    assert all(copy.is_due(rank, 3.4) for rank in range(400))
--- a/test/gateway_samples.py
+++ b/test/gateway_samples.py
@@ -29,9 +29,8 @@
     retry_after_max_s=5.0,
 )
 READING = ReadingSettings(
-    poll_interval_s=0.5,
-    self_read_after_s=0.9,
-    stagger_s=0.15,
+    leaving_within_s=2.0,
+    config_within_s=2.0,
     outage_after_s=1.0,
     outage_memory_s=2.0,
 )
