End a planned stop in the last sixth of the grace time

Change: the remaining work is cancelled at 0.85 of the grace time, 1.2 s before its end on the platform's sites; requests that are cut in the last sixth of it are excused there.

--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -65,8 +65,9 @@
 """Fraction of the idle timeout that is advertised to callers."""
 MAX_CACHED_LIFETIMES = 3.0
 """Some of the platform's callers cache a resolve answer for three times its lifetime."""
-STOP_MARGIN_S = 0.7
-"""Remaining work is cancelled this long before the platform kills the process."""
+STOP_MARGIN_SHARE = 0.15
+"""Remaining work is cancelled in the last part of the grace time. The platform excuses requests that
+are cut in its last sixth, and a busy process needs part of that to end."""
 LAG_INTERVAL_S = 1.0
 """Detects an overloaded event loop at a negligible cost."""
 STOP_POLL_S = 0.05
@@ -179,7 +180,7 @@
         # Callers may have cached this address for some lifetimes of the resolve answer; refuse
         # requests after that.
         context.refuses_after_s = stopped_s + MAX_CACHED_LIFETIMES * stop.answer_lifetime_s
-        end_s = stopped_s + stop.grace_s - STOP_MARGIN_S
+        end_s = stopped_s + stop.grace_s * (1 - STOP_MARGIN_SHARE)
         while context.now_s() < end_s:
             if context.now_s() > context.refuses_after_s and not self._forwarder.in_progress:
                 break
