End streams that drip bytes without completing an event

Cause: the time limit between two pieces of an answer began anew with every byte, so that a stalled stream that sends a byte now and then held its slot and its caller until the deadline.

Change: the limit begins anew with what makes progress, a whole event. A slow but sound stream is left alone, as a test with pauses half as long again as the route's longest shows.

Shown: test_a_stream_that_only_drips_bytes_is_taken_up_elsewhere fails without the change.

--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -11,6 +11,7 @@
     HttpExchange,
     HttpFault,
     HttpHead,
+    PartResult,
     open_tcp,
 )
 from ..http.requests import HttpRequest
@@ -337,15 +338,16 @@
         first_event = active.relay.relayed_events
         started_s = self._context.now_s()
 
-        async def relay(part: bytes) -> bool:
+        async def relay(part: bytes) -> PartResult:
             relayed = active.relay.feed(part)
             if isinstance(relayed, Err):
-                return False
-            if relayed.ok_value:
-                active.event_times.record_event(self._context.now_s())
-                self._record_first_event(active, placement)
-                await self._send_events(active, head, relayed.ok_value)
-            return True
+                return PartResult.STOP
+            if not relayed.ok_value:
+                return PartResult.NO_PROGRESS
+            active.event_times.record_event(self._context.now_s())
+            self._record_first_event(active, placement)
+            await self._send_events(active, head, relayed.ok_value)
+            return PartResult.PROGRESS
 
         ended = await exchange.relay_parts(relay)
         if isinstance(ended, Err):
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -66,8 +66,8 @@
 MAX_CACHED_LIFETIMES = 3.0
 """Some of the platform's callers cache a resolve answer for three times its lifetime."""
 STOP_MARGIN_SHARE = 0.15
-"""Remaining work is cancelled in the last part of the grace time. The platform excuses requests that
-are cut in its last sixth, and a busy process needs part of that to end."""
+"""Remaining work is cancelled in the last part of the grace time. The platform excuses requests
+that are cut in its last sixth, and a busy process needs part of that to end."""
 LAG_INTERVAL_S = 1.0
 """Detects an overloaded event loop at a negligible cost."""
 STOP_POLL_S = 0.05
--- a/lentilchute/http/client.py
+++ b/lentilchute/http/client.py
@@ -91,7 +91,20 @@
 
 Opener = Callable[[str], Awaitable[trio.abc.HalfCloseableStream]]
 BeforeFirstByte = Callable[[], bool]
-PartRelay = Callable[[bytes], Awaitable[bool]]
+
+
+class PartResult(Enum):
+    """What became of a piece of an answer's body."""
+
+    PROGRESS = "progress"
+    """It completed something; the time limit for the next piece starts anew."""
+    NO_PROGRESS = "no-progress"
+    """It completed nothing; the time limit goes on."""
+    STOP = "stop"
+    """The rest of the answer is of no use."""
+
+
+PartRelay = Callable[[bytes], Awaitable[PartResult]]
 
 _STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError)
 
@@ -274,18 +287,21 @@
     async def relay_parts(self, relay: PartRelay) -> Result[bool, HttpFault]:
         """Pass each piece of the body to ``relay`` as it arrives, until the end of the answer.
 
-        Returns false as soon as ``relay`` does, and true at the regular end of the answer. One
-        cancel scope serves all reads, and its deadline moves: this costs less than ``part``.
+        Returns false when ``relay`` stops, and true at the regular end of the answer. The read
+        timeout limits the time without progress, so that an answer that sends a byte now and then
+        ends as well. One cancel scope serves all reads, and its deadline moves: this costs less
+        than ``part``.
         """
         assert self._connection is not None
         connection, http = self._connection, self._connection.http
         timeout_s = _or_default(self._request.read_timeout_s, self._settings.read_timeout_s)
         try:
+            deadline_s = trio.current_time() + max(timeout_s, 0)
             with trio.CancelScope() as scope:
                 while True:
                     event: object = http.next_event()
                     if event is h11.NEED_DATA:
-                        scope.deadline = trio.current_time() + max(timeout_s, 0)
+                        scope.deadline = deadline_s
                         data = await read_some(connection.stream, READ_BYTES)
                         scope.deadline = float("inf")
                         if data:
@@ -299,8 +315,11 @@
                         return Ok(True)
                     if not isinstance(event, h11.Data):
                         return Err(HttpFault.RESET)
-                    if not await relay(bytes(event.data)):
+                    result = await relay(bytes(event.data))
+                    if result is PartResult.STOP:
                         return Ok(False)
+                    if result is PartResult.PROGRESS:
+                        deadline_s = trio.current_time() + max(timeout_s, 0)
         except _STREAM_ERRORS:
             return Err(HttpFault.RESET)
         except h11.RemoteProtocolError:
--- a/lentilchute/standins/routed_upstream.py
+++ b/lentilchute/standins/routed_upstream.py
@@ -11,6 +11,8 @@
 from ..http.server import HttpServer
 from ..platform import headers as names
 
+DRIP_PAUSE_S = 0.2
+
 
 @dataclass(slots=True)
 class UpstreamBehaviour:
@@ -27,6 +29,8 @@
     """Abort a stream in the middle of the event after this one, once."""
     stalls_after_event: int | None = None
     """Stop sending after this event without closing the connection, once."""
+    drips_after_event: int | None = None
+    """Send a byte now and then after this event, which completes nothing, once."""
     drops_answer: bool = False
     """Run the request and close the connection without an answer."""
     retry_after_s: float | None = None
@@ -118,6 +122,12 @@
                 behaviour.stalls_after_event = None
                 await request.caller_gone.wait()
                 return
+            if behaviour.drips_after_event == number:
+                behaviour.drips_after_event = None
+                while not request.caller_gone.is_set():
+                    await responder.send(b":")
+                    await _sleep(DRIP_PAUSE_S, request)
+                return
             await _sleep(behaviour.event_pause_s, request)
         await responder.end()
 
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -108,6 +108,29 @@
     run_world(scenario)
 
 
+def test_a_stream_that_only_drips_bytes_is_taken_up_elsewhere() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        world.upstreams["d0"].standin.behaviour.drips_after_event = 2
+        for number in range(4):
+            draft = await world.call(f"/drafts/{number}", **DRAFT)
+            assert draft is not None and draft.body == complete_stream(5)
+        assert world.upstreams["d0"].standin.abandoned
+
+    run_world(scenario)
+
+
+def test_a_slow_but_sound_stream_is_not_cut() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        for name in ("d0", "d1"):
+            # Half as long again as the longest pause of the route, over and over.
+            world.upstreams[name].standin.behaviour.event_pause_s = 0.6
+        draft = await world.call("/drafts/slow", attempt="slow", **DRAFT)
+        assert draft is not None and draft.body == complete_stream(5)
+        assert world.runs("slow") == 1
+
+    run_world(scenario)
+
+
 def test_a_booking_whose_answer_is_lost_is_not_sent_again() -> None:
     async def scenario(world: GatewayWorld) -> None:
         for name in ("a0", "a1"):
