Keep connections to upstreams for requests that may be repeated

A request that may be repeated goes out on a kept connection of its upstream's incarnation; the answer must then name it. One that fails before any answer is sent again to the same upstream on a new connection, and counts as perhaps executed. What may not be repeated keeps a connection of its own.

--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -19,6 +19,7 @@
 from .placement_registry import PlacementRegistry
 from .routes import RoutingConfig
 from .settings import GatewaySettings
+from .upstream_connections import UpstreamConnections
 
 FactoryT = TypeVar("FactoryT", bound=Callable[..., Any])
 ControllerT = TypeVar("ControllerT")
@@ -39,6 +40,7 @@
     choice: CoordinatorChoice
     crash_guard: CrashGuard
     metrics: GatewayMetrics
+    connections: UpstreamConnections
     started_s: float
     config: RoutingConfig | None = None
     listed_nodes: int | None = None
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -6,8 +6,6 @@
 from ..events import Event, log_event
 from ..http.client import (
     ClientRequest,
-    HttpClient,
-    HttpClientSettings,
     HttpExchange,
     HttpFault,
     HttpHead,
@@ -32,9 +30,6 @@
 from .routes import RequestKind
 from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
 
-CONNECT_TIMEOUT_S = 0.4
-"""Upstreams are a few milliseconds away. After a lost packet, trying another one is faster than
-waiting for the retransmission."""
 CRASH_CHECK_TIMEOUT_S = 0.2
 """A live upstream accepts a connection within a few milliseconds; a crashed one refuses it as
 quickly."""
@@ -78,9 +73,6 @@
         self._leaving_notices = context.controller(LeavingNoticeController)
         self._last_number = 0
         self._request_log = RequestLog(context)
-        self._client_settings = HttpClientSettings(
-            connect_timeout_s=CONNECT_TIMEOUT_S, accepts_close_delimited=True
-        )
         self.in_progress = 0
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -180,8 +172,32 @@
         return end is AttemptEnd.NOT_EXECUTED and paused
 
     async def _exchange(self, active: ActiveRequest, placement: Placement) -> AttemptEnd:
-        client = HttpClient(placement.listing.address, self._client_settings)
-        request = self._upstream_request(active, placement)
+        needs_new = not active.route.is_repeatable
+        end = await self._exchange_once(active, placement, needs_new=needs_new)
+        if end is not None:
+            return end
+        active.attempts.may_have_executed = True
+        again = await self._exchange_once(active, placement, needs_new=True, is_again=True)
+        if again is AttemptEnd.NOT_SENT:
+            # The upstream is gone, perhaps by this request.
+            await self._check_crash(active, placement)
+        return AttemptEnd.BROKEN if again in (None, AttemptEnd.NOT_SENT) else again
+
+    async def _exchange_once(
+        self,
+        active: ActiveRequest,
+        placement: Placement,
+        *,
+        needs_new: bool,
+        is_again: bool = False,
+    ) -> AttemptEnd | None:
+        """Send a request and relay its answer.
+
+        Returns ``None`` when it went out on a kept connection that failed before any answer: the
+        upstream had closed the connection, so the same attempt goes on with a new one.
+        """
+        client = self._context.connections.client(placement.listing)
+        request = self._upstream_request(active, placement, needs_new=needs_new)
         was_connected = False
 
         def may_send() -> bool:
@@ -191,16 +207,21 @@
             now_s = self._context.now_s()
             if not self._context.fleet.takes_work(listing.upstream, listing.started_ms, now_s):
                 return False
-            active.attempts.record_send()
+            if not is_again:
+                active.attempts.record_send()
             return True
 
         async with client.exchange(request, may_send) as exchange:
             head = await exchange.head()
             if isinstance(head, Err):
+                if head.err_value is HttpFault.RESET and exchange.is_reused:
+                    return None
                 return await self._end_after_fault(active, placement, head.err_value, was_connected)
             return await self._relay_answer(active, placement, exchange, head.ok_value)
 
-    def _upstream_request(self, active: ActiveRequest, placement: Placement) -> ClientRequest:
+    def _upstream_request(
+        self, active: ActiveRequest, placement: Placement, *, needs_new: bool
+    ) -> ClientRequest:
         request, call = active.call.request, active.call
         resumed = active.relay.last_event_id if active.attempts.has_started_answer else None
         head_timeout_s = self._head_timeout_s(active, placement)
@@ -214,6 +235,7 @@
                 remaining_time_s=active.attempts.deadline_s - self._context.now_s(),
                 resume_after=resumed,
             ),
+            needs_new_connection=needs_new,
             body=request.body,
             head_timeout_s=head_timeout_s,
             read_timeout_s=self._read_timeout_s(active),
@@ -278,7 +300,9 @@
     ) -> AttemptEnd:
         answer = decode_answer(head.headers)
         self._apply_notices(active, placement, head.status, answer)
-        if answer.attempt_id is not None and answer.attempt_id != active.call.headers.attempt_id:
+        # On a kept connection a second, late answer to an earlier request may come first.
+        attempt_id = active.call.headers.attempt_id
+        if not answer.belongs_to(attempt_id, must_name=exchange.is_reused):
             return AttemptEnd.BROKEN
         if answer.is_not_executed or head.status == 421:
             return AttemptEnd.NOT_EXECUTED
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -45,6 +45,7 @@
 from .placement_registry import PlacementRegistry
 from .routes import RoutingConfig
 from .settings import GatewaySettings
+from .upstream_connections import UpstreamConnections
 
 CONTROLLER_MODULES = (
     coordinator,
@@ -120,6 +121,7 @@
                     nursery.start_soon(controller.run)
                 nursery.start_soon(self._log_ready)
                 nursery.start_soon(self._measure_lag)
+                nursery.start_soon(context.connections.run, context.fleet)
                 log_event(
                     Event.NODE_STARTED,
                     instance=context.instance,
@@ -249,6 +251,7 @@
         choice=CoordinatorChoice(instance),
         crash_guard=CrashGuard(),
         metrics=GatewayMetrics(instance, settings.zone),
+        connections=UpstreamConnections(),
         started_s=trio.current_time(),
     )
 
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -149,6 +149,7 @@
                 log_event(Event.NODE_PAUSED, paused_s=round(pause_s, 3))
                 for table in self._tables.values():
                     table.mark_stale()
+                await self._context.connections.close_idle()
             self._expire_upstreams(now_s)
 
     def _expire_upstreams(self, now_s: float) -> None:
--- a/lentilchute/http/client.py
+++ b/lentilchute/http/client.py
@@ -5,6 +5,7 @@
 itself, and ``HttpFault`` states whether any byte of the request had been sent.
 """
 
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -52,6 +53,9 @@
     max_idle_connections: int = 16
     idle_timeout_s: float = 8.0
     """A connection idle for longer is not reused; a server may announce a shorter time."""
+    reused_ack_timeout_s: float | None = None
+    """A reused connection fails when bytes sent on it are not acknowledged within this time: it may
+    have died silently while it was idle."""
     accepts_close_delimited: bool = False
     """Accept a body without length or chunks, which ends when the server closes the connection."""
 
@@ -66,6 +70,8 @@
     body: bytes = b""
     head_timeout_s: float | None = None
     read_timeout_s: float | None = None
+    needs_new_connection: bool = False
+    """Send it on a connection that carried no request before."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +120,8 @@
     stream: trio.abc.HalfCloseableStream
     http: h11.Connection
     idle_until_s: float = 0.0
+    is_reused: bool = False
+    """It carried another request before."""
     is_request_incomplete: bool = False
     """Part of the request was not sent; the server would take later bytes for the rest of it."""
 
@@ -201,12 +209,14 @@
                 if len(body) > max_body_bytes:
                     return Err(HttpFault.WRONG_ANSWER)
 
-    async def acquire(self) -> Result[_Connection, HttpFault]:
+    async def acquire(self, *, needs_new: bool = False) -> Result[_Connection, HttpFault]:
         """Return a pooled connection that is known to be open, or a new one."""
-        while self._idle:
+        while self._idle and not needs_new:
             connection = self._idle.pop()
             is_fresh = trio.current_time() < connection.idle_until_s
             if is_fresh and is_known_open(connection.stream):
+                connection.is_reused = True
+                self._limit_ack_time(connection.stream)
                 return Ok(connection)
             await trio.aclose_forcefully(connection.stream)
         try:
@@ -218,6 +228,19 @@
         http = h11.Connection(h11.CLIENT, max_incomplete_event_size=limit_bytes)
         return Ok(_Connection(stream, http))
 
+    def _limit_ack_time(self, stream: trio.abc.Stream) -> None:
+        limit_s = self.settings.reused_ack_timeout_s
+        if limit_s is not None and isinstance(stream, trio.SocketStream):
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(limit_s * 1000))
+
+    async def close_expired(self) -> None:
+        """Close idle connections that would not be reused."""
+        now_s = trio.current_time()
+        expired = [item for item in self._idle if now_s >= item.idle_until_s]
+        self._idle = [item for item in self._idle if now_s < item.idle_until_s]
+        for connection in expired:
+            await trio.aclose_forcefully(connection.stream)
+
     async def release(self, connection: _Connection, idle_timeout_s: float) -> None:
         """Return a connection to the pool after a complete exchange, or close it."""
         http = connection.http
@@ -251,9 +274,14 @@
         self._connection: _Connection | None = None
         self._idle_timeout_s = client.settings.idle_timeout_s
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the request went out on a connection that carried another one before."""
+        return self._connection is not None and self._connection.is_reused
+
     async def head(self) -> Result[HttpHead, HttpFault]:
         """Send the request and return the head of its answer; call it once."""
-        acquired = await self._client.acquire()
+        acquired = await self._client.acquire(needs_new=self._request.needs_new_connection)
         if isinstance(acquired, Err):
             return acquired
         self._connection = acquired.ok_value
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -74,6 +74,16 @@
     retry_after_s: float | None
     """How long the upstream wants no requests from this node, if its status is 503."""
 
+    def belongs_to(self, attempt_id: str, *, must_name: bool) -> bool:
+        """Return whether this is the answer to a request, as far as its headers tell.
+
+        ``must_name`` requires that it names the request, since another answer may arrive in its
+        place.
+        """
+        if self.attempt_id is None:
+            return not must_name
+        return self.attempt_id == attempt_id
+
 
 def decode_call(headers: Headers) -> CallHeaders:
     """Decode a caller's headers; malformed values are treated as absent."""
@@ -108,7 +118,6 @@
     added = [
         (DEADLINE_MS, str(max(1, int(remaining_time_s * 1000)))),
         (EXPECTED_UPSTREAM, str(upstream)),
-        ("connection", "close"),
     ]
     if account is not None:
         added.append((ACCOUNT, str(account)))
