Move the memory of departed upstreams to a module of its own

Cause: fleet.py held two topics. Change: a move; incarnations are named by the listing. Shown: the tests of both, unchanged but for one import.

--- a/lentilchute/gateway/fleet.py
+++ b/lentilchute/gateway/fleet.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from ..ids import AvailabilityZone, ServiceName, UpstreamId
+from .departures import Departures, Incarnation
 
 RELIST_GRACE_S = 2.0
 """The platform lists live upstreams again within about two seconds of the store's recovery."""
@@ -19,16 +20,6 @@
 """Upstreams that said that they are leaving and are remembered; the oldest are forgotten first."""
 
 
-DISTRUST_S = 10.0
-"""How long after the store came back from an older copy rows of departed upstreams are distrusted;
-the platform removes an upstream's row after three of its heartbeats of silence."""
-MAX_DEPARTED = 4_096
-"""Incarnations of upstreams that are remembered; the oldest are forgotten first."""
-
-Incarnation = tuple[UpstreamId, int]
-"""An upstream and its start time in milliseconds."""
-
-
 class UpstreamState(Enum):
     """State of an upstream, as it reports itself."""
 
@@ -60,6 +51,11 @@
     sequence: int | None = field(default=None, compare=False)
     """Rises with each report of the incarnation; ``None`` if the row does not say."""
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The upstream and its start time."""
+        return self.upstream, self.started_ms
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamChange:
@@ -69,59 +65,6 @@
     listing: UpstreamListing
 
 
-class Departures:
-    """Upstreams that have left, so that rows from an older copy of the store do not bring them
-    back; free of I/O."""
-
-    def __init__(self) -> None:
-        self._sequences: dict[Incarnation, int] = {}
-        """Highest known sequence of each incarnation."""
-        self._departed: dict[Incarnation, int | None] = {}
-        """For each, the sequence in its first row of the present era, if there was one."""
-        self._distrust_until_s = float("-inf")
-
-    def begin_era(self, now_s: float) -> None:
-        """Trust no row of a departed incarnation for a while."""
-        self._distrust_until_s = now_s + DISTRUST_S
-        self._departed = dict.fromkeys(self._departed)
-
-    def record(self, incarnation: Incarnation) -> None:
-        """Record that an incarnation has left."""
-        self._departed.setdefault(incarnation, None)
-        if len(self._departed) > MAX_DEPARTED:
-            del self._departed[next(iter(self._departed))]
-
-    def has(self, listing: UpstreamListing) -> bool:
-        """Return whether an incarnation has left."""
-        return (listing.upstream, listing.started_ms) in self._departed
-
-    def distrusted(self, now_s: float) -> list[Incarnation]:
-        """Return the departed incarnations while their rows are not trusted."""
-        return list(self._departed) if now_s < self._distrust_until_s else []
-
-    def accepts(self, listing: UpstreamListing, now_s: float) -> bool:
-        """Return whether a row is the upstream's latest word, as far as can be told.
-
-        A row with a lower sequence than a known one is older. While the store's rows are
-        distrusted, an incarnation that had left is back only once its sequence rises.
-        """
-        incarnation = (listing.upstream, listing.started_ms)
-        sequence = listing.sequence
-        if sequence is not None:
-            if sequence < self._sequences.get(incarnation, sequence):
-                return False
-            self._sequences[incarnation] = sequence
-            if len(self._sequences) > MAX_DEPARTED:
-                del self._sequences[next(iter(self._sequences))]
-        if incarnation in self._departed and now_s < self._distrust_until_s:
-            first = self._departed[incarnation]
-            if sequence is None or first is None or sequence <= first:
-                self._departed[incarnation] = sequence if first is None else first
-                return False
-        self._departed.pop(incarnation, None)
-        return True
-
-
 class Fleet:
     """The upstreams of all services."""
 
@@ -187,7 +130,7 @@
 
     def is_departed(self, listing: UpstreamListing) -> bool:
         """Return whether an incarnation had left and has not returned."""
-        return self._departures.has(listing)
+        return self._departures.has(listing.incarnation)
 
     def pause(self, upstream: UpstreamId, until_s: float) -> None:
         """Send an upstream nothing until a time, as it asked."""
@@ -218,7 +161,7 @@
         changes = [
             change
             for listing in listed
-            if self._departures.accepts(listing, now_s)
+            if self._departures.accepts(listing.incarnation, listing.sequence, now_s)
             for change in self._put(listing)
         ]
         for upstream in removed:
@@ -268,7 +211,7 @@
         self._paused_until_s.pop(upstream, None)
         listing = self._listed.pop(upstream, None)
         if listing is not None:
-            self._departures.record((upstream, listing.started_ms))
+            self._departures.record(listing.incarnation)
         return [] if listing is None else [UpstreamChange(UpstreamChangeKind.REMOVED, listing)]
 
 
--- a/test/gateway/test_restored_store.py
+++ b/test/gateway/test_restored_store.py
@@ -20,7 +20,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 from result import Ok, Result
 
-from lentilchute.gateway.fleet import Departures, Fleet, UpstreamState
+from lentilchute.gateway.departures import Departures
+from lentilchute.gateway.fleet import Fleet, UpstreamState
 from lentilchute.gateway.leaving_notices import LeavingNoticeController
 from lentilchute.gateway.reading import ReadingController
 from lentilchute.gateway.table_freshness import TableCopy
