Count a request as in progress only once it has been set up

Cause: found when reading the diff: an exception while a request is set up would have counted it for good. Change: two lines swapped. Shown: tests.

--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -83,8 +83,8 @@
         if refusal is not None:
             await self._refuse(call, refusal, responder)
             return
-        self.in_progress += 1
         active = self._new_active_request(call, responder)
+        self.in_progress += 1
         try:
             with trio.CancelScope(deadline=active.attempts.deadline_s) as scope:
                 request.caller_gone.call_when_set(lambda: _end_for_gone_caller(active, scope))
