Refuse by the node's own knowledge that all upstreams want a pause

Cause: a node asks the coordinator, which hears of pauses from the next batch of reports, 20 ms later. Until then it places requests at the paused upstreams, the node declines to send them (nothing is sent), and the caller gets 'no-upstream' with 0.2 s in place of the true time. Change: a node whose own models say that every upstream that could take a ticket wants a pause refuses it with that time and doesn't ask. The test is unchanged.

--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -90,9 +90,9 @@
         """Return the decision about a new ticket, or ``None`` when the ticket is queued."""
         if not self._has_candidate(ticket):
             return self._refuse(RefusalReason.NO_UPSTREAM, now_s)
-        pause_s = self._shortest_pause_s(ticket, now_s)
-        if pause_s > 0:
-            return self._refuse_for(RefusalReason.PAUSED, pause_s)
+        refused = self.refuse_if_paused(ticket, now_s)
+        if refused is not None:
+            return refused
         if not ticket.is_repeat:
             self._shares.record_request(ticket.tier, now_s)
         if not self._has_earlier_waiting(ticket, now_s):
@@ -103,6 +103,11 @@
         self._waiting.append(ticket)
         return None
 
+    def refuse_if_paused(self, ticket: Ticket, now_s: float) -> Refused | None:
+        """Refuse a ticket while all upstreams that could take it want no requests."""
+        pause_s = self._shortest_pause_s(ticket, now_s)
+        return self._refuse_for(RefusalReason.PAUSED, pause_s) if pause_s > 0 else None
+
     def drop(self, key: TicketKey) -> None:
         """Remove a ticket, whether it is queued or in flight."""
         self._waiting = [ticket for ticket in self._waiting if ticket.key != key]
@@ -148,9 +153,9 @@
             return self._refuse(RefusalReason.DEADLINE, now_s)
         if not self._has_candidate(ticket):
             return self._refuse(RefusalReason.NO_UPSTREAM, now_s)
-        pause_s = self._shortest_pause_s(ticket, now_s)
-        if pause_s > 0:
-            return self._refuse_for(RefusalReason.PAUSED, pause_s)
+        refused = self.refuse_if_paused(ticket, now_s)
+        if refused is not None:
+            return refused
         placement = self._place(ticket, now_s)
         if placement is not None:
             return placement
--- a/lentilchute/gateway/placement_client.py
+++ b/lentilchute/gateway/placement_client.py
@@ -63,6 +63,11 @@
 
     async def place(self, ticket: Ticket) -> Decision:
         """Return the decision about a ticket; cancelling the wait withdraws the ticket."""
+        # The coordinator hears of a pause from the next batch of reports; this node knows already.
+        dispatcher = self._context.placements.dispatcher(ticket.service)
+        refused = dispatcher.refuse_if_paused(ticket, self._context.now_s())
+        if refused is not None:
+            return refused
         if self._context.choice.can_ask(self._context.now_s()):
             decision = await self._request_placement(ticket)
             if decision is not None:
