Log what a request consists of when its upstream crashes

A crash was logged without what could be common to several crashed requests, the verdicts' fingerprint was withheld by the log's own filter (its field was named content), and a cleared suspect was not logged at all, so the logs could not tell a guard that cannot see the common cause from one that clears its suspects wrongly. Now upstream_crashed names the fingerprint, the shared parts of the prompt and whether the answer had begun; poison_verdict says suspected or cleared; crashed requests are counted by service. The parts are decoded in platform/headers.py. No decision changes.

--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -30,7 +30,7 @@
 
     def report_completed(self, content: Fingerprint) -> None:
         """Clear a request that completed, locally and at all peers, if it was a suspect."""
-        if self._context.crash_guard.record_completion(content):
+        if self._clear(self._context.instance, content):
             self._context.broadcast(ClearedNotice(content))
 
     def _on_crash(self, sender: InstanceId, notice: CrashNotice) -> None:
@@ -44,11 +44,20 @@
             crashes = self._context.crash_guard.record_crash(content, upstream, now_s)
             log_event(
                 Event.POISON_VERDICT,
-                content=content,
+                fingerprint=content,
+                verdict="suspected",
                 upstream=upstream,
                 crashes=crashes,
                 reporter=reporter,
             )
 
-    def _on_cleared(self, _sender: InstanceId, notice: ClearedNotice) -> None:
-        self._context.crash_guard.record_completion(notice.content)
+    def _on_cleared(self, sender: InstanceId, notice: ClearedNotice) -> None:
+        self._clear(sender, notice.content)
+
+    def _clear(self, reporter: InstanceId, content: Fingerprint) -> bool:
+        is_cleared = self._context.crash_guard.record_completion(content)
+        if is_cleared:
+            log_event(
+                Event.POISON_VERDICT, fingerprint=content, verdict="cleared", reporter=reporter
+            )
+        return is_cleared
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -283,11 +283,7 @@
             return
         except OSError:
             self._placement_client.report(active.ticket, placement, unreachable=True)
-            log_event(
-                Event.UPSTREAM_CRASHED,
-                request_id=active.call.log_id,
-                upstream=placement.listing.upstream,
-            )
+            self._request_log.log_crash(active, placement)
             if active.call.fingerprint is not None:
                 self._crash_reports.report_crash(
                     placement.listing.upstream, (active.call.fingerprint,)
--- a/lentilchute/gateway/metric_names.py
+++ b/lentilchute/gateway/metric_names.py
@@ -14,6 +14,7 @@
     "lentilchute.gateway.attempts",
     "lentilchute.gateway.store.calls",
     "lentilchute.gateway.coordinator.silences",
+    "lentilchute.gateway.crashed_requests",
 )
 HISTOGRAMS = (
     "lentilchute.gateway.wait.duration",
--- a/lentilchute/gateway/metrics.py
+++ b/lentilchute/gateway/metrics.py
@@ -55,6 +55,10 @@
         """Count a call to the platform's store by its result."""
         self._add("store.calls", (("call", call), ("result", result)))
 
+    def record_crash(self, service: ServiceName) -> None:
+        """Count a request that was in flight when its upstream crashed."""
+        self._add("crashed_requests", (("service", service),))
+
     def record_coordinator_timeout(self) -> None:
         """Count a request for which the coordinator did not reply in time or declined to decide."""
         self._add("coordinator.silences", ())
--- a/lentilchute/gateway/request_log.py
+++ b/lentilchute/gateway/request_log.py
@@ -73,6 +73,20 @@
             left_s=round(active.attempts.deadline_s - self._context.now_s(), 3),
         )
 
+    def log_crash(self, active: ActiveRequest, placement: Placement) -> None:
+        """Log that an upstream crashed with a request in flight, and what the request consists
+        of."""
+        self._context.metrics.record_crash(active.ticket.service)
+        log_event(
+            Event.UPSTREAM_CRASHED,
+            request_id=active.call.log_id,
+            upstream=placement.listing.upstream,
+            started_ms=placement.listing.started_ms,
+            fingerprint=active.call.fingerprint,
+            prompt_parts=active.call.headers.shared_prompt_parts,
+            has_begun=active.has_first_event,
+        )
+
     def log_delivery(self, active: ActiveRequest, placement: Placement) -> None:
         """Log a completely delivered answer."""
         self._context.metrics.record_request(active.ticket.service, "delivered")
--- a/lentilchute/ids.py
+++ b/lentilchute/ids.py
@@ -30,6 +30,10 @@
 Fingerprint = NewType("Fingerprint", str)
 """Digest of a request's content; a resend of the same content has the same digest."""
 
+PromptPartId = NewType("PromptPartId", str)
+"""Id of a part of a prompt, which callers name; equal parts of different prompts have the same
+id."""
+
 BlockHash = NewType("BlockHash", int)
 """Hash of a prompt prefix up to the end of one block, chained over the preceding blocks."""
 
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -9,7 +9,7 @@
     header_value,
     without_headers,
 )
-from ..ids import ClientAccountId, UpstreamId
+from ..ids import ClientAccountId, PromptPartId, UpstreamId
 
 # Names of the platform's headers, in lower case.
 ATTEMPT_ID = "lentilchute-attempt-id"
@@ -20,11 +20,15 @@
 UPSTREAM_ID = "lentilchute-instance-id"
 TOKENS = "lentilchute-token-counts"
 LENGTH_HINT = "lentilchute-length-hint"
+PROMPT_PARTS = "lentilchute-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
 STAMP = "lentilchute-engine-stamp"
 NOT_EXECUTED = "lentilchute-not-executed"
 LEAVING = "server-leaving"
 
+MAX_PROMPT_PARTS = 64
+"""Parts beyond these of a prompt are ignored; prompts have a few."""
+
 _STRIPPED_HEADERS = HOP_BY_HOP_HEADERS | {
     "content-length",
     "expect",
@@ -41,6 +45,9 @@
 """Hop-by-hop headers, the caller's key, and headers that only the gateway may set."""
 
 
+_HEX_DIGITS = frozenset("0123456789abcdef")
+
+
 @dataclass(frozen=True, slots=True)
 class CallHeaders:
     """Decoded headers of a caller's request."""
@@ -56,6 +63,8 @@
     """The caller's estimate; correct in the median, but often far off."""
     resume_after: int | None
     """The caller already has the events up to this id."""
+    shared_prompt_parts: tuple[PromptPartId, ...]
+    """The parts of the prompt that other requests may have as well, in order: all but the last."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +107,7 @@
         has_token_counts=counts is not None,
         expected_output_tokens=_integer(header_value(headers, LENGTH_HINT)),
         resume_after=_integer(header_value(headers, LAST_EVENT_ID)),
+        shared_prompt_parts=_prompt_parts(header_value(headers, PROMPT_PARTS))[:-1],
     )
 
 
@@ -139,6 +149,14 @@
     )
 
 
+def _prompt_parts(text: str | None) -> tuple[PromptPartId, ...]:
+    """Return the ids in a list such as ``5c1e07a2:800,91bd3f06:410``."""
+    items = (text or "").split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
+    ids = [item.strip().partition(":")[0].lower() for item in items]
+    are_valid = all(part and set(part) <= _HEX_DIGITS for part in ids)
+    return tuple(PromptPartId(part) for part in ids) if are_valid else ()
+
+
 def _integers(text: str | None, count: int) -> list[int] | None:
     values = [_integer(item.strip()) for item in (text or "").split(",")]
     found = [value for value in values if value is not None]
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -48,6 +48,17 @@
     assert call.resume_after == 12
 
 
+def test_the_last_part_of_a_prompt_is_not_shared() -> None:
+    def shared_parts(text: str) -> list[str]:
+        return list(decode_call((("lentilchute-prompt-prefix", text),)).shared_prompt_parts)
+
+    assert shared_parts("5c1e:800, 91BD:410,e440:250") == ["5c1e", "91bd"]
+    assert shared_parts("5c1e:800") == []
+    for malformed in ("", "5c1e:800,,e440:250", "5c1e:800,part:1,e440:250"):
+        assert shared_parts(malformed) == []
+    assert len(shared_parts(",".join(["5c1e:1"] * 100))) == 63
+
+
 def test_the_key_and_reserved_headers_are_not_forwarded() -> None:
     headers = forwarded_headers()
     assert "lentilchute-key" not in headers
