--- a/lentilchute/standins/routed_upstream.py
+++ b/lentilchute/standins/routed_upstream.py
@@ -1,6 +1,7 @@
 """Stand-in for an upstream on the platform: signs answers, counts runs, and fails on demand."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -39,6 +40,8 @@
     """Announce the leaving in every answer."""
     omits_signature: bool = False
     wrong_id: bool = False
+    crashing_part: str = ""
+    """Crash when the answer to a prompt with this part begins."""
 
 
 @dataclass(slots=True)
@@ -52,7 +55,11 @@
     abandoned: list[str] = field(default_factory=list)
     """Attempt ids whose caller closed the connection."""
     received: list[HttpRequest] = field(default_factory=list)
+    received_s: list[float] = field(default_factory=list)
+    """When each of these arrived."""
     running: int = 0
+    on_crash: Callable[[], None] | None = None
+    """Ends the process; the stand-in only says when."""
 
     def server(self) -> HttpServer:
         """Return an HTTP server for this upstream."""
@@ -61,6 +68,7 @@
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
         self.received.append(request)
+        self.received_s.append(trio.current_time())
         attempt = header_value(request.headers, names.ATTEMPT_ID) or ""
         if header_value(request.headers, names.EXPECTED_UPSTREAM) != self.upstream:
             await responder.answer(421, ((names.UPSTREAM_ID, self.upstream), *self._notices()), b"")
@@ -109,6 +117,10 @@
         await _sleep(behaviour.first_event_s, request)
         last = int(header_value(request.headers, names.LAST_EVENT_ID) or 0)
         await responder.start(200, (*headers, ("content-type", "text/event-stream")))
+        if self._crashes_on(request):
+            assert self.on_crash is not None, "a crash needs somebody who ends the process"
+            self.on_crash()
+            await trio.sleep_forever()
         for number in range(last + 1, behaviour.events + 1):
             if request.caller_gone.is_set():
                 return
@@ -131,6 +143,11 @@
             await _sleep(behaviour.event_pause_s, request)
         await responder.end()
 
+    def _crashes_on(self, request: HttpRequest) -> bool:
+        prompt = header_value(request.headers, names.PROMPT_PARTS) or ""
+        parts = [item.partition(":")[0] for item in prompt.split(",")]
+        return bool(self.behaviour.crashing_part) and self.behaviour.crashing_part in parts
+
 
 def event(number: int) -> bytes:
     """Return one event of a stream."""
