Block parts of prompts that crash upstreams, whatever the requests

Cause: the guard knew a request only as a whole (method, path, key, body), so requests that share nothing but the crashing part were strangers to it, and each was worth two engines. Class of fault: a verdict is keyed by the identity of the request, where the cause belongs to something that requests share. The parts of prompts whose answers had not begun are the suspects of a crash; any answer that begins clears its parts, at all nodes; a part is blocked that three crashes of unlike requests within more than half a second had in common since its last answer, the one answered least recently where several did; crashes so explained do not count against others. Checked at admission and again before each attempt, so that neither waiting requests nor retries reach an upstream after the verdict.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -67,7 +67,9 @@
         407, "An upstream refused a request and asked for a pause, in seconds."
     )
     POISON_VERDICT = EventInfo(
-        405, "A request's content was suspected of crashing upstreams, cleared or condemned."
+        405,
+        "A request's content, or a part of its prompt, was suspected of crashing upstreams, "
+        "cleared, blocked or condemned.",
     )
     UPSTREAM_REPORT_FAILED = EventInfo(
         406, "An upstream's load report could not be fetched or parsed."
--- a/lentilchute/gateway/admission.py
+++ b/lentilchute/gateway/admission.py
@@ -35,6 +35,17 @@
     return None
 
 
+def refuse_if_crashing(call: Call, context: GatewayContext, now_s: float) -> CallRefusal | None:
+    """Refuse a request that, or a part of whose prompt, is known to crash upstreams."""
+    parts = call.headers.shared_prompt_parts
+    is_crashing = context.prompt_part_guard.blocked_part(parts, now_s) is not None
+    if call.fingerprint is not None:
+        is_crashing = is_crashing or context.crash_guard.is_refused(call.fingerprint, now_s)
+    if not is_crashing:
+        return None
+    return CallRefusal(RefusalCause.CRASHES_UPSTREAMS, CRASHES_UPSTREAMS_RETRY_AFTER_S)
+
+
 @admission_filter
 def _check_stopping(_call: Call, context: GatewayContext, now_s: float) -> CallRefusal | None:
     if context.refuses_after_s is not None and now_s >= context.refuses_after_s:
@@ -77,9 +88,7 @@
     request = call.request
     key = call.headers.account_key or ""
     call.fingerprint = fingerprint(request.method, request.path, key, request.body)
-    if context.crash_guard.is_refused(call.fingerprint, now_s):
-        return CallRefusal(RefusalCause.CRASHES_UPSTREAMS, CRASHES_UPSTREAMS_RETRY_AFTER_S)
-    return None
+    return refuse_if_crashing(call, context, now_s)
 
 
 @admission_filter
--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -17,6 +17,7 @@
 from .fleet import Fleet
 from .metrics import GatewayMetrics
 from .placement_registry import PlacementRegistry
+from .prompt_part_guard import PromptPartGuard
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 from .upstream_connections import UpstreamConnections
@@ -39,6 +40,7 @@
     placements: PlacementRegistry
     choice: CoordinatorChoice
     crash_guard: CrashGuard
+    prompt_part_guard: PromptPartGuard
     metrics: GatewayMetrics
     connections: UpstreamConnections
     started_s: float
--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -1,10 +1,10 @@
-"""Controller that broadcasts which requests crash upstreams."""
+"""Controller that broadcasts which requests, and which parts of prompts, crash upstreams."""
 
 from collections.abc import Mapping
 from typing import Any
 
 from ..events import Event, log_event
-from ..ids import Fingerprint, InstanceId, UpstreamId
+from ..ids import Fingerprint, InstanceId, PromptPartId
 from ..peers.message_dispatch import MessageHandler
 from .context import GatewayContext, gateway_controller
 from .messages import ClearedNotice, CrashNotice
@@ -23,41 +23,60 @@
     async def run(self) -> None:
         return
 
-    def report_crash(self, upstream: UpstreamId, contents: tuple[Fingerprint, ...]) -> None:
+    def report_crash(self, notice: CrashNotice) -> None:
         """Record the requests that were in flight at a crash, locally and at all peers."""
-        self._record_crash(self._context.instance, upstream, contents)
-        self._context.broadcast(CrashNotice(upstream, contents))
+        self._record_crash(self._context.instance, notice)
+        self._context.broadcast(notice)
 
-    def report_completed(self, content: Fingerprint) -> None:
-        """Clear a request that completed, locally and at all peers, if it was a suspect."""
-        if self._clear(self._context.instance, content):
-            self._context.broadcast(ClearedNotice(content))
+    def report_begun(self, content: Fingerprint, parts: tuple[PromptPartId, ...]) -> None:
+        """Clear a request whose answer has begun and the parts of its prompt, locally and at all
+        peers, as far as they were suspected."""
+        is_cleared, cleared_parts = self._clear(self._context.instance, content, parts)
+        if is_cleared or cleared_parts:
+            self._context.broadcast(ClearedNotice(content, cleared_parts))
 
     def _on_crash(self, sender: InstanceId, notice: CrashNotice) -> None:
-        self._record_crash(sender, notice.upstream, notice.contents)
+        self._record_crash(sender, notice)
 
-    def _record_crash(
-        self, reporter: InstanceId, upstream: UpstreamId, contents: tuple[Fingerprint, ...]
-    ) -> None:
+    def _record_crash(self, reporter: InstanceId, notice: CrashNotice) -> None:
         now_s = self._context.now_s()
-        for content in contents:
-            crashes = self._context.crash_guard.record_crash(content, upstream, now_s)
+        for content in notice.contents:
+            crashes = self._context.crash_guard.record_crash(content, notice.upstream, now_s)
             log_event(
                 Event.POISON_VERDICT,
                 fingerprint=content,
                 verdict="suspected",
-                upstream=upstream,
+                upstream=notice.upstream,
                 crashes=crashes,
                 reporter=reporter,
             )
+        incarnation = notice.upstream, notice.started_ms or 0
+        for prompt in notice.prompts:
+            guard = self._context.prompt_part_guard
+            for part in guard.record_crash(incarnation, prompt, now_s):
+                log_event(
+                    Event.POISON_VERDICT,
+                    prompt_part=part,
+                    verdict="blocked",
+                    upstream=notice.upstream,
+                    reporter=reporter,
+                )
 
     def _on_cleared(self, sender: InstanceId, notice: ClearedNotice) -> None:
-        self._clear(sender, notice.content)
+        self._clear(sender, notice.content, notice.parts)
 
-    def _clear(self, reporter: InstanceId, content: Fingerprint) -> bool:
-        is_cleared = self._context.crash_guard.record_completion(content)
-        if is_cleared:
+    def _clear(
+        self, reporter: InstanceId, content: Fingerprint, parts: tuple[PromptPartId, ...]
+    ) -> tuple[bool, tuple[PromptPartId, ...]]:
+        context = self._context
+        is_cleared = context.crash_guard.record_completion(content)
+        cleared_parts = context.prompt_part_guard.record_answer(parts, context.now_s())
+        if is_cleared or cleared_parts:
             log_event(
-                Event.POISON_VERDICT, fingerprint=content, verdict="cleared", reporter=reporter
+                Event.POISON_VERDICT,
+                fingerprint=content,
+                prompt_parts=cleared_parts,
+                verdict="cleared",
+                reporter=reporter,
             )
-        return is_cleared
+        return is_cleared, cleared_parts
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -17,14 +17,14 @@
 from ..ids import Tier
 from ..platform.headers import AnswerHeaders, decode_answer, decode_call, upstream_headers
 from .active_request import ActiveRequest
-from .admission import admit
+from .admission import admit, refuse_if_crashing
 from .attempts import AttemptEnd, AttemptTracker, NextStep
 from .calls import Call, CallRefusal, RefusalCause
 from .context import GatewayContext
 from .crash_reports import CrashReportController
 from .event_relay import EventRelay
 from .leaving_notices import LeavingNoticeController
-from .messages import NOT_MEASURED
+from .messages import NOT_MEASURED, CrashedPrompt, CrashNotice
 from .placement_client import PlacementClient
 from .request_log import RequestLog
 from .routes import RequestKind
@@ -135,6 +135,11 @@
             if isinstance(decision, Refused):
                 await self._finish_unplaced(active, decision)
                 return
+            refusal = refuse_if_crashing(active.call, self._context, self._context.now_s())
+            if refusal is not None:
+                self._placement_client.report(active.ticket, decision, ended=True)
+                await self._finish_refused(active, refusal)
+                return
             end = await self._attempt(active, decision)
             step = active.attempts.record_end(end, self._context.now_s())
             if step is NextStep.FINISH:
@@ -284,13 +289,25 @@
         except OSError:
             self._placement_client.report(active.ticket, placement, unreachable=True)
             self._request_log.log_crash(active, placement)
-            if active.call.fingerprint is not None:
-                self._crash_reports.report_crash(
-                    placement.listing.upstream, (active.call.fingerprint,)
-                )
+            self._report_crash(active, placement)
             return
         await trio.aclose_forcefully(stream)
 
+    def _report_crash(self, active: ActiveRequest, placement: Placement) -> None:
+        content = active.call.fingerprint
+        if content is None:
+            return
+        prompt = CrashedPrompt(content, active.call.headers.shared_prompt_parts)
+        listing = placement.listing
+        self._crash_reports.report_crash(
+            CrashNotice(
+                upstream=listing.upstream,
+                contents=(content,),
+                started_ms=listing.started_ms,
+                prompts=() if active.has_first_event else (prompt,),
+            )
+        )
+
     async def _relay_answer(
         self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
@@ -414,14 +431,19 @@
             active.ticket.service, now_s - active.call.arrived_s
         )
         self._placement_client.report(active.ticket, placement, first_event_s=took_s)
-        if active.call.fingerprint is not None:
-            self._crash_reports.report_completed(active.call.fingerprint)
+        call = active.call
+        if call.fingerprint is not None:
+            self._crash_reports.report_begun(call.fingerprint, call.headers.shared_prompt_parts)
 
     async def _finish_unplaced(self, active: ActiveRequest, refused: Refused) -> None:
+        refusal = CallRefusal(_REFUSAL_CAUSES[refused.reason], refused.retry_after_s)
+        await self._finish_refused(active, refusal)
+
+    async def _finish_refused(self, active: ActiveRequest, refusal: CallRefusal) -> None:
+        """Refuse a request that no upstream can have executed; any other has failed."""
         step = active.attempts.final_step(has_failure=active.failure is not None)
         if step is NextStep.REFUSE:
-            cause = _REFUSAL_CAUSES[refused.reason]
-            await self._refuse_active(active, CallRefusal(cause, refused.retry_after_s))
+            await self._refuse_active(active, refusal)
         else:
             await self._finish_failed(active, step)
 
--- a/lentilchute/gateway/gauges.py
+++ b/lentilchute/gateway/gauges.py
@@ -21,6 +21,8 @@
     yield Gauge(f"{PREFIX}nodes.alive", len(context.membership.alive(now_s)))
     yield Gauge(f"{PREFIX}nodes.covered", context.placements.scope.covered)
     yield Gauge(f"{PREFIX}loop.lag", loop_lag_s)
+    blocked_parts = context.prompt_part_guard.blocked_count(now_s)
+    yield Gauge(f"{PREFIX}prompt_parts.blocked", blocked_parts)
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     yield Gauge(f"{PREFIX}memory.peak", peak * MAXRSS_UNIT_BYTES)
     if context.config is not None:
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -12,6 +12,7 @@
     ClientAccountId,
     Fingerprint,
     IncarnationId,
+    PromptPartId,
     ServiceName,
     UpstreamId,
 )
@@ -233,18 +234,33 @@
     """Upstreams that had left before the store came back from an older copy, a moment ago."""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashedPrompt:
+    """A request whose answer had not begun when its upstream crashed."""
+
+    request: Fingerprint
+    parts: tuple[PromptPartId, ...]
+    """The parts of its prompt that other requests may have as well."""
+
+
 @peer_message("crash_notice")
 @dataclass(frozen=True, slots=True)
 class CrashNotice:
-    """Fingerprints of the requests that one node had in flight when an upstream crashed."""
+    """Requests that one node had in flight when an incarnation of an upstream crashed."""
 
     upstream: UpstreamId
     contents: tuple[Fingerprint, ...]
+    """Fingerprints of all of them."""
+    started_ms: int | None
+    prompts: tuple[CrashedPrompt, ...]
+    """Those whose answers had not begun."""
 
 
 @peer_message("cleared_notice")
 @dataclass(frozen=True, slots=True)
 class ClearedNotice:
-    """The fingerprint of a suspected request that completed."""
+    """The fingerprint of a suspected request whose answer has begun, and the suspected parts of its
+    prompt."""
 
     content: Fingerprint
+    parts: tuple[PromptPartId, ...]
--- a/lentilchute/gateway/metric_names.py
+++ b/lentilchute/gateway/metric_names.py
@@ -39,6 +39,7 @@
     "lentilchute.gateway.tickets.waiting": "Tickets that wait here, by service.",
     "lentilchute.gateway.nodes.alive": "Nodes alive, as this one sees them.",
     "lentilchute.gateway.nodes.covered": "Nodes whose shares of quotas this one spends.",
+    "lentilchute.gateway.prompt_parts.blocked": "Parts of prompts that crash upstreams.",
     "lentilchute.gateway.memory.peak": "Most memory that the process has used, in bytes.",
     "lentilchute.gateway.config.version": "Version of the configuration in force here.",
     "lentilchute.gateway.knowledge.age": "Age of the copy of a store table, in seconds.",
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -43,6 +43,7 @@
 from .metrics import GatewayMetrics
 from .peering import PeeringController
 from .placement_registry import PlacementRegistry
+from .prompt_part_guard import PromptPartGuard
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 from .upstream_connections import UpstreamConnections
@@ -250,6 +251,7 @@
         placements=PlacementRegistry(settings, rng),
         choice=CoordinatorChoice(instance),
         crash_guard=CrashGuard(),
+        prompt_part_guard=PromptPartGuard(),
         metrics=GatewayMetrics(instance, settings.zone),
         connections=UpstreamConnections(),
         started_s=trio.current_time(),
--- a/lentilchute/peers/codec.py
+++ b/lentilchute/peers/codec.py
@@ -161,7 +161,8 @@
         return [to_item(value, now_s) for value in values]
 
     def from_wire(values: Any, now_s: float) -> Any:
-        return origin(from_item(value, now_s) for value in values)
+        # A node of an earlier version leaves out lists that it does not know.
+        return origin(from_item(value, now_s) for value in values or ())
 
     return to_wire, from_wire
 
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -315,13 +315,21 @@
   2: list<LeavingUpstream> departed
 }
 
+struct CrashedPrompt {
+  1: string request
+  2: list<string> parts
+}
+
 struct CrashNotice {
   1: string upstream
   2: list<string> contents
+  3: i64 started_ms
+  4: list<CrashedPrompt> prompts
 }
 
 struct ClearedNotice {
   1: string content
+  2: list<string> parts
 }
 
 struct PeerMessage {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -618,17 +618,35 @@
     default_spec: ClassVar[list[tuple[str, Any]]] = [("leaving", None), ("departed", None)]
 
 
+class CrashedPrompt(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "request", False),
+        2: (TType.LIST, "parts", TType.STRING, False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("request", None), ("parts", None)]
+
+
 class CrashNotice(Struct):
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "upstream", False),
         2: (TType.LIST, "contents", TType.STRING, False),
+        3: (TType.I64, "started_ms", False),
+        4: (TType.LIST, "prompts", (TType.STRUCT, CrashedPrompt), False),
     }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [("upstream", None), ("contents", None)]
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("upstream", None),
+        ("contents", None),
+        ("started_ms", None),
+        ("prompts", None),
+    ]
 
 
 class ClearedNotice(Struct):
-    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {1: (TType.STRING, "content", False)}
-    default_spec: ClassVar[list[tuple[str, Any]]] = [("content", None)]
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "content", False),
+        2: (TType.LIST, "parts", TType.STRING, False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("content", None), ("parts", None)]
 
 
 class PeerMessage(Struct):
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -13,6 +13,7 @@
 from lentilchute.gateway.coordinator import CoordinatorController
 from lentilchute.gateway.crash_guard import fingerprint
 from lentilchute.gateway.crash_reports import CrashReportController
+from lentilchute.gateway.messages import CrashNotice
 from lentilchute.http.client import ClientRequest, HttpClient
 from lentilchute.http.messages import header_value
 from lentilchute.ids import ServiceName, UpstreamId
@@ -445,8 +446,8 @@
 
         content = fingerprint("POST", content_path, "key-1", b"x")
         crash_reports = first_node.context.controller(CrashReportController)
-        crash_reports.report_crash(UpstreamId("a0"), (content,))
-        crash_reports.report_crash(UpstreamId("a1"), (content,))
+        crash_reports.report_crash(CrashNotice(UpstreamId("a0"), (content,), 1, ()))
+        crash_reports.report_crash(CrashNotice(UpstreamId("a1"), (content,), 1, ()))
         await trio.sleep(0.2)
         for node in range(2):
             answer = await world.call(content_path, node, method="POST", body=b"x")
