--- a/test/gateway/test_crashing_prompts.py
+++ b/test/gateway/test_crashing_prompts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import pytest
 import trio
 from gateway_world import GatewayWorld, run_world
 
@@ -57,6 +58,17 @@
         for name in [name for name in world.upstreams if name.startswith("d")]:
             self._arm(name)
 
+    async def block_part(self) -> None:
+        """Send prompts with the part until all nodes refuse it."""
+        shared = f"{SHARED_PART}:60,{CRASHING_PART}:140"
+        with trio.move_on_after(5.0):
+            await self.send(shared, 0.2, self._is_blocked_everywhere)
+        assert self._is_blocked_everywhere()
+
+    def _is_blocked_everywhere(self) -> bool:
+        contexts = [node.node.context for node in self._world.nodes]
+        return all(each.prompt_part_guard.blocked_count(each.now_s()) for each in contexts)
+
     def _arm(self, name: str) -> None:
         standin = self._world.upstreams[name].standin
         standin.behaviour.crashing_part = CRASHING_PART
@@ -128,3 +140,30 @@
         assert record.served_share(end_s - 2.0) >= MIN_SERVED_SHARE
 
     run_world(scenario, drafters=6, nodes=3)
+
+
+@pytest.mark.parametrize("restarted", ["the coordinator", "all other nodes"])
+def test_a_node_that_starts_again_learns_which_parts_are_blocked(restarted: str) -> None:
+    """Guards against a node that starts again sending requests to upstreams whose part the other
+    nodes have found to crash them."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        async with trio.open_nursery() as nursery:
+            crashing = CrashingWorld(world, nursery)
+            await crashing.block_part()
+            for node in list(world.nodes):
+                is_coordinator = node.node.context.choice.is_coordinator
+                if is_coordinator == (restarted == "the coordinator"):
+                    await world.restart_node(node)
+            await trio.sleep(NOTICE_WITHIN_S)
+            from_s = trio.current_time()
+
+            def is_over() -> bool:
+                return trio.current_time() >= from_s + 1.5
+
+            await crashing.send(f"{SHARED_PART}:60,{CRASHING_PART}:140", 0.1, is_over)
+        crashing.count_arrivals()
+        arrivals_s = crashing.record.arrivals_s
+        assert sum(at_s >= from_s for at_s in arrivals_s) <= MAX_LATE_ARRIVALS
+
+    run_world(scenario, drafters=6, nodes=3)
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -24,6 +24,7 @@
 HOST = "a.example"
 KEY = "key-1"
 READY_LIMIT_S = 10.0
+RESTART_PAUSE_S = 0.1
 
 
 _reservations = AddressReservations()
@@ -105,13 +106,25 @@
         settings = node_settings(name, self.store_address)
         node = Node(settings, GatewayNode(settings, random.Random(name)))
         self.nodes.append(node)
+        self._run_node(node)
+        return node
+
+    def _run_node(self, node: Node) -> None:
+        scope, gateway = node.scope, node.node
 
         async def run() -> None:
-            with node.scope:
-                await node.node.run()
+            with scope:
+                await gateway.run()
 
         self._nursery.start_soon(run)
-        return node
+
+    async def restart_node(self, node: Node) -> None:
+        """Kill a gateway and start it again at its addresses, with nothing of what it knew."""
+        node.scope.cancel()
+        await trio.sleep(RESTART_PAUSE_S)
+        node.node, node.scope = GatewayNode(node.settings), trio.CancelScope()
+        self._run_node(node)
+        await self.until(lambda: self._sees_peers(node))
 
     async def call(
         self,
@@ -157,8 +170,12 @@
             context.fleet.listing(name) is not None  # type: ignore[arg-type]
             for name in self.upstreams
         )
+        return listed and self._sees_peers(node)
+
+    def _sees_peers(self, node: Node) -> bool:
+        context = node.node.context
         peers = len(context.membership.alive(context.now_s()))
-        return context.is_ready and listed and peers == len(self.nodes)
+        return context.is_ready and peers == len(self.nodes)
 
 
 def node_settings(name: str, store_address: str) -> GatewaySettings:
