Tell nodes that start again which parts of prompts are blocked

Callers saw: after a restart of nodes requests with a crashing part reached engines again. Cause: a node was told of crashes only as they happened, by a broadcast without guarantee; one that starts later knows nothing, and the coordinator, the strongest node, is the same one again after its restart. Class of fault: knowledge that is spread by events alone, without anything that repairs it. Change: the coordinator's digest names the blocked parts with the age of their last crash, and a node's refresh names them to the coordinator; a part that was answered since stays cleared, and the delay of a message never makes a block younger.

--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -17,6 +17,7 @@
 from ..peers.heartbeats import PeerChangeKind
 from ..peers.message_dispatch import MessageHandler
 from .context import GatewayContext, gateway_controller
+from .crash_reports import CrashReportController
 from .messages import (
     FleetDigest,
     LoadRefresh,
@@ -119,7 +120,11 @@
         while True:
             await trio.sleep(self._digest_interval_s())
             if self._context.choice.is_coordinator and self._context.is_ready:
-                digest = self._context.placements.digest(self._context.now_s())
+                now_s = self._context.now_s()
+                digest = dataclasses.replace(
+                    self._context.placements.digest(now_s),
+                    blocked_parts=self._context.prompt_part_guard.blocked(now_s),
+                )
                 if self._is_joining():
                     # Peers must not count as usage what this node only assumes.
                     digest = dataclasses.replace(digest, accounts=())
@@ -170,8 +175,9 @@
         for service in {report.service for report in reports.items if report.ended}:
             self.poll(service)
 
-    def _on_refresh(self, _sender: InstanceId, refresh: LoadRefresh) -> None:
+    def _on_refresh(self, sender: InstanceId, refresh: LoadRefresh) -> None:
         self._context.placements.apply_refresh(refresh, self._context.now_s())
+        self._context.controller(CrashReportController).adopt_blocked(sender, refresh.blocked_parts)
         if refresh.node not in self._reporting_nodes:
             self._reporting_nodes.add(refresh.node)
             self.update_scope()
@@ -182,6 +188,7 @@
             context.placements.apply_digest(
                 digest, context.coordinator_incarnation, context.now_s()
             )
+            context.controller(CrashReportController).adopt_blocked(sender, digest.blocked_parts)
 
     def update_scope(self) -> None:
         """Update how many nodes share quotas and retry budget, and how many of them this node
--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from ..events import Event, log_event
-from ..ids import Fingerprint, InstanceId, PromptPartId
+from ..ids import Fingerprint, InstanceId, PromptPartId, UpstreamId
 from ..peers.message_dispatch import MessageHandler
 from .context import GatewayContext, gateway_controller
-from .messages import ClearedNotice, CrashNotice
+from .messages import BlockedPart, ClearedNotice, CrashNotice
 
 
 @gateway_controller
@@ -35,6 +35,11 @@
         if is_cleared or cleared_parts:
             self._context.broadcast(ClearedNotice(content, cleared_parts))
 
+    def adopt_blocked(self, reporter: InstanceId, blocked: tuple[BlockedPart, ...]) -> None:
+        """Block what a peer blocks, since this node may not have been told of the crashes."""
+        newly_blocked = self._context.prompt_part_guard.adopt(blocked, self._context.now_s())
+        _log_blocked(reporter, newly_blocked)
+
     def _on_crash(self, sender: InstanceId, notice: CrashNotice) -> None:
         self._record_crash(sender, notice)
 
@@ -52,15 +57,8 @@
             )
         incarnation = notice.upstream, notice.started_ms or 0
         for prompt in notice.prompts:
-            guard = self._context.prompt_part_guard
-            for part in guard.record_crash(incarnation, prompt, now_s):
-                log_event(
-                    Event.POISON_VERDICT,
-                    prompt_part=part,
-                    verdict="blocked",
-                    upstream=notice.upstream,
-                    reporter=reporter,
-                )
+            blocked = self._context.prompt_part_guard.record_crash(incarnation, prompt, now_s)
+            _log_blocked(reporter, blocked, notice.upstream)
 
     def _on_cleared(self, sender: InstanceId, notice: ClearedNotice) -> None:
         self._clear(sender, notice.content, notice.parts)
@@ -80,3 +78,16 @@
                 reporter=reporter,
             )
         return is_cleared, cleared_parts
+
+
+def _log_blocked(
+    reporter: InstanceId, parts: list[PromptPartId], upstream: UpstreamId | None = None
+) -> None:
+    for part in parts:
+        log_event(
+            Event.POISON_VERDICT,
+            prompt_part=part,
+            verdict="blocked",
+            upstream=upstream,
+            reporter=reporter,
+        )
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -138,6 +138,15 @@
     """Sums over the parts of the window, oldest first."""
 
 
+@dataclass(frozen=True, slots=True)
+class BlockedPart:
+    """A part of prompts that crashes upstreams."""
+
+    part: PromptPartId
+    age_s: float
+    """Time since its last crash."""
+
+
 @peer_message("load_refresh")
 @dataclass(frozen=True, slots=True)
 class LoadRefresh:
@@ -151,6 +160,7 @@
     """What an earlier coordinator had counted for all nodes; empty once the receiver has sent its
     own digest."""
     told_age_s: float
+    blocked_parts: tuple[BlockedPart, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +186,7 @@
 
     upstreams: tuple[UpstreamLoad, ...]
     accounts: tuple[AccountHistory, ...]
+    blocked_parts: tuple[BlockedPart, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/gateway/placement_client.py
+++ b/lentilchute/gateway/placement_client.py
@@ -5,6 +5,7 @@
 intervals.
 """
 
+import dataclasses
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -235,7 +236,11 @@
     def _send_refresh(self) -> None:
         context = self._context
         if not context.choice.is_coordinator:
-            refresh = context.placements.build_refresh(
-                context.incarnation, context.coordinator_incarnation, context.now_s()
+            now_s = context.now_s()
+            refresh = dataclasses.replace(
+                context.placements.build_refresh(
+                    context.incarnation, context.coordinator_incarnation, now_s
+                ),
+                blocked_parts=context.prompt_part_guard.blocked(now_s),
             )
             context.post(context.choice.coordinator, refresh)
--- a/lentilchute/gateway/placement_registry.py
+++ b/lentilchute/gateway/placement_registry.py
@@ -185,7 +185,12 @@
             ({}, now_s) if self._digest_source == coordinator else self.quotas.coordinator_history()
         )
         return LoadRefresh(
-            node, running, accounts, _histories(relayed), now_s - as_of_s if relayed else 0.0
+            node=node,
+            running=running,
+            accounts=accounts,
+            told=_histories(relayed),
+            told_age_s=now_s - as_of_s if relayed else 0.0,
+            blocked_parts=(),
         )
 
     def drop(self, service: ServiceName, key: TicketKey, now_s: float) -> None:
@@ -210,6 +215,7 @@
         digest = FleetDigest(
             upstreams=tuple(load for load in loads if self._is_load_news(load)),
             accounts=tuple(item for item in accounts if self._is_usage_news(item)),
+            blocked_parts=(),
         )
         self._sent_loads = {load.upstream: load for load in loads}
         self._sent_accounts = {item.account: item for item in accounts}
--- a/lentilchute/gateway/prompt_part_guard.py
+++ b/lentilchute/gateway/prompt_part_guard.py
@@ -15,7 +15,7 @@
 
 from ..ids import Fingerprint, PromptPartId
 from .departures import Incarnation
-from .messages import CrashedPrompt
+from .messages import BlockedPart, CrashedPrompt
 
 CRASHES_TO_BLOCK = 3
 REQUESTS_TO_BLOCK = 2
@@ -26,6 +26,8 @@
 """A part is blocked for this long after its last crash."""
 EVIDENCE_LIFETIME_S = 3_600.0
 """One more crash within this time blocks a part again."""
+DELAY_SLACK_S = 1.0
+"""A message that names an age is delayed by less; smaller differences are no news of a crash."""
 MAX_CRASHES = 500
 MAX_REMEMBERED_PARTS = 5_000
 """Bounds memory; the oldest are forgotten first."""
@@ -52,6 +54,8 @@
         """Parts that no answer has cleared since their last crash."""
         self._blocked: dict[PromptPartId, float] = {}
         """Time of the last crash of each part that the crashes convict."""
+        self._adopted: dict[PromptPartId, float] = {}
+        """The same of parts that another node blocked."""
         self._answered_s: OrderedDict[PromptPartId, float] = OrderedDict()
         """When an answer to a prompt with the part last began."""
 
@@ -63,14 +67,14 @@
         Returns the parts that this blocks.
         """
         self._forget_old(now_s)
-        was_blocked = {part for part in self._blocked if self._is_blocked(part, now_s)}
+        was_blocked = self._blocked_now(now_s)
         crash = self._crashes.setdefault(upstream, _Crash(now_s))
         known = crash.parts()
         crash.prompts[prompt.request] = frozenset(prompt.parts)
         self._crash_counts.update(crash.parts() - known)
         self._suspects.update(prompt.parts)
         self._blocked = self._find_culprits()
-        return [part for part in self._blocked if part not in was_blocked]
+        return sorted(self._blocked_now(now_s) - was_blocked)
 
     def record_answer(
         self, parts: Iterable[PromptPartId], now_s: float
@@ -85,9 +89,33 @@
         cleared = tuple(part for part in parts if part in self._suspects)
         if cleared:
             self._suspects.difference_update(cleared)
+            for part in cleared:
+                self._adopted.pop(part, None)
             self._blocked = self._find_culprits()
         return cleared
 
+    def adopt(self, blocked: Iterable[BlockedPart], now_s: float) -> list[PromptPartId]:
+        """Block parts that another node blocks, unless they have been answered since.
+
+        Returns the parts that this blocks.
+        """
+        was_blocked = self._blocked_now(now_s)
+        for item in blocked:
+            last_crash_s = now_s - item.age_s
+            known_s = self._adopted.get(item.part, float("-inf"))
+            if last_crash_s > max(known_s + DELAY_SLACK_S, self._answered_at_s(item.part)):
+                self._adopted[item.part] = last_crash_s
+                self._suspects.add(item.part)
+                self._blocked[item.part] = max(last_crash_s, self._blocked.get(item.part, known_s))
+        return sorted(self._blocked_now(now_s) - was_blocked)
+
+    def blocked(self, now_s: float) -> tuple[BlockedPart, ...]:
+        """Return the blocked parts, for nodes that were not told of the crashes."""
+        return tuple(
+            BlockedPart(part, now_s - self._blocked[part])
+            for part in sorted(self._blocked_now(now_s))
+        )
+
     def blocked_part(self, parts: Iterable[PromptPartId], now_s: float) -> PromptPartId | None:
         """Return the first of the parts that is blocked, or ``None``."""
         if not self._blocked:
@@ -96,7 +124,10 @@
 
     def blocked_count(self, now_s: float) -> int:
         """Return how many parts are blocked."""
-        return sum(self._is_blocked(part, now_s) for part in self._blocked)
+        return len(self._blocked_now(now_s))
+
+    def _blocked_now(self, now_s: float) -> set[PromptPartId]:
+        return {part for part in self._blocked if self._is_blocked(part, now_s)}
 
     def _is_blocked(self, part: PromptPartId, now_s: float) -> bool:
         last_crash_s = self._blocked.get(part)
@@ -111,8 +142,14 @@
         """
         culprits: dict[PromptPartId, float] = {}
         explained: set[Incarnation] = set()
+        for part, last_crash_s in self._adopted.items():
+            crashes_s = self._evidence(part, explained).crashes_s
+            culprits[part] = max((last_crash_s, *crashes_s.values()))
+            explained.update(crashes_s)
         candidates = [
-            part for part, crashes in self._crash_counts.items() if crashes >= CRASHES_TO_BLOCK
+            part
+            for part, crashes in self._crash_counts.items()
+            if crashes >= CRASHES_TO_BLOCK and part not in culprits
         ]
         while candidates:
             found = {part: self._evidence(part, explained) for part in candidates}
@@ -142,6 +179,9 @@
         return self._answered_s.get(part, float("-inf"))
 
     def _forget_old(self, now_s: float) -> None:
+        for part, last_crash_s in list(self._adopted.items()):
+            if now_s - last_crash_s > EVIDENCE_LIFETIME_S:
+                del self._adopted[part]
         while self._crashes:
             oldest, crash = next(iter(self._crashes.items()))
             is_old = now_s - crash.at_s > EVIDENCE_LIFETIME_S
@@ -150,7 +190,7 @@
             del self._crashes[oldest]
             self._crash_counts.subtract(crash.parts())
             self._crash_counts = +self._crash_counts
-            self._suspects &= self._crash_counts.keys()
+            self._suspects &= self._crash_counts.keys() | self._adopted.keys()
 
 
 @dataclass(slots=True)
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -258,12 +258,18 @@
   2: list<double> parts
 }
 
+struct BlockedPart {
+  1: string part
+  2: double age_s
+}
+
 struct LoadRefresh {
   1: string node
   2: list<RunningTicket> running
   3: list<AccountHistory> accounts
   4: list<AccountHistory> told
   5: double told_age_s
+  6: list<BlockedPart> blocked_parts
 }
 
 struct UpstreamLoad {
@@ -281,6 +287,7 @@
 struct FleetDigest {
   1: list<UpstreamLoad> upstreams
   2: list<AccountHistory> accounts
+  3: list<BlockedPart> blocked_parts
 }
 
 struct ChangedRow {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -509,6 +509,14 @@
     default_spec: ClassVar[list[tuple[str, Any]]] = [("account", None), ("parts", None)]
 
 
+class BlockedPart(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "part", False),
+        2: (TType.DOUBLE, "age_s", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("part", None), ("age_s", None)]
+
+
 class LoadRefresh(Struct):
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "node", False),
@@ -516,6 +524,7 @@
         3: (TType.LIST, "accounts", (TType.STRUCT, AccountHistory), False),
         4: (TType.LIST, "told", (TType.STRUCT, AccountHistory), False),
         5: (TType.DOUBLE, "told_age_s", False),
+        6: (TType.LIST, "blocked_parts", (TType.STRUCT, BlockedPart), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("node", None),
@@ -523,6 +532,7 @@
         ("accounts", None),
         ("told", None),
         ("told_age_s", None),
+        ("blocked_parts", None),
     ]
 
 
@@ -555,8 +565,13 @@
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.LIST, "upstreams", (TType.STRUCT, UpstreamLoad), False),
         2: (TType.LIST, "accounts", (TType.STRUCT, AccountHistory), False),
+        3: (TType.LIST, "blocked_parts", (TType.STRUCT, BlockedPart), False),
     }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [("upstreams", None), ("accounts", None)]
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("upstreams", None),
+        ("accounts", None),
+        ("blocked_parts", None),
+    ]
 
 
 class ChangedRow(Struct):
--- a/test/gateway/test_prompt_part_guard.py
+++ b/test/gateway/test_prompt_part_guard.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lentilchute.gateway.messages import CrashedPrompt
+from lentilchute.gateway.messages import BlockedPart, CrashedPrompt
 from lentilchute.gateway.prompt_part_guard import (
     BLOCK_S,
     CRASHES_TO_BLOCK,
@@ -121,6 +121,29 @@
     assert len(crashes.guard._answered_s) == MAX_REMEMBERED_PARTS
 
 
+def test_a_part_that_another_node_blocks_is_blocked_until_it_is_answered() -> None:
+    crashes = Crashes()
+    assert crashes.guard.adopt([BlockedPart(CRASHING, 1.0)], 10.0) == [CRASHING]
+    assert crashes.guard.adopt([BlockedPart(CRASHING, 1.5)], 10.6) == []
+    assert crashes.blocks(CRASHING, 8.9 + BLOCK_S)
+    assert not crashes.blocks(CRASHING, 9.0 + BLOCK_S), "hearing of it again is no news"
+    crashes.crash(20.0, (CRASHING, DOCUMENT))
+    assert crashes.blocks(CRASHING, 19.9 + BLOCK_S)
+    assert crashes.guard.record_answer((CRASHING,), 30.0) == (CRASHING,)
+    crashes.guard.adopt([BlockedPart(CRASHING, 11.0)], 31.0)
+    assert not crashes.blocks(CRASHING, 31.0)
+
+
+def test_blocked_parts_of_one_node_are_adopted_by_another() -> None:
+    crashes, other = Crashes(), PromptPartGuard()
+    for at_s in (1.0, 1.5, 2.0):
+        crashes.crash(at_s, (CRASHING,))
+    assert crashes.guard.blocked(3.0) == (BlockedPart(CRASHING, 1.0),)
+    other.adopt(crashes.guard.blocked(3.0), 103.0)
+    assert other.blocked(104.0) == (BlockedPart(CRASHING, 2.0),)
+    assert crashes.guard.blocked(2.0 + BLOCK_S) == ()
+
+
 @given(
     st.lists(
         st.tuples(st.sampled_from(("crash", "coincidence", "answer")), st.integers(1, 4)),
