Record and log the limits that upstreams name

What an upstream says of the requests a second that it takes (Server-Limit) was neither read nor logged, so the logs could not tell whether nodes did not know of a limit, kept it each by itself, or did not pass it on to the coordinator. Now platform/headers.py decodes it, event 408 upstream_limited names each change with the coordinator of the moment, a node's reports carry it to the coordinator and its digests to all, and lentilchute_gateway_upstream_limit shows on each node what it knows. An answer without the header lifts the limit if its request was sent after the limit was named. No request is placed otherwise than before.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -66,6 +66,11 @@
     UPSTREAM_PAUSED = EventInfo(
         407, "An upstream refused a request and asked for a pause, in seconds."
     )
+    UPSTREAM_LIMITED = EventInfo(
+        408,
+        "An upstream named another limit on its requests a second, or none any more; the limit is "
+        "empty then.",
+    )
     POISON_VERDICT = EventInfo(
         405,
         "A request's content, or a part of its prompt, was suspected of crashing upstreams, "
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -29,6 +29,7 @@
 from .request_log import RequestLog
 from .routes import RequestKind
 from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
+from .upstream_limit import NO_LIMIT
 
 CRASH_CHECK_TIMEOUT_S = 0.2
 """A live upstream accepts a connection within a few milliseconds; a crashed one refuses it as
@@ -331,6 +332,9 @@
     ) -> None:
         """Apply what an upstream says of itself in any answer: that it leaves, or wants a pause."""
         listing = placement.listing
+        # Another upstream may answer at an address that is used again.
+        if status != 421:
+            self._apply_limit(active, placement, answer)
         if answer.is_leaving:
             self._leaving_notices.announce(listing.upstream, listing.started_ms)
         if status == 503 and answer.retry_after_s:
@@ -344,6 +348,32 @@
                 pause_s=round(pause_s, 3),
             )
 
+    def _apply_limit(
+        self, active: ActiveRequest, placement: Placement, answer: AnswerHeaders
+    ) -> None:
+        """Record the limit that an upstream names, or that it no longer names any."""
+        dispatcher = self._context.placements.dispatcher(active.ticket.service)
+        model = dispatcher.model(placement.listing.upstream)
+        if model is None:
+            return
+        known_per_s = model.limit.per_s
+        limit_per_s = answer.limit_per_s
+        if limit_per_s is None:
+            is_own = answer.belongs_to(active.call.headers.attempt_id, must_name=True)
+            is_current = model.limit.was_named_before(active.attempt_started_s)
+            if not (answer.is_signed and is_own and is_current):
+                return
+            limit_per_s = NO_LIMIT
+        self._placement_client.report(active.ticket, placement, limit_per_s=limit_per_s)
+        if model.limit.per_s != known_per_s:
+            log_event(
+                Event.UPSTREAM_LIMITED,
+                request_id=active.call.log_id,
+                upstream=placement.listing.upstream,
+                limit_per_s=model.limit.per_s,
+                coordinator=self._context.choice.coordinator,
+            )
+
     async def _relay_complete_answer(
         self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
--- a/lentilchute/gateway/gauges.py
+++ b/lentilchute/gateway/gauges.py
@@ -45,5 +45,7 @@
             yield Gauge(
                 f"{PREFIX}upstream.failure_rate", model.failure_rate(now_s), upstream_labels
             )
+            if load.limit_per_s is not None:
+                yield Gauge(f"{PREFIX}upstream.limit", load.limit_per_s, upstream_labels)
             if load.pace_weight > 0.1:
                 yield Gauge(f"{PREFIX}upstream.pace", load.pace_ms, upstream_labels)
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -95,6 +95,9 @@
     """Connecting to the upstream failed."""
     pause_s: float
     """Time for which the upstream asked for no requests."""
+    limit_per_s: float | None = None
+    """Requests a second that the upstream takes, infinite if it lifted its limit; ``None`` if it
+    said nothing new."""
 
 
 @peer_message("ticket_withdrawal")
@@ -177,6 +180,8 @@
     gap_weight: float
     failures: float
     results: float
+    limit_per_s: float | None = None
+    """Requests a second that the upstream takes, if it names a limit."""
 
 
 @peer_message("fleet_digest")
--- a/lentilchute/gateway/metric_names.py
+++ b/lentilchute/gateway/metric_names.py
@@ -46,6 +46,7 @@
     "lentilchute.gateway.upstream.running": "Requests at an upstream, as known here.",
     "lentilchute.gateway.upstream.pace": "Milliseconds to a first event per thousand tokens.",
     "lentilchute.gateway.upstream.failure_rate": "Part of recent requests that failed.",
+    "lentilchute.gateway.upstream.limit": "Requests a second that an upstream takes, if limited.",
     "lentilchute.gateway.retry_budget.left": "Repeats that may still be sent, by service.",
     "lentilchute.gateway.quota.used": "Part of an account's quota used in the last window.",
     "lentilchute.gateway.loop.lag": "How late the event loop woke last, in seconds.",
--- a/lentilchute/gateway/placement_client.py
+++ b/lentilchute/gateway/placement_client.py
@@ -90,6 +90,7 @@
         ended: bool = False,
         unreachable: bool = False,
         pause_s: float = NOT_MEASURED,
+        limit_per_s: float | None = None,
     ) -> None:
         """Record the progress of a request locally and queue a report to the coordinator."""
         report = Report(
@@ -102,6 +103,7 @@
             ended=ended,
             unreachable=unreachable,
             pause_s=pause_s,
+            limit_per_s=limit_per_s,
         )
         context = self._context
         context.placements.record_report(context.incarnation, report, context.now_s())
--- a/lentilchute/gateway/placement_registry.py
+++ b/lentilchute/gateway/placement_registry.py
@@ -131,6 +131,8 @@
         if report.pause_s > 0:
             # The jitter keeps nodes from returning to the upstream all at once.
             model.pause(now_s + report.pause_s * (1 + PAUSE_JITTER * self._rng.random()))
+        if report.limit_per_s is not None:
+            model.limit.record(report.limit_per_s, now_s)
         if report.ended:
             model.remove_request(key)
 
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -14,6 +14,7 @@
 from .fleet import UpstreamListing
 from .messages import UpstreamLoad
 from .tickets import TicketKey
+from .upstream_limit import UpstreamLimit
 
 FIXED_WORK_TOKENS = 4_000
 """A request's fixed cost in prompt tokens: an engine's first step takes about as long."""
@@ -46,6 +47,7 @@
         self.listing = listing
         self.slots = slots
         self.statistics = UpstreamStatistics()
+        self.limit = UpstreamLimit()
         self.requests: dict[TicketKey, RunningRequest] = {}
         self._digest: UpstreamLoad | None = None
         self._digest_s = float("-inf")
@@ -146,6 +148,7 @@
             gap_weight=estimate.gap_weight,
             failures=estimate.failures,
             results=estimate.results,
+            limit_per_s=self.limit.per_s,
         )
 
     def add_request(
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -230,6 +230,7 @@
   7: bool ended
   8: bool unreachable
   9: double pause_s
+  10: optional double limit_per_s
 }
 
 struct TicketWithdrawal {
@@ -282,6 +283,7 @@
   7: double gap_weight
   8: double failures
   9: double results
+  10: optional double limit_per_s
 }
 
 struct FleetDigest {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -445,6 +445,7 @@
         7: (TType.BOOL, "ended", False),
         8: (TType.BOOL, "unreachable", False),
         9: (TType.DOUBLE, "pause_s", False),
+        10: (TType.DOUBLE, "limit_per_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("number", None),
@@ -456,6 +457,7 @@
         ("ended", None),
         ("unreachable", None),
         ("pause_s", None),
+        ("limit_per_s", None),
     ]
 
 
@@ -547,6 +549,7 @@
         7: (TType.DOUBLE, "gap_weight", False),
         8: (TType.DOUBLE, "failures", False),
         9: (TType.DOUBLE, "results", False),
+        10: (TType.DOUBLE, "limit_per_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("upstream", None),
@@ -558,6 +561,7 @@
         ("gap_weight", None),
         ("failures", None),
         ("results", None),
+        ("limit_per_s", None),
     ]
 
 
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -25,6 +25,7 @@
 STAMP = "lentilchute-engine-stamp"
 NOT_EXECUTED = "lentilchute-not-executed"
 LEAVING = "server-leaving"
+REQUEST_LIMIT = "server-limit"
 
 MAX_PROMPT_PARTS = 64
 """Parts beyond these of a prompt are ignored; prompts have a few."""
@@ -82,6 +83,8 @@
     """The upstream announces that it is leaving."""
     retry_after_s: float | None
     """How long the upstream wants no requests from this node, if its status is 503."""
+    limit_per_s: float | None
+    """Requests a second that the upstream takes at present, from all nodes together."""
 
     def belongs_to(self, attempt_id: str, *, must_name: bool) -> bool:
         """Return whether this is the answer to a request, as far as its headers tell.
@@ -146,6 +149,7 @@
         has_encoding=encoding is not None and encoding.strip().lower() != "identity",
         is_leaving=header_value(headers, LEAVING) == "1",
         retry_after_s=_decimal(header_value(headers, http_messages.RETRY_AFTER_HEADER)),
+        limit_per_s=_decimal(header_value(headers, REQUEST_LIMIT)),
     )
 
 
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -59,6 +59,17 @@
     assert len(shared_parts(",".join(["5c1e:1"] * 100))) == 63
 
 
+def test_an_upstream_names_its_limit_as_a_decimal_number() -> None:
+    def limit_per_s(text: str) -> float | None:
+        return decode_answer((("server-limit", text),)).limit_per_s
+
+    assert limit_per_s("2.3") == 2.3
+    assert limit_per_s("0") == 0.0
+    for malformed in ("", "-1", "some", "nan", "inf", "1e3"):
+        assert limit_per_s(malformed) is None
+    assert decode_answer(()).limit_per_s is None
+
+
 def test_the_key_and_reserved_headers_are_not_forwarded() -> None:
     headers = forwarded_headers()
     assert "lentilchute-key" not in headers
