--- a/lentilchute/standins/routed_upstream.py
+++ b/lentilchute/standins/routed_upstream.py
@@ -36,6 +36,8 @@
     """Run the request and close the connection without an answer."""
     retry_after_s: float | None = None
     """Sent with the answer of a request that is shed."""
+    limit_per_s: float | None = None
+    """Named in every answer as the requests a second that the upstream takes."""
     says_leaving: bool = False
     """Announce the leaving in every answer."""
     omits_signature: bool = False
@@ -107,10 +109,14 @@
     def _notices(self) -> Headers:
         """Return what the upstream says of itself."""
         behaviour = self.behaviour
-        leaving = ((names.LEAVING, "1"),) if behaviour.says_leaving else ()
-        if not behaviour.sheds or behaviour.retry_after_s is None:
-            return leaving
-        return (*leaving, (RETRY_AFTER_HEADER, f"{behaviour.retry_after_s:g}"))
+        notices: list[tuple[str, str]] = []
+        if behaviour.says_leaving:
+            notices.append((names.LEAVING, "1"))
+        if behaviour.limit_per_s is not None:
+            notices.append((names.REQUEST_LIMIT, f"{behaviour.limit_per_s:g}"))
+        if behaviour.sheds and behaviour.retry_after_s is not None:
+            notices.append((RETRY_AFTER_HEADER, f"{behaviour.retry_after_s:g}"))
+        return tuple(notices)
 
     async def _stream(self, request: HttpRequest, responder: Responder, headers: Headers) -> None:
         behaviour = self.behaviour
