Keep the limits on requests a second that upstreams name

Cause: what an upstream says of its own capacity was understood for leaving and pauses only, each by its own code path; Server-Limit was an unknown header, and the dispatcher had no notion of a rate, only of places. Class of fault: a word of the other side that is dropped in silence, and a bound over all nodes without an owner. The coordinator spends the share of a limit that belongs to the nodes it covers, a node that decides by itself its own share of 1/n.

--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -49,6 +49,8 @@
         rng: random.Random,
     ) -> None:
         self.service = service
+        self.share = 1.0
+        """Fraction of the upstreams' limits that this dispatcher spends."""
         self._settings = settings
         self._rng = rng
         self._models: dict[UpstreamId, UpstreamModel] = {}
@@ -79,7 +81,7 @@
                 and model.listing.address == listing.address
             )
             if model is None or not is_same_incarnation:
-                self._models[upstream] = UpstreamModel(listing, limit)
+                self._models[upstream] = UpstreamModel(listing, limit, self._rng)
             else:
                 model.listing = listing
                 model.slots = limit
@@ -204,6 +206,7 @@
             if model.running(now_s) < model.slots
             and not model.is_blocked(now_s)
             and model.listing.upstream not in ticket.excluded
+            and model.limit.has_turn(self.share, now_s)
         ]
         if not available:
             return None
--- a/lentilchute/gateway/placement_registry.py
+++ b/lentilchute/gateway/placement_registry.py
@@ -66,12 +66,23 @@
         self.local_usage = LocalUsage(settings.quotas.window_s)
         self.budget = RetryBudget(settings.retries)
         self.dispatchers: dict[ServiceName, Dispatcher] = {}
-        self.scope = Scope(nodes=ASSUMED_NODES, covered=1)
+        self._scope = Scope(nodes=ASSUMED_NODES, covered=1)
         self._charges: dict[TicketKey, Charge] = {}
         self._digest_source: IncarnationId | None = None
         self._sent_loads: dict[UpstreamId, UpstreamLoad] = {}
         self._sent_accounts: dict[ClientAccountId, AccountHistory] = {}
 
+    @property
+    def scope(self) -> Scope:
+        """The nodes that this registry decides for."""
+        return self._scope
+
+    @scope.setter
+    def scope(self, scope: Scope) -> None:
+        self._scope = scope
+        for dispatcher in self.dispatchers.values():
+            dispatcher.share = scope.share
+
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Replace the settings from now on."""
         self._settings = settings
@@ -83,6 +94,7 @@
         found = self.dispatchers.get(service)
         if found is None:
             found = Dispatcher(service, self._settings.dispatch, self._rng)
+            found.share = self._scope.share
             self.dispatchers[service] = found
         return found
 
@@ -210,7 +222,8 @@
         """Return the digest for nodes that may lose contact with the coordinator or take over from
         it.
 
-        Upstreams and accounts that were idle at the last digest and are idle still are left out.
+        Accounts and upstreams that were idle at the last digest and are idle still are left out,
+        but for upstreams that name a limit.
         """
         loads = [load for each in self.dispatchers.values() for load in each.loads(now_s)]
         accounts = _histories(self.quotas.history(now_s))
@@ -227,6 +240,8 @@
         sent = self._sent_loads.get(load.upstream)
         if sent is None or load.running or sent.running:
             return True
+        if load.limit_per_s is not None or sent.limit_per_s is not None:
+            return True
         return load.results > sent.results or load.failures > sent.failures
 
     def _is_usage_news(self, history: AccountHistory) -> bool:
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -1,5 +1,6 @@
 """The dispatcher's model of one upstream: its load, and the expected performance of a request."""
 
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -22,6 +23,8 @@
 """Older counts in a digest are ignored, since requests have ended in the meantime."""
 DIGEST_ESTIMATES_MAX_AGE_S = 20.0
 """Estimates in a digest stay useful for longer than counts."""
+DIGEST_DELAY_S = 1.0
+"""What an upstream said longer ago, the coordinator knew when it sent a digest."""
 ESTIMATE_CACHE_S = 0.1
 """Estimates decay over seconds, so they are computed at most ten times a second."""
 INITIAL_BLOCK_S = 0.25
@@ -43,11 +46,11 @@
 class UpstreamModel:
     """Load and estimated performance of one incarnation of an upstream."""
 
-    def __init__(self, listing: UpstreamListing, slots: int) -> None:
+    def __init__(self, listing: UpstreamListing, slots: int, rng: random.Random) -> None:
         self.listing = listing
         self.slots = slots
         self.statistics = UpstreamStatistics()
-        self.limit = UpstreamLimit()
+        self.limit = UpstreamLimit(rng)
         self.requests: dict[TicketKey, RunningRequest] = {}
         self._digest: UpstreamLoad | None = None
         self._digest_s = float("-inf")
@@ -130,6 +133,7 @@
 
     def apply_digest(self, load: UpstreamLoad, now_s: float) -> None:
         """Apply the coordinator's figures for the upstream."""
+        self.limit.adopt(load.limit_per_s, now_s, knows_since_s=now_s - DIGEST_DELAY_S)
         self._digest = load
         self._digest_s = now_s
         self._estimated_s = float("-inf")
@@ -155,6 +159,7 @@
         self, key: TicketKey, prompt_tokens: int, work_tokens: int, now_s: float
     ) -> None:
         """Add a request that was placed at the upstream."""
+        self.limit.use_turn()
         self.requests[key] = RunningRequest(prompt_tokens, work_tokens, now_s)
 
     def record_first_event(self, key: TicketKey, took_s: float, now_s: float) -> None:
