--- a/test/gateway/test_upstream_limits.py
+++ b/test/gateway/test_upstream_limits.py
@@ -15,6 +15,10 @@
 MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 """Requests that it may get in any window after that (platform)."""
 CALL_PAUSE_S = 0.02
+ANSWER_S = 1.0
+"""Long enough that the other upstreams have no slots to spare."""
+MANY_SLOTS = 12
+LOW_LIMIT_PER_S = 0.5
 
 
 async def call_until(world: GatewayWorld, end_s: float) -> list[int]:
@@ -67,6 +71,28 @@
     run_world(scenario, nodes=3)
 
 
+def test_a_coordinator_that_starts_again_keeps_the_limits_that_upstreams_named() -> None:
+    """Guards against a coordinator that has just started placing requests without the limits that
+    the other nodes were told."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        for name in ("a0", "a1", "a2", "a3"):
+            world.upstreams[name].standin.behaviour.plain_s = ANSWER_S
+            world.list_upstream(name, slots=MANY_SLOTS)
+        limited = world.upstreams["a0"].standin
+        limited.behaviour.limit_per_s = LOW_LIMIT_PER_S
+        coordinator = next(node for node in world.nodes if node.node.context.choice.is_coordinator)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_until, world, trio.current_time() + 11.0)
+            await trio.sleep(NOTICE_WITHIN_S + 1.0)
+            from_s = trio.current_time()
+            await world.restart_node(coordinator, pause_s=2.5)
+        assert coordinator.node.context.choice.is_coordinator
+        assert most_in_window(limited, from_s) <= 1.5 * LOW_LIMIT_PER_S * WINDOW_S + 5
+
+    run_world(scenario, agendas=4, nodes=3)
+
+
 def test_a_limit_ends_when_the_upstream_no_longer_names_it() -> None:
     """Guards against an upstream that has recovered being spared for ever."""
 
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -95,10 +95,14 @@
         self.list_upstream(name, started_ms=started_ms)
         return upstream
 
-    def list_upstream(self, name: str, state: str = "ready", started_ms: int = 1) -> None:
+    def list_upstream(
+        self, name: str, state: str = "ready", started_ms: int = 1, slots: int = 4
+    ) -> None:
         """Write an upstream's row to the store, as the upstream would."""
         upstream = self.upstreams[name]
-        row = upstream_row(upstream.service, upstream.address, state=state, started_ms=started_ms)
+        row = upstream_row(
+            upstream.service, upstream.address, state=state, started_ms=started_ms, slots=slots
+        )
         self.store.state.put(rows.UPSTREAMS_TABLE, name, row)
 
     def add_node(self, name: str) -> Node:
@@ -118,10 +122,10 @@
 
         self._nursery.start_soon(run)
 
-    async def restart_node(self, node: Node) -> None:
+    async def restart_node(self, node: Node, pause_s: float = RESTART_PAUSE_S) -> None:
         """Kill a gateway and start it again at its addresses, with nothing of what it knew."""
         node.scope.cancel()
-        await trio.sleep(RESTART_PAUSE_S)
+        await trio.sleep(pause_s)
         node.node, node.scope = GatewayNode(node.settings), trio.CancelScope()
         self._run_node(node)
         await self.until(lambda: self._sees_peers(node))
