Tell a coordinator that has started again which upstreams name limits

Cause: limits reached a coordinator only with reports of answers, so one that has just started knew none, although every other node did, and filled the limited upstream, the only one with free slots, before the first answer told it. Class of fault: the same as for blocked parts of prompts, knowledge that is spread by events alone. Limits that arrive before the list of upstreams is read wait for it. A limit that the receiver has heard of itself is not changed.

--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -231,7 +231,8 @@
         self._update_upstreams()
 
     def _update_upstreams(self) -> None:
-        self._context.placements.update(self._context.config, self._context.fleet)
+        context = self._context
+        context.placements.update(context.config, context.fleet, context.now_s())
         for service in list(self._context.placements.dispatchers):
             self.poll(service)
 
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -141,6 +141,16 @@
     """Sums over the parts of the window, oldest first."""
 
 
+@dataclass(frozen=True, slots=True)
+class LimitedUpstream:
+    """An incarnation of an upstream that names a limit."""
+
+    service: ServiceName
+    upstream: UpstreamId
+    started_ms: int
+    limit_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class BlockedPart:
     """A part of prompts that crashes upstreams."""
@@ -164,6 +174,7 @@
     own digest."""
     told_age_s: float
     blocked_parts: tuple[BlockedPart, ...]
+    limited: tuple[LimitedUpstream, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/gateway/placement_registry.py
+++ b/lentilchute/gateway/placement_registry.py
@@ -16,6 +16,7 @@
 from .messages import (
     AccountHistory,
     FleetDigest,
+    LimitedUpstream,
     LoadRefresh,
     Report,
     RunningTicket,
@@ -69,6 +70,8 @@
         self._scope = Scope(nodes=ASSUMED_NODES, covered=1)
         self._charges: dict[TicketKey, Charge] = {}
         self._digest_source: IncarnationId | None = None
+        self._early_limits: list[LimitedUpstream] | None = []
+        """Limits that refreshes named before this node had a list of upstreams, ``None`` since."""
         self._sent_loads: dict[UpstreamId, UpstreamLoad] = {}
         self._sent_accounts: dict[ClientAccountId, AccountHistory] = {}
 
@@ -102,12 +105,15 @@
         """Return the model of the upstream that a report names, if it takes new work."""
         return self.dispatcher(report.service).model(report.upstream)
 
-    def update(self, config: RoutingConfig | None, fleet: Fleet) -> None:
+    def update(self, config: RoutingConfig | None, fleet: Fleet, now_s: float) -> None:
         """Apply the current configuration and upstreams."""
         services = set(self.dispatchers) | (set(config.services) if config else set())
         for service in services:
             slots = config.slots_of(service) if config else None
             self.dispatcher(service).set_upstreams(fleet.of_service(service), slots)
+        if fleet.is_known:
+            self._apply_limits(self._early_limits, now_s)
+            self._early_limits = None
 
     def submit(self, ticket: Ticket, now_s: float) -> Decision | None:
         """Return the decision about a new ticket, or ``None`` when the ticket is queued."""
@@ -150,6 +156,9 @@
 
     def apply_refresh(self, refresh: LoadRefresh, now_s: float) -> None:
         """Apply a node's full list of requests in flight, and its usage of quotas."""
+        if self._early_limits is not None:
+            self._early_limits += refresh.limited
+        self._apply_limits(refresh.limited, now_s)
         self.quotas.record_node_usage(refresh.node, _by_account(refresh.accounts), now_s)
         self.quotas.adopt_coordinator_history(
             _by_account(refresh.told), now_s - refresh.told_age_s, now_s
@@ -205,8 +214,28 @@
             told=_histories(relayed),
             told_age_s=now_s - as_of_s if relayed else 0.0,
             blocked_parts=(),
+            limited=self._limited(),
         )
 
+    def _limited(self) -> tuple[LimitedUpstream, ...]:
+        return tuple(
+            LimitedUpstream(
+                service, model.listing.upstream, model.listing.started_ms, model.limit.per_s
+            )
+            for service, dispatcher in self.dispatchers.items()
+            for model in dispatcher.models()
+            if model.limit.per_s is not None
+        )
+
+    def _apply_limits(self, limited: Iterable[LimitedUpstream] | None, now_s: float) -> None:
+        """Apply the limits that other nodes know, where this one knows none."""
+        for item in limited or ():
+            model = self.dispatcher(item.service).model(item.upstream)
+            if model is None or model.listing.started_ms != item.started_ms:
+                continue
+            if model.limit.per_s is None:
+                model.limit.record(item.limit_per_s, now_s)
+
     def drop(self, service: ServiceName, key: TicketKey, now_s: float) -> None:
         """Drop a ticket, queued or placed, that its node no longer waits for."""
         dispatcher = self.dispatcher(service)
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -259,6 +259,13 @@
   2: list<double> parts
 }
 
+struct LimitedUpstream {
+  1: string service_name
+  2: string upstream
+  3: i64 started_ms
+  4: double limit_per_s
+}
+
 struct BlockedPart {
   1: string part
   2: double age_s
@@ -271,6 +278,7 @@
   4: list<AccountHistory> told
   5: double told_age_s
   6: list<BlockedPart> blocked_parts
+  7: list<LimitedUpstream> limited
 }
 
 struct UpstreamLoad {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -511,6 +511,21 @@
     default_spec: ClassVar[list[tuple[str, Any]]] = [("account", None), ("parts", None)]
 
 
+class LimitedUpstream(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "service_name", False),
+        2: (TType.STRING, "upstream", False),
+        3: (TType.I64, "started_ms", False),
+        4: (TType.DOUBLE, "limit_per_s", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("service_name", None),
+        ("upstream", None),
+        ("started_ms", None),
+        ("limit_per_s", None),
+    ]
+
+
 class BlockedPart(Struct):
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "part", False),
@@ -527,6 +542,7 @@
         4: (TType.LIST, "told", (TType.STRUCT, AccountHistory), False),
         5: (TType.DOUBLE, "told_age_s", False),
         6: (TType.LIST, "blocked_parts", (TType.STRUCT, BlockedPart), False),
+        7: (TType.LIST, "limited", (TType.STRUCT, LimitedUpstream), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("node", None),
@@ -535,6 +551,7 @@
         ("told", None),
         ("told_age_s", None),
         ("blocked_parts", None),
+        ("limited", None),
     ]
 
 
