Give up answers without end by what came, and bound their memory together

Cause: heads and bodies were bounded one by one, but interim answers were read as long as the attempt had time, and buffered bodies of 8 MiB each had no bound together: twelve of them are more than the smallest instance has. Change: after 16 interim answers the exchange fails as wrong; answer_memory.py counts what all buffered answers hold, 24 MiB at most; an answer of up to 64 KiB is buffered in any case, so that endless ones cost no others.

--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -1,7 +1,7 @@
 """Forwards requests to upstreams and relays the answers, with retries where a route allows them."""
 
 import trio
-from result import Err, Ok, Result
+from result import Err
 
 from ..events import Event, log_event
 from ..http.client import (
@@ -18,6 +18,7 @@
 from ..platform.headers import AnswerHeaders, decode_answer, decode_call, upstream_headers
 from .active_request import ActiveRequest
 from .admission import admit, refuse_if_crashing
+from .answer_memory import AnswerBuffer, AnswerMemory
 from .attempts import AttemptEnd, AttemptTracker, NextStep
 from .calls import Call, CallRefusal, RefusalCause
 from .context import GatewayContext
@@ -36,8 +37,6 @@
 quickly."""
 ANSWER_MARGIN_S = 0.03
 """A request times out this long before its deadline, so that the answer arrives in time."""
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-"""Bounds the memory for an answer that is buffered before it is relayed."""
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 """An attempt that can be retried times out after this many latency objectives without the head of
 an answer."""
@@ -74,6 +73,7 @@
         self._leaving_notices = context.controller(LeavingNoticeController)
         self._last_number = 0
         self._request_log = RequestLog(context)
+        self._answer_memory = AnswerMemory()
         self.in_progress = 0
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -378,23 +378,27 @@
         self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
         """Buffer the whole answer, then relay it."""
-        body = await _read_body(exchange)
-        if isinstance(body, Err):
-            return await self._end_after_fault(
-                active, placement, body.err_value, was_connected=True
-            )
+        with self._answer_memory.buffer() as buffer:
+            fault = await _read_body(exchange, buffer)
+            if fault is not None:
+                return await self._end_after_fault(active, placement, fault, was_connected=True)
+            return await self._answer_complete(active, placement, head, bytes(buffer.data))
+
+    async def _answer_complete(
+        self, active: ActiveRequest, placement: Placement, head: HttpHead, body: bytes
+    ) -> AttemptEnd:
         if head.status in _NOT_EXECUTED_STATUSES:
             # The upstream did not declare the request unexecuted, so the gateway must not relay a
             # status that tells the caller so.
             return AttemptEnd.BROKEN
         if head.status >= 500:
-            active.failure = (head.status, head.headers, body.ok_value)
+            active.failure = (head.status, head.headers, body)
             return AttemptEnd.SERVER_ERROR
         self._record_first_event(active, placement)
         if active.attempts.has_started_answer:
             return AttemptEnd.BROKEN
         active.attempts.has_started_answer = True
-        await active.responder.answer(head.status, head.headers, body.ok_value)
+        await active.responder.answer(head.status, head.headers, body)
         return AttemptEnd.DELIVERED
 
     async def _relay_events(
@@ -523,14 +527,13 @@
     scope.cancel()
 
 
-async def _read_body(exchange: HttpExchange) -> Result[bytes, HttpFault]:
-    body = bytearray()
+async def _read_body(exchange: HttpExchange, buffer: AnswerBuffer) -> HttpFault | None:
+    """Read the rest of an answer into a buffer; return what prevented that."""
     while True:
         part = await exchange.part()
         if isinstance(part, Err):
-            return part
+            return part.err_value
         if part.ok_value is None:
-            return Ok(bytes(body))
-        body += part.ok_value
-        if len(body) > MAX_ANSWER_BYTES:
-            return Err(HttpFault.WRONG_ANSWER)
+            return None
+        if not buffer.add(part.ok_value):
+            return HttpFault.WRONG_ANSWER
--- a/lentilchute/http/client.py
+++ b/lentilchute/http/client.py
@@ -91,6 +91,8 @@
     body: bytes
 
 
+MAX_INTERIM_ANSWERS = 16
+"""Servers send one or two; more than this is no answer."""
 LARGE_REQUEST_BYTES = 16_384
 """A larger request may not fit into the socket buffers, so its answer can arrive before all of it
 is sent."""
@@ -415,7 +417,7 @@
     async def _read_head(self, connection: _Connection) -> Result[h11.Response, HttpFault]:
         timeout_s = _or_default(self._request.head_timeout_s, self._settings.head_timeout_s)
         deadline_s = trio.current_time() + timeout_s
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._read_event(connection, deadline_s - trio.current_time())
             if isinstance(event, Err):
                 return event
@@ -423,6 +425,7 @@
                 return Ok(event.ok_value)
             if not isinstance(event.ok_value, h11.InformationalResponse):
                 return Err(HttpFault.RESET)
+        return Err(HttpFault.WRONG_ANSWER)
 
     async def _read_event(
         self, connection: _Connection, timeout_s: float
--- a/test/gateway/test_endless_answers.py
+++ b/test/gateway/test_endless_answers.py
@@ -1,12 +1,19 @@
 """Upstreams in trouble that send bytes without end, in a head or a body."""
 
 import itertools
+from contextlib import ExitStack
 
 import pytest
 import trio
 from gateway_samples import upstream_row
 from gateway_world import GatewayWorld, run_world
 
+from lentilchute.gateway.answer_memory import (
+    MAX_ANSWER_BYTES,
+    MAX_BUFFERED_BYTES,
+    SMALL_ANSWER_BYTES,
+    AnswerMemory,
+)
 from lentilchute.http.messages import join_address
 from lentilchute.platform import rows
 
@@ -54,10 +61,11 @@
             return
 
 
-async def replace_upstream(
-    world: GatewayWorld, nursery: trio.Nursery, name: str, kind: str
-) -> None:
-    """List an endless upstream as the only one of its service."""
+async def list_endless_upstream(
+    world: GatewayWorld, nursery: trio.Nursery, kind: str
+) -> EndlessUpstream:
+    """List an endless upstream in place of the only one of its service."""
+    name = "a0"
     endless = EndlessUpstream(*ENDLESS[kind])
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     nursery.start_soon(trio.serve_listeners, endless.serve, listeners)
@@ -71,6 +79,7 @@
             return listing is not None and listing.address == address
 
         await world.until(is_listed)
+    return endless
 
 
 @pytest.mark.parametrize("path", ["/view/1", "/book/1"])
@@ -80,11 +89,31 @@
 
     async def scenario(world: GatewayWorld) -> None:
         async with trio.open_nursery() as nursery:
-            await replace_upstream(world, nursery, "a0", kind)
+            endless = await list_endless_upstream(world, nursery, kind)
             started_s = trio.current_time()
             answer = await world.call(path, method="POST" if "book" in path else "GET")
             assert answer is None or answer.status in (502, 504)
             assert trio.current_time() - started_s < ENDS_WITHIN_S
+            assert max(endless.sent_bytes) <= MAX_SENT_BYTES
             nursery.cancel_scope.cancel()
 
     run_world(scenario, agendas=1, nodes=1)
+
+
+def test_bytes_without_end_do_not_fill_the_memory() -> None:
+    """Guards against bodies that each stay below the bound of an answer, but not all together."""
+    memory = AnswerMemory()
+    part = b"x" * 0x4000
+    with ExitStack() as buffers:
+        endless = [buffers.enter_context(memory.buffer()) for _ in range(20)]
+        has_room = True
+        while has_room:
+            has_room = any(buffer.add(part) for buffer in endless)
+            assert memory.held_bytes <= MAX_BUFFERED_BYTES + len(endless) * SMALL_ANSWER_BYTES
+        with memory.buffer() as sound:
+            assert sound.add(b"y" * SMALL_ANSWER_BYTES), "a small answer has room"
+            assert not sound.add(b"y")
+    assert memory.held_bytes == 0
+    with memory.buffer() as large:
+        assert large.add(b"z" * MAX_ANSWER_BYTES)
+        assert not large.add(b"z")
