--- a/test/gateway/test_crashing_prompts.py
+++ b/test/gateway/test_crashing_prompts.py
@@ -6,7 +6,7 @@
 
 import pytest
 import trio
-from gateway_world import GatewayWorld, run_world
+from gateway_world import GatewayWorld, Node, run_world
 
 from lentilchute.http.messages import header_value
 from lentilchute.platform import headers as names
@@ -142,19 +142,24 @@
     run_world(scenario, drafters=6, nodes=3)
 
 
-@pytest.mark.parametrize("restarted", ["the coordinator", "all other nodes"])
+RESTARTED: dict[str, Callable[[Node], bool]] = {
+    "the coordinator": lambda node: node.node.context.choice.is_coordinator,
+    "all other nodes": lambda node: not node.node.context.choice.is_coordinator,
+    "all nodes": lambda node: True,
+}
+
+
+@pytest.mark.parametrize("restarted", RESTARTED)
 def test_a_node_that_starts_again_learns_which_parts_are_blocked(restarted: str) -> None:
-    """Guards against a node that starts again sending requests to upstreams whose part the other
-    nodes have found to crash them."""
+    """Guards against a node that starts again sending requests to upstreams whose part nodes have
+    found to crash them."""
+    is_restarted = RESTARTED[restarted]
 
     async def scenario(world: GatewayWorld) -> None:
         async with trio.open_nursery() as nursery:
             crashing = CrashingWorld(world, nursery)
             await crashing.block_part()
-            for node in list(world.nodes):
-                is_coordinator = node.node.context.choice.is_coordinator
-                if is_coordinator == (restarted == "the coordinator"):
-                    await world.restart_node(node)
+            await world.restart_nodes([node for node in world.nodes if is_restarted(node)])
             await trio.sleep(NOTICE_WITHIN_S)
             from_s = trio.current_time()
 
--- a/test/gateway/test_upstream_limits.py
+++ b/test/gateway/test_upstream_limits.py
@@ -86,7 +86,7 @@
             nursery.start_soon(call_until, world, trio.current_time() + 11.0)
             await trio.sleep(NOTICE_WITHIN_S + 1.0)
             from_s = trio.current_time()
-            await world.restart_node(coordinator, pause_s=2.5)
+            await world.restart_nodes([coordinator], pause_s=2.5)
         assert coordinator.node.context.choice.is_coordinator
         assert most_in_window(limited, from_s) <= 1.5 * LOW_LIMIT_PER_S * WINDOW_S + 5
 
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -122,13 +122,16 @@
 
         self._nursery.start_soon(run)
 
-    async def restart_node(self, node: Node, pause_s: float = RESTART_PAUSE_S) -> None:
-        """Kill a gateway and start it again at its addresses, with nothing of what it knew."""
-        node.scope.cancel()
+    async def restart_nodes(self, nodes: list[Node], pause_s: float = RESTART_PAUSE_S) -> None:
+        """Kill gateways at once and start them again at their addresses, with nothing of what they
+        knew."""
+        for node in nodes:
+            node.scope.cancel()
         await trio.sleep(pause_s)
-        node.node, node.scope = GatewayNode(node.settings), trio.CancelScope()
-        self._run_node(node)
-        await self.until(lambda: self._sees_peers(node))
+        for node in nodes:
+            node.node, node.scope = GatewayNode(node.settings), trio.CancelScope()
+            self._run_node(node)
+        await self.until(lambda: all(self._sees_peers(node) for node in nodes))
 
     async def call(
         self,
