Keep blocked parts of prompts in the platform's store

Cause: nodes tell each other which parts of prompts crash upstreams; when all end at once, nobody is left to tell, and upstreams pay again for what they had paid for. Class of fault: what must last lived in memory only. Change: the coordinator writes a row when the set of blocked parts changes, with the times of their last crashes by the store's clock, and a node that coordinates after its start reads it once; its digest tells the others.

--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -53,6 +53,8 @@
     """During a planned stop: the time from which new requests are refused."""
     config_listeners: list[Callable[[RoutingConfig], None]] = field(default_factory=list)
     fleet_listeners: list[Callable[[], None]] = field(default_factory=list)
+    blocked_part_listeners: list[Callable[[], None]] = field(default_factory=list)
+    """Called when a part of prompts has been blocked or cleared."""
     coordinator_listeners: list[Callable[[], None]] = field(default_factory=list)
     """Called when the coordinator or the set of peers has changed."""
 
--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -38,7 +38,7 @@
     def adopt_blocked(self, reporter: InstanceId, blocked: tuple[BlockedPart, ...]) -> None:
         """Block what a peer blocks, since this node may not have been told of the crashes."""
         newly_blocked = self._context.prompt_part_guard.adopt(blocked, self._context.now_s())
-        _log_blocked(reporter, newly_blocked)
+        self._announce_blocked(reporter, newly_blocked)
 
     def _on_crash(self, sender: InstanceId, notice: CrashNotice) -> None:
         self._record_crash(sender, notice)
@@ -58,7 +58,7 @@
         incarnation = notice.upstream, notice.started_ms or 0
         for prompt in notice.prompts:
             blocked = self._context.prompt_part_guard.record_crash(incarnation, prompt, now_s)
-            _log_blocked(reporter, blocked, notice.upstream)
+            self._announce_blocked(reporter, blocked, notice.upstream)
 
     def _on_cleared(self, sender: InstanceId, notice: ClearedNotice) -> None:
         self._clear(sender, notice.content, notice.parts)
@@ -77,17 +77,26 @@
                 verdict="cleared",
                 reporter=reporter,
             )
+            self._tell_listeners()
         return is_cleared, cleared_parts
 
+    def _announce_blocked(
+        self,
+        reporter: InstanceId,
+        parts: list[PromptPartId],
+        upstream: UpstreamId | None = None,
+    ) -> None:
+        for part in parts:
+            log_event(
+                Event.POISON_VERDICT,
+                prompt_part=part,
+                verdict="blocked",
+                upstream=upstream,
+                reporter=reporter,
+            )
+        if parts:
+            self._tell_listeners()
 
-def _log_blocked(
-    reporter: InstanceId, parts: list[PromptPartId], upstream: UpstreamId | None = None
-) -> None:
-    for part in parts:
-        log_event(
-            Event.POISON_VERDICT,
-            prompt_part=part,
-            verdict="blocked",
-            upstream=upstream,
-            reporter=reporter,
-        )
+    def _tell_listeners(self) -> None:
+        for listener in self._context.blocked_part_listeners:
+            listener()
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -30,6 +30,7 @@
     leaving_notices,
     peering,
     placement_client,
+    prompt_part_persistence,
     quota_persistence,
     reading,
 )
@@ -54,6 +55,7 @@
     leaving_notices,
     placement_client,
     peering,
+    prompt_part_persistence,
     quota_persistence,
     reading,
 )
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -22,7 +22,15 @@
     ServiceProfile,
     WeightedService,
 )
-from ..ids import AvailabilityZone, ClientAccountId, InstanceId, ServiceName, Tier, UpstreamId
+from ..ids import (
+    AvailabilityZone,
+    ClientAccountId,
+    InstanceId,
+    PromptPartId,
+    ServiceName,
+    Tier,
+    UpstreamId,
+)
 from ..peers.heartbeats import PeerAddress
 
 CONFIG_TABLE = "op"
@@ -36,6 +44,9 @@
 QUOTAS_TABLE = "lentilchute-quotas"
 """The table in which the coordinator stores the quota usage of accounts."""
 QUOTAS_KEY = "used"
+PROMPT_PARTS_TABLE = "lentilchute-prompt-parts"
+"""The table in which the coordinator stores the parts of prompts that crash upstreams."""
+PROMPT_PARTS_KEY = "blocked"
 
 Decoded = TypeVar("Decoded")
 
@@ -93,6 +104,24 @@
     return json.dumps({"at-s": usage.at_s, "used": used}).encode()
 
 
+def decode_blocked_parts(value: bytes) -> Result[dict[PromptPartId, float], str]:
+    """Decode the row with the blocked parts of prompts: the time of each one's last crash, by the
+    store's clock."""
+    return _decode(
+        value,
+        lambda row: {
+            PromptPartId(_string(part)): _number(at_s) for part, at_s in row["parts"].items()
+        },
+    )
+
+
+def encode_blocked_parts(last_crash_s: dict[PromptPartId, float]) -> bytes:
+    """Return the value of the row with the blocked parts of prompts."""
+    return json.dumps(
+        {"parts": {part: round(at_s, 3) for part, at_s in last_crash_s.items()}}
+    ).encode()
+
+
 def encode_node(peers_address: str) -> bytes:
     """Return the value of this node's row."""
     return json.dumps({"peers": peers_address}).encode()
--- a/test/gateway/test_crashing_prompts.py
+++ b/test/gateway/test_crashing_prompts.py
@@ -159,6 +159,7 @@
         async with trio.open_nursery() as nursery:
             crashing = CrashingWorld(world, nursery)
             await crashing.block_part()
+            await trio.sleep(0.3)
             await world.restart_nodes([node for node in world.nodes if is_restarted(node)])
             await trio.sleep(NOTICE_WITHIN_S)
             from_s = trio.current_time()
--- a/test/platform/test_rows.py
+++ b/test/platform/test_rows.py
@@ -8,10 +8,12 @@
 from gateway_samples import config_row
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Err, Ok
 
 from lentilchute.gateway.fleet import UpstreamState
 from lentilchute.gateway.routes import RequestKind
-from lentilchute.ids import ClientAccountId, ServiceName
+from lentilchute.ids import ClientAccountId, PromptPartId, ServiceName
+from lentilchute.platform import rows
 from lentilchute.platform.rows import decode_config, decode_node, decode_upstream, encode_node
 
 UPSTREAM = {
@@ -27,6 +29,14 @@
 }
 
 
+def test_blocked_parts_of_prompts_are_decoded_as_encoded() -> None:
+    last_crash_s = {PromptPartId("5c1e07a2"): 12.5, PromptPartId("bad0"): 3.0}
+    encoded = rows.encode_blocked_parts(last_crash_s)
+    assert rows.decode_blocked_parts(encoded) == Ok(last_crash_s)
+    for spoiled in (b"", b"[]", b"{}", b'{"parts": {"5c1e": "soon"}}', b'{"parts": [1]}'):
+        assert isinstance(rows.decode_blocked_parts(spoiled), Err)
+
+
 def test_a_configuration_is_decoded() -> None:
     config = decode_config(config_row()).unwrap()
     assert config.version == 7
