Notice crashes that end unframed streams

Callers would see: a whole, empty answer in place of a failure, when an upstream that sends streams without length or chunks crashes before the first event; the guard would not learn of the crash, nor of one inside an event. Cause: a stream that ended with its connection counted as whole unless it ended inside an event, and only resets led to the question whether the upstream has crashed. Change: such a stream without any event is broken off, and one that is broken off either way is followed by the same check as a reset. The test's upstream ignores the connection of that check, which came to it as an empty request.

--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -427,6 +427,9 @@
             )
         if not ended.ok_value:
             return AttemptEnd.BROKEN
+        if _is_broken_off(active.relay, exchange):
+            await self._check_crash(active, placement)
+            return AttemptEnd.BROKEN
         self._record_event_gap(
             active, placement, active.relay.relayed_events - first_event, started_s
         )
@@ -448,8 +451,6 @@
         await active.responder.start(head.status, head.headers, events)
 
     async def _end_stream(self, active: ActiveRequest, head: HttpHead) -> AttemptEnd:
-        if active.relay.has_partial_event:
-            return AttemptEnd.BROKEN
         if not active.attempts.has_started_answer:
             await self._send_events(active, head, b"")
         await active.responder.end()
@@ -527,6 +528,13 @@
     scope.cancel()
 
 
+def _is_broken_off(relay: EventRelay, exchange: HttpExchange) -> bool:
+    """Return whether a stream that has ended is incomplete: it ends inside an event, or its
+    connection closed before any."""
+    is_empty = relay.relayed_events == 0 and relay.last_event_id is None
+    return relay.has_partial_event or (is_empty and exchange.ended_with_connection)
+
+
 async def _read_body(exchange: HttpExchange, buffer: AnswerBuffer) -> HttpFault | None:
     """Read the rest of an answer into a buffer; return what prevented that."""
     while True:
--- a/lentilchute/http/client.py
+++ b/lentilchute/http/client.py
@@ -275,6 +275,8 @@
         self._before_first_byte = before_first_byte
         self._connection: _Connection | None = None
         self._idle_timeout_s = client.settings.idle_timeout_s
+        self.ended_with_connection = False
+        """The body had neither length nor chunks, so nothing else shows that it is complete."""
 
     @property
     def is_reused(self) -> bool:
@@ -341,6 +343,7 @@
                         if isinstance(last, Err):
                             return last
                         event = last.ok_value
+                        self.ended_with_connection = True
                     if isinstance(event, h11.EndOfMessage):
                         return Ok(True)
                     if not isinstance(event, h11.Data):
--- a/test/gateway/test_close_delimited_answers.py
+++ b/test/gateway/test_close_delimited_answers.py
@@ -43,6 +43,9 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         request = bytes(await stream.receive_some())
+        if not request:
+            # A node only checks whether the upstream is there.
+            return
         self.requests += 1
         lines = request.split(b"\r\n")
         attempt = next(line for line in lines if line.lower().startswith(b"lentilchute-attempt-id"))
