Move what upstreams say of themselves to a module of its own

forwarder.py had grown by limits; leaving, pauses and limits are applied by upstream_notices.py now.

--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -15,7 +15,7 @@
 from ..http.requests import HttpRequest
 from ..http.responder import Responder
 from ..ids import Tier
-from ..platform.headers import AnswerHeaders, decode_answer, decode_call, upstream_headers
+from ..platform.headers import decode_answer, decode_call, upstream_headers
 from .active_request import ActiveRequest
 from .admission import admit, refuse_if_crashing
 from .answer_memory import AnswerBuffer, AnswerMemory
@@ -24,13 +24,12 @@
 from .context import GatewayContext
 from .crash_reports import CrashReportController
 from .event_relay import EventRelay
-from .leaving_notices import LeavingNoticeController
 from .messages import NOT_MEASURED, CrashedPrompt, CrashNotice
 from .placement_client import PlacementClient
 from .request_log import RequestLog
 from .routes import RequestKind
 from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
-from .upstream_limit import NO_LIMIT
+from .upstream_notices import UpstreamNotices
 
 CRASH_CHECK_TIMEOUT_S = 0.2
 """A live upstream accepts a connection within a few milliseconds; a crashed one refuses it as
@@ -46,8 +45,6 @@
 EXPECTED_TIME_FACTOR = 3.0
 """An attempt waits for the head of an answer at least this many times as long as its placement
 expected, if the deadline allows."""
-MAX_PAUSE_S = 300.0
-"""Longest pause that an upstream is granted at a time; it can ask again."""
 MIN_EVENTS_FOR_GAP = 4
 """Shorter streams give no useful estimate of the time between events."""
 _REFUSAL_CAUSES = {
@@ -70,7 +67,7 @@
         self._context = context
         self._placement_client = context.controller(PlacementClient)
         self._crash_reports = context.controller(CrashReportController)
-        self._leaving_notices = context.controller(LeavingNoticeController)
+        self._notices = UpstreamNotices(context)
         self._last_number = 0
         self._request_log = RequestLog(context)
         self._answer_memory = AnswerMemory()
@@ -313,7 +310,7 @@
         self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
         answer = decode_answer(head.headers)
-        self._apply_notices(active, placement, head.status, answer)
+        self._notices.apply(active, placement, head.status, answer)
         # On a kept connection a second, late answer to an earlier request may come first.
         attempt_id = active.call.headers.attempt_id
         if not answer.belongs_to(attempt_id, must_name=exchange.is_reused):
@@ -327,53 +324,6 @@
             return await self._relay_events(active, placement, exchange, head)
         return await self._relay_complete_answer(active, placement, exchange, head)
 
-    def _apply_notices(
-        self, active: ActiveRequest, placement: Placement, status: int, answer: AnswerHeaders
-    ) -> None:
-        """Apply what an upstream says of itself in any answer: that it leaves, or wants a pause."""
-        listing = placement.listing
-        # Another upstream may answer at an address that is used again.
-        if status != 421:
-            self._apply_limit(active, placement, answer)
-        if answer.is_leaving:
-            self._leaving_notices.announce(listing.upstream, listing.started_ms)
-        if status == 503 and answer.retry_after_s:
-            pause_s = min(answer.retry_after_s, MAX_PAUSE_S)
-            self._context.fleet.pause(listing.upstream, self._context.now_s() + pause_s)
-            self._placement_client.report(active.ticket, placement, pause_s=pause_s)
-            log_event(
-                Event.UPSTREAM_PAUSED,
-                request_id=active.call.log_id,
-                upstream=listing.upstream,
-                pause_s=round(pause_s, 3),
-            )
-
-    def _apply_limit(
-        self, active: ActiveRequest, placement: Placement, answer: AnswerHeaders
-    ) -> None:
-        """Record the limit that an upstream names, or that it no longer names any."""
-        dispatcher = self._context.placements.dispatcher(active.ticket.service)
-        model = dispatcher.model(placement.listing.upstream)
-        if model is None:
-            return
-        known_per_s = model.limit.per_s
-        limit_per_s = answer.limit_per_s
-        if limit_per_s is None:
-            is_own = answer.belongs_to(active.call.headers.attempt_id, must_name=True)
-            is_current = model.limit.was_named_before(active.attempt_started_s)
-            if not (answer.is_signed and is_own and is_current):
-                return
-            limit_per_s = NO_LIMIT
-        self._placement_client.report(active.ticket, placement, limit_per_s=limit_per_s)
-        if model.limit.per_s != known_per_s:
-            log_event(
-                Event.UPSTREAM_LIMITED,
-                request_id=active.call.log_id,
-                upstream=placement.listing.upstream,
-                limit_per_s=model.limit.per_s,
-                coordinator=self._context.choice.coordinator,
-            )
-
     async def _relay_complete_answer(
         self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
     ) -> AttemptEnd:
