--- a/lentilchute/request_timeline.py
+++ b/lentilchute/request_timeline.py
@@ -18,7 +18,7 @@
     "no-configuration": "the node had not received a configuration yet",
     "no-route": "no route of the configuration in force matches its host and path",
     "unknown-key": "its key belongs to no account of the configuration in force",
-    "crashes-upstreams": "it or a part of its prompt was in flight during several crashes of upstreams",
+    "crashes-upstreams": "it or a part of its prompt was in flight at several upstream crashes",
     "over-quota": "its account's quota was used up",
     "stopping": "the node was at the end of a planned stop",
     "no-upstream": "no upstream of its service was known to take work",
