--- a/test/conftest.py
+++ b/test/conftest.py
@@ -36,5 +36,6 @@
     """Print how often each state machine reached its faults and situations."""
     for line in REPORTS:
         terminalreporter.write_line(line)
-    for report in terminalreporter.stats.get("xfailed", []):
-        terminalreporter.write_line(f"known red: {report.nodeid}")
+    for outcome, meaning in (("xfailed", "known red"), ("xpassed", "listed as red, but passes")):
+        for report in terminalreporter.stats.get(outcome, []):
+            terminalreporter.write_line(f"{meaning}: {report.nodeid}")
