Survive a pause of the process while kept connections are swept

Callers saw nothing but a node less: its process ended by itself, and all its requests with it. Class of fault: a check and an act with an await between them. Change: a client is removed only if it is still the one that is kept.

--- a/lentilchute/gateway/upstream_connections.py
+++ b/lentilchute/gateway/upstream_connections.py
@@ -52,7 +52,9 @@
             for key, client in list(self._clients.items()):
                 listing = fleet.listing(key[0])  # type: ignore[arg-type]
                 if listing is None or (listing.started_ms, listing.address) != key[1:]:
-                    del self._clients[key]
+                    # ``close_idle`` may have removed it while an earlier client was closed.
+                    if self._clients.get(key) is client:
+                        del self._clients[key]
                     await client.aclose()
                 else:
                     await client.close_expired()
