--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -12,7 +12,9 @@
 
 LIMITS = Limits(events=3, retry_ratio=0.2, retry_slack=2.0, quotas={"limited": 1_000.0})
 WHOLE_STREAM = b"".join(event(number) for number in (1, 2, 3))
-SEEDS_THAT_FAILED: dict[int, str] = {}
+SEEDS_THAT_FAILED = {
+    5048: "a node ended: its kept connections were swept while its process had been paused",
+}
 """Seeds that once violated a check, with the cause of each."""
 
 
