--- a/lentilchute/gateway/fleet.py
+++ b/lentilchute/gateway/fleet.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..ids import AvailabilityZone, ServiceName, UpstreamId
+from ..ids import AvailabilityZone, ServiceName, SoftwareVersion, UpstreamId
 from .departures import Departures, Incarnation
 
 RELIST_GRACE_S = 2.0
@@ -48,6 +48,7 @@
     state: UpstreamState
     started_ms: int
     """Identifies the incarnation: a different start time under the same id is another one."""
+    version: SoftwareVersion
     sequence: int | None = field(default=None, compare=False)
     """Rises with each report of the incarnation; ``None`` if the row does not say."""
 
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -330,6 +330,7 @@
                 upstream=change.listing.upstream,
                 service=change.listing.service,
                 change=change.kind.value,
+                upstream_version=change.listing.version,
                 version=self._upstreams.copy.version,
             )
         for listener in self._context.fleet_listeners:
--- a/lentilchute/ids.py
+++ b/lentilchute/ids.py
@@ -18,6 +18,13 @@
 UpstreamId = NewType("UpstreamId", str)
 ModelName = NewType("ModelName", str)
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of an upstream's software, not of its model; versions have no order."""
+
+StreamId = NewType("StreamId", str)
+"""Id of the caller's attempt that brought the first event of a stream; later attempts that take the
+stream up name it."""
+
 RequestId = NewType("RequestId", str)
 """``<incarnation>/<sequence>``: identifies the only process that may dispatch the request."""
 
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -9,7 +9,7 @@
     header_value,
     without_headers,
 )
-from ..ids import ClientAccountId, PromptPartId, UpstreamId
+from ..ids import ClientAccountId, PromptPartId, StreamId, UpstreamId
 
 # Names of the platform's headers, in lower case.
 ATTEMPT_ID = "lentilchute-attempt-id"
@@ -22,6 +22,7 @@
 LENGTH_HINT = "lentilchute-length-hint"
 PROMPT_PARTS = "lentilchute-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"
 STAMP = "lentilchute-engine-stamp"
 NOT_EXECUTED = "lentilchute-not-executed"
 LEAVING = "server-leaving"
@@ -64,6 +65,8 @@
     """The caller's estimate; correct in the median, but often far off."""
     resume_after: int | None
     """The caller already has the events up to this id."""
+    resumed_stream: StreamId | None
+    """The stream that the caller takes up, if it names it."""
     shared_prompt_parts: tuple[PromptPartId, ...]
     """The parts of the prompt that other requests may have as well, in order: all but the last."""
 
@@ -110,6 +113,7 @@
         has_token_counts=counts is not None,
         expected_output_tokens=_integer(header_value(headers, LENGTH_HINT)),
         resume_after=_integer(header_value(headers, LAST_EVENT_ID)),
+        resumed_stream=_stream_id(header_value(headers, RESUMES)),
         shared_prompt_parts=_prompt_parts(header_value(headers, PROMPT_PARTS))[:-1],
     )
 
@@ -153,6 +157,10 @@
     )
 
 
+def _stream_id(text: str | None) -> StreamId | None:
+    return StreamId(text.strip()) if text and text.strip() else None
+
+
 def _prompt_parts(text: str | None) -> tuple[PromptPartId, ...]:
     """Return the ids in a list such as ``5c1e07a2:800,91bd3f06:410``."""
     items = (text or "").split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
--- a/test/gateway_samples.py
+++ b/test/gateway_samples.py
@@ -12,6 +12,7 @@
     ClientAccountId,
     IncarnationId,
     ServiceName,
+    SoftwareVersion,
     Tier,
     UpstreamId,
 )
@@ -44,6 +45,7 @@
     slots: int = 4,
     zone: AvailabilityZone = ZONE,
     address: str = "127.0.0.1:9",
+    version: str = "v1",
 ) -> UpstreamListing:
     """Return an upstream's listing."""
     return UpstreamListing(
@@ -54,6 +56,7 @@
         slots=slots,
         state=state,
         started_ms=started_ms,
+        version=SoftwareVersion(version),
     )
 
 
@@ -122,13 +125,20 @@
 
 
 def upstream_row(
-    service: str, address: str, *, state: str = "ready", started_ms: int = 1, slots: int = 4
+    service: str,
+    address: str,
+    *,
+    state: str = "ready",
+    started_ms: int = 1,
+    slots: int = 4,
+    version: str = "v1",
 ) -> bytes:
     """Return an upstream's row in the platform's format."""
     row = {
         "service": service,
         "address": address,
         "zone": "zone-1",
+        "version": version,
         "slots": slots,
         "state": state,
         "cold-remaining-ms": 0,
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -80,7 +80,9 @@
             self.add_node(f"node-{number}")
         await self.until(lambda: all(self._has_full_view(node) for node in self.nodes))
 
-    async def add_upstream(self, name: str, service: str, started_ms: int = 1) -> Upstream:
+    async def add_upstream(
+        self, name: str, service: str, started_ms: int = 1, version: str = "v1"
+    ) -> Upstream:
         """Start an upstream and list it in the store."""
         upstream = Upstream(name, service, RoutedUpstream(name))
         self.upstreams[name] = upstream
@@ -92,16 +94,26 @@
                 await upstream.standin.server().serve(listeners, task_status)
 
         await self._nursery.start(serve)
-        self.list_upstream(name, started_ms=started_ms)
+        self.list_upstream(name, started_ms=started_ms, version=version)
         return upstream
 
     def list_upstream(
-        self, name: str, state: str = "ready", started_ms: int = 1, slots: int = 4
+        self,
+        name: str,
+        state: str = "ready",
+        started_ms: int = 1,
+        slots: int = 4,
+        version: str = "v1",
     ) -> None:
         """Write an upstream's row to the store, as the upstream would."""
         upstream = self.upstreams[name]
         row = upstream_row(
-            upstream.service, upstream.address, state=state, started_ms=started_ms, slots=slots
+            upstream.service,
+            upstream.address,
+            state=state,
+            started_ms=started_ms,
+            slots=slots,
+            version=version,
         )
         self.store.state.put(rows.UPSTREAMS_TABLE, name, row)
 
