Resume a broken answer only at the software version that began it

Cause: the software version in an upstream's row was not part of any choice, so a stream that broke was placed like a new request. Change: the ticket of a stream holds the version of the upstream whose events the caller has; coordinator and node place it at no other, and a node checks what the coordinator chose, which may run an older version of this program. A row without a version names no upstream, as the platform's page has it. A ticket that waits for a version does not hold up tickets that may go elsewhere.

--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -254,6 +254,7 @@
         cost=request.cost,
         is_repeat=request.is_repeat,
         excluded=set(request.excluded),
+        version=request.version,
     )
 
 
--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -185,17 +185,22 @@
     def _has_earlier_waiting(self, ticket: Ticket, now_s: float) -> bool:
         starved = self._shares.starved(now_s)
         order = _order(ticket, starved)
-        return any(_order(each, starved) < order for each in self._waiting)
+        return any(
+            _order(each, starved) < order
+            # A ticket that waits for another version does not hold this one up.
+            and (each.version is None or each.version == ticket.version)
+            for each in self._waiting
+        )
 
     def _has_candidate(self, ticket: Ticket) -> bool:
-        return any(upstream not in ticket.excluded for upstream in self._models)
+        return any(ticket.allows(model.listing) for model in self._models.values())
 
     def _shortest_pause_s(self, ticket: Ticket, now_s: float) -> float:
         """Return how long all upstreams that could take a ticket want no requests."""
         pauses_s = (
             model.pause_left_s(now_s)
-            for upstream, model in self._models.items()
-            if upstream not in ticket.excluded
+            for model in self._models.values()
+            if ticket.allows(model.listing)
         )
         return min(pauses_s, default=0.0)
 
@@ -205,7 +210,7 @@
             for model in self._models.values()
             if model.running(now_s) < model.slots
             and not model.is_blocked(now_s)
-            and model.listing.upstream not in ticket.excluded
+            and ticket.allows(model.listing)
             and model.limit.has_turn(self.share, now_s)
         ]
         if not available:
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -365,6 +365,7 @@
                 return PartResult.STOP
             if not relayed.ok_value:
                 return PartResult.NO_PROGRESS
+            active.ticket.version = placement.listing.version
             active.event_times.record_event(self._context.now_s())
             self._record_first_event(active, placement)
             await self._send_events(active, head, relayed.ok_value)
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -14,6 +14,7 @@
     IncarnationId,
     PromptPartId,
     ServiceName,
+    SoftwareVersion,
     UpstreamId,
 )
 from ..peers.codec import peer_message
@@ -44,6 +45,8 @@
     account: ClientAccountId
     """Empty for a request without an account."""
     cost: float
+    version: SoftwareVersion | None = None
+    """The software version that the upstream must have, if any."""
 
 
 class ReplyState(Enum):
--- a/lentilchute/gateway/placement_client.py
+++ b/lentilchute/gateway/placement_client.py
@@ -166,8 +166,10 @@
             return Refused(RefusalReason(reply.reason), reply.retry_after_s)
         listing = context.fleet.listing(reply.upstream)
         model = context.placements.dispatcher(ticket.service).model(reply.upstream)
-        if listing is None or model is None or listing.started_ms != reply.started_ms:
-            # The coordinator chose an upstream or an incarnation that this node has not read yet.
+        is_known = listing is not None and listing.started_ms == reply.started_ms
+        if listing is None or model is None or not is_known or not ticket.allows(listing):
+            # The coordinator chose an upstream or an incarnation that this node has not read yet,
+            # or runs a version of this program that knows nothing of upstreams' versions.
             number = ticket.key.number
             withdrawal = TicketWithdrawal(context.incarnation, number, ticket.service)
             context.post(context.choice.coordinator, withdrawal)
@@ -204,6 +206,7 @@
             excluded=tuple(ticket.excluded),
             account=ticket.account or ClientAccountId(""),
             cost=ticket.cost,
+            version=ticket.version,
         )
 
     def _on_reply(self, _sender: InstanceId, reply: PlacementReply) -> None:
--- a/lentilchute/gateway/tickets.py
+++ b/lentilchute/gateway/tickets.py
@@ -4,7 +4,15 @@
 from enum import Enum
 from typing import NamedTuple
 
-from ..ids import AvailabilityZone, ClientAccountId, IncarnationId, ServiceName, Tier, UpstreamId
+from ..ids import (
+    AvailabilityZone,
+    ClientAccountId,
+    IncarnationId,
+    ServiceName,
+    SoftwareVersion,
+    Tier,
+    UpstreamId,
+)
 from .fleet import UpstreamListing
 
 
@@ -41,6 +49,15 @@
     """Whether the request was sent to an upstream before; a repeat uses the retry budget."""
     excluded: set[UpstreamId] = field(default_factory=set)
     """Upstreams that the request was sent to before."""
+    version: SoftwareVersion | None = None
+    """The software version that began the stream, at which alone it may go on; ``None`` before its
+    first event."""
+
+    def allows(self, listing: UpstreamListing) -> bool:
+        """Return whether the request may be sent to an upstream."""
+        if listing.upstream in self.excluded:
+            return False
+        return self.version is None or listing.version == self.version
 
 
 class RefusalReason(Enum):
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -202,6 +202,7 @@
   14: list<string> excluded
   15: string account
   16: double cost
+  17: optional string version
 }
 
 struct PlacementReply {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -380,6 +380,7 @@
         14: (TType.LIST, "excluded", TType.STRING, False),
         15: (TType.STRING, "account", False),
         16: (TType.DOUBLE, "cost", False),
+        17: (TType.STRING, "version", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("node", None),
@@ -398,6 +399,7 @@
         ("excluded", None),
         ("account", None),
         ("cost", None),
+        ("version", None),
     ]
 
 
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -226,7 +226,7 @@
         state=_UPSTREAM_STATES[row["state"]],
         # Start time of the upstream; the same id with another start time is another incarnation.
         started_ms=_integer(row.get("born") or 0),
-        version=SoftwareVersion(str(row.get("version") or "")),
+        version=SoftwareVersion(_string(row["version"])),
         sequence=None if row.get("sequence") is None else _integer(row["sequence"]),
     )
 
