Log and count upstreams that a node cannot connect to

Change: an event and a counter for connections that fail, with the time that it took; all connections to upstreams, also the check after a break, are opened in one place, where tests can cut them. No decision has changed.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -74,6 +74,9 @@
         "An upstream named another limit on its requests a second, or none any more; the limit is "
         "empty then.",
     )
+    UPSTREAM_UNREACHABLE = EventInfo(
+        409, "This node could not connect to an upstream, which other nodes may still reach."
+    )
     POISON_VERDICT = EventInfo(
         405,
         "A request's content, or a part of its prompt, was suspected of crashing upstreams, "
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -10,7 +10,6 @@
     HttpFault,
     HttpHead,
     PartResult,
-    open_tcp,
 )
 from ..http.requests import HttpRequest
 from ..http.responder import Responder
@@ -289,6 +288,7 @@
     ) -> AttemptEnd:
         if fault is HttpFault.NOT_SENT:
             if not was_connected:
+                self._request_log.log_unreachable(active, placement)
                 self._placement_client.report(active.ticket, placement, unreachable=True)
             return AttemptEnd.NOT_SENT
         if fault is HttpFault.TIMED_OUT:
@@ -301,7 +301,7 @@
         """Probe the upstream after a broken connection; report a crash if it cannot be reached."""
         try:
             with trio.fail_after(CRASH_CHECK_TIMEOUT_S):
-                stream = await open_tcp(placement.listing.address)
+                stream = await self._context.connections.opener(placement.listing.address)
         except trio.TooSlowError:
             return
         except OSError:
--- a/lentilchute/gateway/metric_names.py
+++ b/lentilchute/gateway/metric_names.py
@@ -15,6 +15,7 @@
     "lentilchute.gateway.store.calls",
     "lentilchute.gateway.coordinator.silences",
     "lentilchute.gateway.crashed_requests",
+    "lentilchute.gateway.unreachable",
 )
 HISTOGRAMS = (
     "lentilchute.gateway.wait.duration",
--- a/lentilchute/gateway/metrics.py
+++ b/lentilchute/gateway/metrics.py
@@ -59,6 +59,10 @@
         """Count a request that was in flight when its upstream crashed."""
         self._add("crashed_requests", (("service", service),))
 
+    def record_unreachable(self, service: ServiceName) -> None:
+        """Count an attempt that ended because this node could not connect to its upstream."""
+        self._add("unreachable", (("service", service),))
+
     def record_coordinator_timeout(self) -> None:
         """Count a request for which the coordinator did not reply in time or declined to decide."""
         self._add("coordinator.silences", ())
--- a/lentilchute/gateway/request_log.py
+++ b/lentilchute/gateway/request_log.py
@@ -90,6 +90,16 @@
             has_begun=active.has_first_event,
         )
 
+    def log_unreachable(self, active: ActiveRequest, placement: Placement) -> None:
+        """Log that this node could not connect to an upstream."""
+        self._context.metrics.record_unreachable(active.ticket.service)
+        log_event(
+            Event.UPSTREAM_UNREACHABLE,
+            request_id=active.call.log_id,
+            upstream=placement.listing.upstream,
+            took_s=round(self._context.now_s() - active.attempt_started_s, 4),
+        )
+
     def log_delivery(self, active: ActiveRequest, placement: Placement) -> None:
         """Log a completely delivered answer."""
         self._context.metrics.record_request(active.ticket.service, "delivered")
--- a/lentilchute/gateway/upstream_connections.py
+++ b/lentilchute/gateway/upstream_connections.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..http.client import HttpClient, HttpClientSettings
+from ..http.client import HttpClient, HttpClientSettings, Opener, open_tcp
 from .fleet import Fleet, UpstreamListing
 
 CONNECT_TIMEOUT_S = 0.4
@@ -34,7 +34,9 @@
 class UpstreamConnections:
     """One HTTP client for each incarnation of an upstream that this node has used."""
 
-    def __init__(self) -> None:
+    def __init__(self, opener: Opener = open_tcp) -> None:
+        self.opener = opener
+        """Opens each new connection to an upstream."""
         self._clients: dict[tuple[str, int, str], HttpClient] = {}
 
     def client(self, listing: UpstreamListing) -> HttpClient:
@@ -42,9 +44,12 @@
         key = (listing.upstream, listing.started_ms, listing.address)
         found = self._clients.get(key)
         if found is None:
-            found = self._clients[key] = HttpClient(listing.address, _SETTINGS)
+            found = self._clients[key] = HttpClient(listing.address, _SETTINGS, self._open)
         return found
 
+    async def _open(self, address: str) -> trio.abc.HalfCloseableStream:
+        return await self.opener(address)
+
     async def run(self, fleet: Fleet) -> None:
         """Close what will not be used again, until cancelled."""
         while True:
