Give the rows of the restored store's test the version that all rows have

Cause: since rows without a software version name no upstream, the state machine of restored stores ran without upstreams, so that two of its planted faults were not found any more and their tests failed; the machine itself passed. Change: its rows hold a version, and the test of malformed rows asks that a row without one yields no upstream. Measured: test_restored_store.py passes, the four planted faults included.

--- a/test/gateway/test_restored_store.py
+++ b/test/gateway/test_restored_store.py
@@ -142,6 +142,7 @@
             "service": "drafters",
             "address": "127.0.0.1:9",
             "zone": "zone-1",
+            "version": "v1",
             "slots": 4,
             "state": state,
             "born": started_ms,
--- a/test/platform/test_rows.py
+++ b/test/platform/test_rows.py
@@ -87,6 +87,8 @@
         {"slots": "12"},
         {"slots": True},
         {"zone": ["a"]},
+        {"version": None},
+        {"version": 2},
     ],
 )
 def test_a_malformed_row_yields_no_upstream(changes: dict[str, Any]) -> None:
