Send requests through peers while a node's own paths to upstreams are lost

Cause: a node could reach upstreams only by connections of its own, and took each one that failed for a dead upstream, which it told all other nodes: the coordinator then placed nothing there, and a reset that was followed by a refusal counted as a crash. Class of fault: what one machine sees of the network is taken for the state of the other side. Change: a connection that fails leads to a peer, which carries the request over the links between nodes, or says that it cannot connect either though it reaches another upstream; only then is the upstream reported as unreachable or crashed. All decisions about the request stay where it arrived. Paths that are lost are probed, and requests take the detour at once until a connection opens again. A peer that is cut off itself or is stopping says so at once. Why it works: callers, peers and the store still reach such a node; any one peer with paths serves them all.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -77,6 +77,10 @@
     UPSTREAM_UNREACHABLE = EventInfo(
         409, "This node could not connect to an upstream, which other nodes may still reach."
     )
+    PATH_LOST = EventInfo(
+        410, "This node cannot connect to an upstream that a peer reaches, and goes through peers."
+    )
+    PATH_BACK = EventInfo(411, "This node can connect to an upstream again.")
     POISON_VERDICT = EventInfo(
         405,
         "A request's content, or a part of its prompt, was suspected of crashing upstreams, "
--- a/lentilchute/gateway/attempts.py
+++ b/lentilchute/gateway/attempts.py
@@ -61,6 +61,10 @@
         """Record that the first byte of an attempt is about to be sent."""
         self.sends += 1
 
+    def take_back_send(self) -> None:
+        """Record that a peer, which was given the request, has not sent any byte of it."""
+        self.sends -= 1
+
     def record_end(self, end: AttemptEnd, now_s: float) -> NextStep:
         """Record the end of an attempt and return the next step.
 
--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -16,6 +16,7 @@
 from .crash_guard import CrashGuard
 from .fleet import Fleet
 from .metrics import GatewayMetrics
+from .path_health import PathHealth
 from .placement_registry import PlacementRegistry
 from .prompt_part_guard import PromptPartGuard
 from .routes import RoutingConfig
@@ -43,6 +44,7 @@
     prompt_part_guard: PromptPartGuard
     metrics: GatewayMetrics
     connections: UpstreamConnections
+    path_health: PathHealth
     started_s: float
     config: RoutingConfig | None = None
     listed_nodes: int | None = None
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -6,7 +6,6 @@
 from ..events import Event, log_event
 from ..http.client import (
     ClientRequest,
-    HttpExchange,
     HttpFault,
     HttpHead,
     PartResult,
@@ -24,12 +23,14 @@
 from .crash_reports import CrashReportController
 from .event_relay import EventRelay
 from .messages import NOT_MEASURED, CrashedPrompt, CrashNotice
+from .path_exchange import PathExchange
 from .placement_client import PlacementClient
 from .request_log import RequestLog
 from .routes import RequestKind
 from .stream_continuity import StreamContinuityController
 from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
 from .upstream_notices import UpstreamNotices
+from .upstream_paths import UpstreamPathController
 
 CRASH_CHECK_TIMEOUT_S = 0.2
 """A live upstream accepts a connection within a few milliseconds; a crashed one refuses it as
@@ -68,6 +69,7 @@
         self._placement_client = context.controller(PlacementClient)
         self._crash_reports = context.controller(CrashReportController)
         self._stream_continuity = context.controller(StreamContinuityController)
+        self._paths = context.controller(UpstreamPathController)
         self._notices = UpstreamNotices(context)
         self._last_number = 0
         self._request_log = RequestLog(context)
@@ -218,13 +220,9 @@
         Returns ``None`` when it went out on a kept connection that failed before any answer: the
         upstream had closed the connection, so the same attempt goes on with a new one.
         """
-        client = self._context.connections.client(placement.listing)
         request = self._upstream_request(active, placement, needs_new=needs_new)
-        was_connected = False
 
         def may_send() -> bool:
-            nonlocal was_connected
-            was_connected = True
             listing = placement.listing
             now_s = self._context.now_s()
             if not self._context.fleet.takes_work(listing.upstream, listing.started_ms, now_s):
@@ -233,12 +231,19 @@
                 active.attempts.record_send()
             return True
 
-        async with client.exchange(request, may_send) as exchange:
+        def take_back() -> None:
+            if not is_again:
+                active.attempts.take_back_send()
+
+        path = self._paths.exchange(placement.listing, request, may_send, take_back)
+        async with path as exchange:
             head = await exchange.head()
             if isinstance(head, Err):
                 if head.err_value is HttpFault.RESET and exchange.is_reused:
                     return None
-                return await self._end_after_fault(active, placement, head.err_value, was_connected)
+                if not exchange.is_connected:
+                    self._record_unreachable(active, placement, is_down=exchange.is_upstream_down)
+                return await self._end_after_fault(active, placement, head.err_value)
             return await self._relay_answer(active, placement, exchange, head.ok_value)
 
     def _upstream_request(
@@ -283,13 +288,17 @@
     def _allows_another_send(self, active: ActiveRequest) -> bool:
         return active.route.is_repeatable and active.attempts.sends + 1 < active.route.max_attempts
 
+    def _record_unreachable(
+        self, active: ActiveRequest, placement: Placement, *, is_down: bool
+    ) -> None:
+        self._request_log.log_unreachable(active, placement, is_down=is_down)
+        if is_down:
+            self._placement_client.report(active.ticket, placement, unreachable=True)
+
     async def _end_after_fault(
-        self, active: ActiveRequest, placement: Placement, fault: HttpFault, was_connected: bool
+        self, active: ActiveRequest, placement: Placement, fault: HttpFault
     ) -> AttemptEnd:
         if fault is HttpFault.NOT_SENT:
-            if not was_connected:
-                self._request_log.log_unreachable(active, placement)
-                self._placement_client.report(active.ticket, placement, unreachable=True)
             return AttemptEnd.NOT_SENT
         if fault is HttpFault.TIMED_OUT:
             return AttemptEnd.TIMED_OUT
@@ -298,13 +307,15 @@
         return AttemptEnd.BROKEN
 
     async def _check_crash(self, active: ActiveRequest, placement: Placement) -> None:
-        """Probe the upstream after a broken connection; report a crash if it cannot be reached."""
+        """Probe the upstream after a broken connection; report a crash if nobody reaches it."""
         try:
             with trio.fail_after(CRASH_CHECK_TIMEOUT_S):
                 stream = await self._context.connections.opener(placement.listing.address)
         except trio.TooSlowError:
             return
         except OSError:
+            if not await self._paths.is_down(placement.listing):
+                return
             self._placement_client.report(active.ticket, placement, unreachable=True)
             self._request_log.log_crash(active, placement)
             self._report_crash(active, placement)
@@ -327,7 +338,7 @@
         )
 
     async def _relay_answer(
-        self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
+        self, active: ActiveRequest, placement: Placement, exchange: PathExchange, head: HttpHead
     ) -> AttemptEnd:
         answer = decode_answer(head.headers)
         self._notices.apply(active, placement, head.status, answer)
@@ -345,13 +356,13 @@
         return await self._relay_complete_answer(active, placement, exchange, head)
 
     async def _relay_complete_answer(
-        self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
+        self, active: ActiveRequest, placement: Placement, exchange: PathExchange, head: HttpHead
     ) -> AttemptEnd:
         """Buffer the whole answer, then relay it."""
         with self._answer_memory.buffer() as buffer:
             fault = await _read_body(exchange, buffer)
             if fault is not None:
-                return await self._end_after_fault(active, placement, fault, was_connected=True)
+                return await self._end_after_fault(active, placement, fault)
             return await self._answer_complete(active, placement, head, bytes(buffer.data))
 
     async def _answer_complete(
@@ -372,7 +383,7 @@
         return AttemptEnd.DELIVERED
 
     async def _relay_events(
-        self, active: ActiveRequest, placement: Placement, exchange: HttpExchange, head: HttpHead
+        self, active: ActiveRequest, placement: Placement, exchange: PathExchange, head: HttpHead
     ) -> AttemptEnd:
         """Relay the events of a stream as they arrive."""
         active.relay.restart_stream()
@@ -393,9 +404,7 @@
 
         ended = await exchange.relay_parts(relay)
         if isinstance(ended, Err):
-            return await self._end_after_fault(
-                active, placement, ended.err_value, was_connected=True
-            )
+            return await self._end_after_fault(active, placement, ended.err_value)
         if not ended.ok_value:
             return AttemptEnd.BROKEN
         if _is_broken_off(active.relay, exchange):
@@ -505,14 +514,14 @@
     scope.cancel()
 
 
-def _is_broken_off(relay: EventRelay, exchange: HttpExchange) -> bool:
+def _is_broken_off(relay: EventRelay, exchange: PathExchange) -> bool:
     """Return whether a stream that has ended is incomplete: it ends inside an event, or its
     connection closed before any."""
     is_empty = relay.relayed_events == 0 and relay.last_event_id is None
     return relay.has_partial_event or (is_empty and exchange.ended_with_connection)
 
 
-async def _read_body(exchange: HttpExchange, buffer: AnswerBuffer) -> HttpFault | None:
+async def _read_body(exchange: PathExchange, buffer: AnswerBuffer) -> HttpFault | None:
     """Read the rest of an answer into a buffer; return what prevented that."""
     while True:
         part = await exchange.part()
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -33,7 +33,9 @@
     prompt_part_persistence,
     quota_persistence,
     reading,
+    relay_service,
     stream_continuity,
+    upstream_paths,
 )
 from .context import GatewayContext, build_controllers
 from .coordination import CoordinatorChoice
@@ -43,9 +45,11 @@
 from .gauges import read_gauges
 from .metric_names import METRICS_PATH, Gauge
 from .metrics import GatewayMetrics
+from .path_health import PathHealth
 from .peering import PeeringController
 from .placement_registry import PlacementRegistry
 from .prompt_part_guard import PromptPartGuard
+from .relay_service import RelayServiceController
 from .routes import RoutingConfig
 from .settings import GatewaySettings
 from .upstream_connections import UpstreamConnections
@@ -59,7 +63,9 @@
     prompt_part_persistence,
     quota_persistence,
     reading,
+    relay_service,
     stream_continuity,
+    upstream_paths,
 )
 """Modules that register peer messages and controllers when they are imported."""
 
@@ -189,15 +195,21 @@
         context.refuses_after_s = stopped_s + MAX_CACHED_LIFETIMES * stop.answer_lifetime_s
         end_s = stopped_s + stop.grace_s * (1 - STOP_MARGIN_SHARE)
         while context.now_s() < end_s:
-            if context.now_s() > context.refuses_after_s and not self._forwarder.in_progress:
+            if context.now_s() > context.refuses_after_s and not self._in_progress:
                 break
             await trio.sleep(STOP_POLL_S)
         log_event(
             Event.NODE_STOPPED,
             instance=context.instance,
-            work_was_cut=self._forwarder.in_progress > 0,
+            work_was_cut=self._in_progress > 0,
         )
 
+    @property
+    def _in_progress(self) -> int:
+        """Requests of callers, and those that are carried for peers."""
+        relays = self.context.controller(RelayServiceController)
+        return self._forwarder.in_progress + relays.in_progress
+
     def _apply_limits(self, config: RoutingConfig) -> None:
         self._callers.settings = _server_settings(config)
 
@@ -258,6 +270,7 @@
         prompt_part_guard=PromptPartGuard(),
         metrics=GatewayMetrics(instance, settings.zone),
         connections=UpstreamConnections(),
+        path_health=PathHealth(),
         started_s=trio.current_time(),
     )
 
--- /dev/null
+++ b/lentilchute/gateway/path_exchange.py
@@ -0,0 +1,125 @@
+"""One exchange with an upstream, over whichever path takes it."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from result import Err, Result
+
+from ..http.client import (
+    BeforeFirstByte,
+    ClientRequest,
+    HttpClient,
+    HttpExchange,
+    HttpFault,
+    HttpHead,
+    PartRelay,
+)
+from ..ids import InstanceId
+from .fleet import UpstreamListing
+from .relay_messages import PathState
+from .relayed_exchange import RelayedExchange
+
+if TYPE_CHECKING:
+    from .upstream_paths import UpstreamPathController
+
+
+class PathExchange:
+    """One request and its answer, with the interface of ``HttpExchange``.
+
+    A connection that fails leads to peers, which are asked to carry the request until one of them
+    can tell what has become of the upstream.
+    """
+
+    def __init__(
+        self,
+        paths: "UpstreamPathController",
+        client: HttpClient,
+        listing: UpstreamListing,
+        request: ClientRequest,
+        before_first_byte: BeforeFirstByte,
+        take_back: Callable[[], None],
+    ) -> None:
+        self._paths = paths
+        self._listing = listing
+        self._request = request
+        self._before_first_byte = before_first_byte
+        self._take_back = take_back
+        self._direct = HttpExchange(client, request, self._may_send_directly)
+        self._used: HttpExchange | RelayedExchange = self._direct
+        self._relay_number: int | None = None
+        self.is_connected = False
+        """This node or a peer had a connection for the request."""
+        self.is_upstream_down = False
+        """Neither this node nor a peer that reaches other upstreams can connect."""
+
+    @property
+    def is_reused(self) -> bool:
+        """Whether the request went out on a connection that carried another one before."""
+        return self._used.is_reused
+
+    @property
+    def ended_with_connection(self) -> bool:
+        """Whether the body had neither length nor chunks."""
+        return self._used.ended_with_connection
+
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        """Send the request and return the head of its answer; call it once."""
+        needs_detour = self._paths.needs_detour(self._listing)
+        if not needs_detour:
+            head = await self._direct.head()
+            if self.is_connected:
+                return head
+        peers = self._paths.helpful_peers(self._listing)
+        for peer in peers:
+            relayed_head = await self._head_through(peer, has_failed=not needs_detour)
+            if relayed_head is not None:
+                return relayed_head
+        if needs_detour:
+            return await self._direct.head()
+        self.is_upstream_down = not peers and not self._paths.has_peers
+        return head
+
+    async def part(self) -> Result[bytes | None, HttpFault]:
+        """Return the next piece of the body, or ``None`` at the regular end of the answer."""
+        return await self._used.part()
+
+    async def relay_parts(self, relay: PartRelay) -> Result[bool, HttpFault]:
+        """Pass each piece of the body to ``relay``; see ``HttpExchange.relay_parts``."""
+        return await self._used.relay_parts(relay)
+
+    async def finish(self) -> None:
+        """Release the connection, or tell the peer that the answer is no longer needed."""
+        self._close_relay()
+        await self._direct.finish()
+
+    def _may_send_directly(self) -> bool:
+        self.is_connected = True
+        if not self._direct.is_reused:
+            self._paths.record_opened(self._listing)
+        return self._before_first_byte()
+
+    async def _head_through(
+        self, peer: InstanceId, *, has_failed: bool
+    ) -> Result[HttpHead, HttpFault] | None:
+        """Return what a peer makes of the request, or ``None`` if it cannot tell."""
+        self._close_relay()
+        if not self._before_first_byte():
+            return Err(HttpFault.NOT_SENT)
+        self._relay_number, relayed = self._paths.open_relay(peer, self._listing, self._request)
+        self._used = relayed
+        head = await relayed.head()
+        is_unsent = isinstance(head, Err) and head.err_value is HttpFault.NOT_SENT
+        self._paths.record_relayed(self._listing, peer, relayed.state, has_failed=has_failed)
+        if not is_unsent:
+            self.is_connected = True
+            return head
+        self._take_back()
+        if relayed.state is PathState.UNKNOWN:
+            return None
+        self.is_upstream_down = relayed.state is PathState.REFUSED
+        return head
+
+    def _close_relay(self) -> None:
+        if self._relay_number is not None:
+            self._paths.close_relay(self._relay_number)
+            self._relay_number = None
--- a/lentilchute/gateway/peering.py
+++ b/lentilchute/gateway/peering.py
@@ -17,7 +17,9 @@
 from .coordinator import CoordinatorController
 from .leaving_notices import LeavingNoticeController
 from .reading import ReadingController
+from .relay_service import RelayServiceController
 from .stream_continuity import StreamContinuityController
+from .upstream_paths import UpstreamPathController
 
 REGISTER_RETRY_S = 0.5
 """Delay before a failed write of this node's row is retried."""
@@ -132,6 +134,10 @@
             )
             controller = self._context.controller(CoordinatorController)
             controller.peer_changed(change.kind, change.info.incarnation)
+            if change.kind in (PeerChangeKind.SUSPECT, PeerChangeKind.GONE):
+                self._context.controller(UpstreamPathController).peer_lost(change.info.instance)
+            if change.kind is PeerChangeKind.GONE:
+                self._context.controller(RelayServiceController).peer_gone(change.info.instance)
             if change.kind is PeerChangeKind.ALIVE:
                 self._context.controller(LeavingNoticeController).repeat_to(change.info.instance)
                 self._context.controller(StreamContinuityController).repeat_to(change.info.instance)
--- a/lentilchute/gateway/request_log.py
+++ b/lentilchute/gateway/request_log.py
@@ -90,13 +90,17 @@
             has_begun=active.has_first_event,
         )
 
-    def log_unreachable(self, active: ActiveRequest, placement: Placement) -> None:
-        """Log that this node could not connect to an upstream."""
+    def log_unreachable(
+        self, active: ActiveRequest, placement: Placement, *, is_down: bool
+    ) -> None:
+        """Log that neither this node nor a peer could connect to an upstream; ``is_down`` says that
+        the peer reaches others."""
         self._context.metrics.record_unreachable(active.ticket.service)
         log_event(
             Event.UPSTREAM_UNREACHABLE,
             request_id=active.call.log_id,
             upstream=placement.listing.upstream,
+            is_down=is_down,
             took_s=round(self._context.now_s() - active.attempt_started_s, 4),
         )
 
--- a/lentilchute/gateway/upstream_connections.py
+++ b/lentilchute/gateway/upstream_connections.py
@@ -47,6 +47,16 @@
             found = self._clients[key] = HttpClient(listing.address, _SETTINGS, self._open)
         return found
 
+    async def can_connect(self, listing: UpstreamListing) -> bool:
+        """Return whether an upstream accepts a connection, which is closed at once."""
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await self.opener(listing.address)
+        except (OSError, trio.TooSlowError):
+            return False
+        await trio.aclose_forcefully(stream)
+        return True
+
     async def _open(self, address: str) -> trio.abc.HalfCloseableStream:
         return await self.opener(address)
 
--- /dev/null
+++ b/lentilchute/gateway/upstream_paths.py
@@ -0,0 +1,239 @@
+"""Controller that sends requests to upstreams, directly or, where the path is lost, through a peer.
+
+A node may lose its paths to some or all upstreams while its callers and its peers still reach it. A
+connection that fails is therefore not taken for a dead upstream: the request goes to a peer, which
+carries it or says that it cannot connect either.
+"""
+
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from ..events import Event, log_event
+from ..http.client import BeforeFirstByte, ClientRequest, HttpFault
+from ..ids import InstanceId
+from ..peers.heartbeats import PeerInfo
+from ..peers.message_dispatch import MessageHandler
+from .context import GatewayContext, gateway_controller
+from .fleet import UpstreamListing
+from .path_exchange import PathExchange
+from .relay_messages import (
+    PathQuestion,
+    PathReply,
+    PathState,
+    RelayCancel,
+    RelayEnd,
+    RelayHead,
+    RelayHeader,
+    RelayPart,
+    RelayRequest,
+)
+from .relay_service import RelayServiceController
+from .relayed_exchange import RelayedExchange, RelayMessage
+
+MAX_DETOURS = 3
+"""Peers that one attempt is sent through in turn, as long as they cannot tell."""
+UNHELPFUL_S = 1.0
+"""A peer that cannot help is not asked again for this long."""
+REPLY_TIMEOUT_S = 0.3
+"""A peer that is not cut off replies within milliseconds."""
+PROBE_INTERVAL_S = 0.5
+"""Interval between probes of lost paths; requests do not try them meanwhile."""
+DEFAULT_TIMEOUT_S = 30.0
+
+
+@dataclass(slots=True)
+class _PendingQuestion:
+    replied: trio.Event = field(default_factory=trio.Event)
+    state: PathState = PathState.UNKNOWN
+
+
+@gateway_controller
+class UpstreamPathController:
+    """Chooses the path of each request, and finds out which paths are lost and back."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        self._relays: dict[int, tuple[InstanceId, RelayedExchange]] = {}
+        self._questions: dict[int, _PendingQuestion] = {}
+        self._unhelpful_until_s: dict[InstanceId, float] = {}
+        # A number of an earlier incarnation must not match.
+        self._last_number = context.rng.getrandbits(40)
+
+    def handlers(self) -> Mapping[type[Any], MessageHandler]:
+        return {
+            PathReply: self._on_reply,
+            RelayHead: self._on_message,
+            RelayPart: self._on_message,
+            RelayEnd: self._on_message,
+        }
+
+    async def run(self) -> None:
+        while True:
+            await trio.sleep(PROBE_INTERVAL_S)
+            await self._probe()
+
+    def peer_lost(self, instance: InstanceId) -> None:
+        """Fail what a peer carries that no longer responds."""
+        for peer, relayed in list(self._relays.values()):
+            if peer == instance:
+                relayed.fail(HttpFault.RESET)
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        listing: UpstreamListing,
+        request: ClientRequest,
+        before_first_byte: BeforeFirstByte,
+        take_back: Callable[[], None],
+    ) -> AsyncIterator[PathExchange]:
+        """Start an exchange with an upstream.
+
+        ``take_back`` is called when a request has been given to a peer, which then could not send
+        it.
+        """
+        client = self._context.connections.client(listing)
+        exchange = PathExchange(self, client, listing, request, before_first_byte, take_back)
+        try:
+            yield exchange
+        finally:
+            await exchange.finish()
+
+    async def is_down(self, listing: UpstreamListing) -> bool:
+        """Return whether an upstream to which this node cannot connect has ended, as far as peers
+        can tell."""
+        for peer in self.helpful_peers(listing):
+            state = await self._ask(peer, listing)
+            if state is PathState.OPEN:
+                self._record_lost(listing, peer)
+            if state is not PathState.UNKNOWN:
+                return state is PathState.REFUSED
+            self._mark_unhelpful(peer)
+        service = self._context.controller(RelayServiceController)
+        return await service.state_after_failure(listing) is PathState.REFUSED
+
+    @property
+    def has_peers(self) -> bool:
+        """Whether any other node is alive."""
+        return len(self._context.membership.alive(self._context.now_s())) > 1
+
+    def needs_detour(self, listing: UpstreamListing) -> bool:
+        """Return whether a request had better go through a peer."""
+        return self._context.path_health.needs_detour(listing.upstream)
+
+    def record_opened(self, listing: UpstreamListing) -> None:
+        """Record a new connection of this node to an upstream."""
+        self._context.path_health.record_opened(listing.upstream)
+
+    def helpful_peers(self, listing: UpstreamListing) -> list[InstanceId]:
+        """Return the live peers that may reach an upstream, those in its zone first."""
+        context, now_s = self._context, self._context.now_s()
+
+        def is_helpful(info: PeerInfo) -> bool:
+            return now_s >= self._unhelpful_until_s.get(info.instance, 0.0)
+
+        alive = context.membership.alive(now_s)
+        peers = [info for info in alive if info.instance != context.instance and is_helpful(info)]
+        context.rng.shuffle(peers)
+        peers.sort(key=lambda info: info.zone != listing.zone)
+        return [info.instance for info in peers[:MAX_DETOURS]]
+
+    def open_relay(
+        self, peer: InstanceId, listing: UpstreamListing, request: ClientRequest
+    ) -> tuple[int, RelayedExchange]:
+        """Give a request to a peer; return the number of the exchange and its near end."""
+        self._last_number += 1
+        head_timeout_s = _or_default(request.head_timeout_s)
+        read_timeout_s = _or_default(request.read_timeout_s)
+        relayed = RelayedExchange(head_timeout_s, read_timeout_s)
+        self._relays[self._last_number] = peer, relayed
+        message = RelayRequest(
+            number=self._last_number,
+            upstream=listing.upstream,
+            started_ms=listing.started_ms,
+            method=request.method,
+            path=request.path,
+            headers=tuple(RelayHeader(name, value) for name, value in request.headers),
+            body=request.body,
+            head_timeout_s=head_timeout_s,
+            read_timeout_s=read_timeout_s,
+            needs_new_connection=request.needs_new_connection,
+        )
+        self._context.post(peer, message)
+        return self._last_number, relayed
+
+    def close_relay(self, number: int) -> None:
+        """End an exchange, and with it the peer's work for it."""
+        peer, relayed = self._relays.pop(number)
+        if not relayed.is_over:
+            self._context.post(peer, RelayCancel(number))
+
+    def record_relayed(
+        self, listing: UpstreamListing, peer: InstanceId, state: PathState, *, has_failed: bool
+    ) -> None:
+        """Record what a peer found of an upstream; ``has_failed`` says that this node's own
+        connection to it failed just before."""
+        if state is PathState.UNKNOWN:
+            self._mark_unhelpful(peer)
+        elif state is PathState.OPEN and has_failed:
+            self._record_lost(listing, peer)
+        elif state is PathState.REFUSED:
+            self._context.path_health.forget(listing.upstream)
+
+    def _record_lost(self, listing: UpstreamListing, peer: InstanceId) -> None:
+        health = self._context.path_health
+        if listing.upstream not in health.lost:
+            log_event(Event.PATH_LOST, upstream=listing.upstream, through=peer)
+        health.record_lost(listing.upstream)
+
+    def _mark_unhelpful(self, peer: InstanceId) -> None:
+        self._unhelpful_until_s[peer] = self._context.now_s() + UNHELPFUL_S
+
+    async def _ask(self, peer: InstanceId, listing: UpstreamListing) -> PathState:
+        self._last_number += 1
+        number = self._last_number
+        pending = self._questions[number] = _PendingQuestion()
+        self._context.post(peer, PathQuestion(number, listing.upstream, listing.started_ms))
+        try:
+            with trio.move_on_after(REPLY_TIMEOUT_S):
+                await pending.replied.wait()
+        finally:
+            del self._questions[number]
+        return pending.state
+
+    async def _probe(self) -> None:
+        """Try lost paths until one is still lost; try any other if all may be."""
+        context, health = self._context, self._context.path_health
+        for upstream in health.lost:
+            listing = context.fleet.listing(upstream)
+            if listing is None:
+                health.forget(upstream)
+            elif await context.connections.can_connect(listing):
+                log_event(Event.PATH_BACK, upstream=upstream)
+                health.record_opened(upstream)
+            else:
+                health.postpone(upstream)
+                break
+        others = [item for item in context.fleet.listed() if item.upstream not in health.lost]
+        if health.is_cut_off and others:
+            other = context.rng.choice(others)
+            if await context.connections.can_connect(other):
+                health.record_opened(other.upstream)
+
+    def _on_reply(self, _sender: InstanceId, reply: PathReply) -> None:
+        pending = self._questions.get(reply.number)
+        if pending is not None:
+            pending.state = reply.state
+            pending.replied.set()
+
+    def _on_message(self, sender: InstanceId, message: RelayMessage) -> None:
+        peer, relayed = self._relays.get(message.number, (None, None))
+        if relayed is not None and peer == sender:
+            relayed.receive(message)
+
+
+def _or_default(timeout_s: float | None) -> float:
+    return DEFAULT_TIMEOUT_S if timeout_s is None else timeout_s
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -372,6 +372,61 @@
   3: double complete_for_s
 }
 
+struct PathQuestion {
+  1: i64 number
+  2: string upstream
+  3: i64 started_ms
+}
+
+struct PathReply {
+  1: i64 number
+  2: string state
+}
+
+struct RelayHeader {
+  1: string name
+  2: string value
+}
+
+struct RelayRequest {
+  1: i64 number
+  2: string upstream
+  3: i64 started_ms
+  4: string method
+  5: string path
+  6: list<RelayHeader> headers
+  7: binary body
+  8: double head_timeout_s
+  9: double read_timeout_s
+  10: bool needs_new_connection
+}
+
+struct RelayHead {
+  1: i64 number
+  2: i32 status
+  3: list<RelayHeader> headers
+  4: bool is_reused
+}
+
+struct RelayPart {
+  1: i64 number
+  2: i64 index
+  3: binary data
+}
+
+struct RelayEnd {
+  1: i64 number
+  2: i64 parts
+  3: string fault
+  4: string state
+  5: bool is_reused
+  6: bool ended_with_connection
+}
+
+struct RelayCancel {
+  1: i64 number
+}
+
 struct PeerMessage {
   1: optional Submit submit
   2: optional Withdraw withdraw
@@ -404,6 +459,13 @@
   29: optional ConfigRelay config_relay
   30: optional StreamNotice stream_notice
   31: optional StreamQuestion stream_question
+  32: optional PathQuestion path_question
+  33: optional PathReply path_reply
+  34: optional RelayRequest relay_request
+  35: optional RelayHead relay_head
+  36: optional RelayPart relay_part
+  37: optional RelayEnd relay_end
+  38: optional RelayCancel relay_cancel
 }
 
 struct Hello {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -731,6 +731,114 @@
     ]
 
 
+class PathQuestion(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.STRING, "upstream", False),
+        3: (TType.I64, "started_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("number", None),
+        ("upstream", None),
+        ("started_ms", None),
+    ]
+
+
+class PathReply(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.STRING, "state", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("number", None), ("state", None)]
+
+
+class RelayHeader(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "name", False),
+        2: (TType.STRING, "value", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("name", None), ("value", None)]
+
+
+class RelayRequest(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.STRING, "upstream", False),
+        3: (TType.I64, "started_ms", False),
+        4: (TType.STRING, "method", False),
+        5: (TType.STRING, "path", False),
+        6: (TType.LIST, "headers", (TType.STRUCT, RelayHeader), False),
+        7: (TType.BINARY, "body", False),
+        8: (TType.DOUBLE, "head_timeout_s", False),
+        9: (TType.DOUBLE, "read_timeout_s", False),
+        10: (TType.BOOL, "needs_new_connection", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("number", None),
+        ("upstream", None),
+        ("started_ms", None),
+        ("method", None),
+        ("path", None),
+        ("headers", None),
+        ("body", None),
+        ("head_timeout_s", None),
+        ("read_timeout_s", None),
+        ("needs_new_connection", None),
+    ]
+
+
+class RelayHead(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.I32, "status", False),
+        3: (TType.LIST, "headers", (TType.STRUCT, RelayHeader), False),
+        4: (TType.BOOL, "is_reused", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("number", None),
+        ("status", None),
+        ("headers", None),
+        ("is_reused", None),
+    ]
+
+
+class RelayPart(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.I64, "index", False),
+        3: (TType.BINARY, "data", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("number", None),
+        ("index", None),
+        ("data", None),
+    ]
+
+
+class RelayEnd(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.I64, "parts", False),
+        3: (TType.STRING, "fault", False),
+        4: (TType.STRING, "state", False),
+        5: (TType.BOOL, "is_reused", False),
+        6: (TType.BOOL, "ended_with_connection", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("number", None),
+        ("parts", None),
+        ("fault", None),
+        ("state", None),
+        ("is_reused", None),
+        ("ended_with_connection", None),
+    ]
+
+
+class RelayCancel(Struct):
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {1: (TType.I64, "number", False)}
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("number", None)]
+
+
 class PeerMessage(Struct):
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "submit", Submit, False),
@@ -764,6 +872,13 @@
         29: (TType.STRUCT, "config_relay", ConfigRelay, False),
         30: (TType.STRUCT, "stream_notice", StreamNotice, False),
         31: (TType.STRUCT, "stream_question", StreamQuestion, False),
+        32: (TType.STRUCT, "path_question", PathQuestion, False),
+        33: (TType.STRUCT, "path_reply", PathReply, False),
+        34: (TType.STRUCT, "relay_request", RelayRequest, False),
+        35: (TType.STRUCT, "relay_head", RelayHead, False),
+        36: (TType.STRUCT, "relay_part", RelayPart, False),
+        37: (TType.STRUCT, "relay_end", RelayEnd, False),
+        38: (TType.STRUCT, "relay_cancel", RelayCancel, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("submit", None),
@@ -797,6 +912,13 @@
         ("config_relay", None),
         ("stream_notice", None),
         ("stream_question", None),
+        ("path_question", None),
+        ("path_reply", None),
+        ("relay_request", None),
+        ("relay_head", None),
+        ("relay_part", None),
+        ("relay_end", None),
+        ("relay_cancel", None),
     ]
 
 
