--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -27,6 +27,7 @@
 NOT_EXECUTED = "lentilchute-not-executed"
 LEAVING = "server-leaving"
 REQUEST_LIMIT = "server-limit"
+BRITTLE_LIMIT = "server-brittle"
 
 MAX_PROMPT_PARTS = 64
 """Parts beyond these of a prompt are ignored; prompts have a few."""
--- a/lentilchute/standins/routed_upstream.py
+++ b/lentilchute/standins/routed_upstream.py
@@ -13,6 +13,8 @@
 from ..platform import headers as names
 
 DRIP_PAUSE_S = 0.2
+DOWN_S = 1.0
+"""Time for which an upstream that fell over is away."""
 
 
 @dataclass(slots=True)
@@ -40,6 +42,10 @@
     """Named in every answer as the requests a second that the upstream takes."""
     says_leaving: bool = False
     """Announce the leaving in every answer."""
+    room: int | None = None
+    """Requests that fit; further ones are shed."""
+    brittle_limit: int | None = None
+    """Named in every answer; the upstream falls over when it sheds more than this in a second."""
     omits_signature: bool = False
     wrong_id: bool = False
     crashing_part: str = ""
@@ -60,6 +66,10 @@
     received_s: list[float] = field(default_factory=list)
     """When each of these arrived."""
     running: int = 0
+    falls_s: list[float] = field(default_factory=list)
+    """When the upstream fell over."""
+    shed_s: list[float] = field(default_factory=list)
+    """When it shed requests for want of room, since it fell over last."""
     on_crash: Callable[[], None] | None = None
     """Ends the process; the stand-in only says when."""
 
@@ -75,7 +85,10 @@
         if header_value(request.headers, names.EXPECTED_UPSTREAM) != self.upstream:
             await responder.answer(421, ((names.UPSTREAM_ID, self.upstream), *self._notices()), b"")
             return
-        if self.behaviour.sheds:
+        if self._is_down():
+            responder.abort()
+            return
+        if self.behaviour.sheds or self._lacks_room():
             await responder.answer(503, ((names.NOT_EXECUTED, "1"), *self._notices()), b"")
             return
         self.runs[attempt] += 1
@@ -87,6 +100,20 @@
             if request.caller_gone.is_set():
                 self.abandoned.append(attempt)
 
+    def _is_down(self) -> bool:
+        return bool(self.falls_s) and trio.current_time() < self.falls_s[-1] + DOWN_S
+
+    def _lacks_room(self) -> bool:
+        """Return whether a request does not fit; falls over after too many of them."""
+        behaviour, now_s = self.behaviour, trio.current_time()
+        if behaviour.room is None or self.running < behaviour.room:
+            return False
+        self.shed_s = [at_s for at_s in self.shed_s if at_s > now_s - 1.0] + [now_s]
+        if behaviour.brittle_limit is not None and len(self.shed_s) > behaviour.brittle_limit:
+            self.falls_s.append(now_s)
+            self.shed_s.clear()
+        return True
+
     async def _run(self, request: HttpRequest, responder: Responder, attempt: str) -> None:
         behaviour = self.behaviour
         if behaviour.drops_answer:
@@ -114,6 +141,8 @@
             notices.append((names.LEAVING, "1"))
         if behaviour.limit_per_s is not None:
             notices.append((names.REQUEST_LIMIT, f"{behaviour.limit_per_s:g}"))
+        if behaviour.brittle_limit is not None:
+            notices.append((names.BRITTLE_LIMIT, str(behaviour.brittle_limit)))
         if behaviour.sheds and behaviour.retry_after_s is not None:
             notices.append((RETRY_AFTER_HEADER, f"{behaviour.retry_after_s:g}"))
         return tuple(notices)
