Leave room at brittle upstreams, and pause one that turned a request away

Cause: what upstreams say of being brittle was an unknown header. Nodes that decide by themselves each fill all slots, so that together they press an upstream until it falls over. Change: the word is passed on to the coordinator with each first answer in a second. A brittle upstream keeps an eighth of its slots free, at least one, and a node that decides for a part of all uses that part of its slots; one that turned a request away is sent nothing for a second, through the pauses that upstreams ask for already.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -77,6 +77,9 @@
     UPSTREAM_UNREACHABLE = EventInfo(
         409, "This node could not connect to an upstream, which other nodes may still reach."
     )
+    UPSTREAM_BRITTLE = EventInfo(
+        412, "An upstream says that it falls over when it has to turn away many requests."
+    )
     PATH_LOST = EventInfo(
         410, "This node cannot connect to an upstream that a peer reaches, and goes through peers."
     )
--- a/lentilchute/gateway/dispatcher.py
+++ b/lentilchute/gateway/dispatcher.py
@@ -208,7 +208,7 @@
         available = [
             model
             for model in self._models.values()
-            if model.running(now_s) < model.slots
+            if model.has_room(self.share, now_s)
             and not model.is_blocked(now_s)
             and ticket.allows(model.listing)
             and model.limit.has_turn(self.share, now_s)
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -102,6 +102,8 @@
     limit_per_s: float | None = None
     """Requests a second that the upstream takes, infinite if it lifted its limit; ``None`` if it
     said nothing new."""
+    is_brittle: bool | None = None
+    """The upstream said that it falls over when it has to turn requests away."""
 
 
 @peer_message("ticket_withdrawal")
--- a/lentilchute/gateway/placement_client.py
+++ b/lentilchute/gateway/placement_client.py
@@ -91,6 +91,7 @@
         unreachable: bool = False,
         pause_s: float = NOT_MEASURED,
         limit_per_s: float | None = None,
+        is_brittle: bool | None = None,
     ) -> None:
         """Record the progress of a request locally and queue a report to the coordinator."""
         report = Report(
@@ -104,6 +105,7 @@
             unreachable=unreachable,
             pause_s=pause_s,
             limit_per_s=limit_per_s,
+            is_brittle=is_brittle,
         )
         context = self._context
         context.placements.record_report(context.incarnation, report, context.now_s())
--- a/lentilchute/gateway/placement_registry.py
+++ b/lentilchute/gateway/placement_registry.py
@@ -151,6 +151,8 @@
             model.pause(now_s + report.pause_s * (1 + PAUSE_JITTER * self._rng.random()))
         if report.limit_per_s is not None:
             model.limit.record(report.limit_per_s, now_s)
+        if report.is_brittle:
+            model.record_brittle(now_s)
         if report.ended:
             model.remove_request(key)
 
--- a/lentilchute/gateway/upstream_model.py
+++ b/lentilchute/gateway/upstream_model.py
@@ -33,6 +33,13 @@
 each failure."""
 
 
+BRITTLE_MEMORY_S = 3.0
+"""An upstream that has not said for this long that it is brittle is sound again."""
+BRITTLE_MARGIN_SHARE = 1 / 8
+"""Part of its slots that a brittle upstream keeps free, at least one: requests whose callers have
+left, and new connections, may hold slots that are not counted here."""
+
+
 @dataclass(slots=True)
 class RunningRequest:
     """A request in flight at the upstream."""
@@ -57,6 +64,7 @@
         self._blocked_until_s = float("-inf")
         self._block_s = INITIAL_BLOCK_S
         self._paused_until_s = float("-inf")
+        self._brittle_s = float("-inf")
         self._estimates: list[UpstreamEstimate] = []
         self._estimated_s = float("-inf")
         self._failure_rate = 0.0
@@ -81,6 +89,23 @@
         reported = self._digest.running if self._digest and self._counts_are_fresh(now_s) else 0
         return max(len(self.requests), reported)
 
+    def record_brittle(self, now_s: float) -> None:
+        """Record that the upstream says that it falls over when it has to turn requests away."""
+        self._brittle_s = now_s
+
+    def brittle_for_s(self, now_s: float) -> float:
+        """Return the time since the upstream said so last."""
+        return now_s - self._brittle_s
+
+    def has_room(self, share: float, now_s: float) -> bool:
+        """Return whether another request fits, for a node that decides for a share of all."""
+        if self.running(now_s) >= self.slots:
+            return False
+        if self.brittle_for_s(now_s) >= BRITTLE_MEMORY_S:
+            return True
+        usable = self.slots - max(1, int(self.slots * BRITTLE_MARGIN_SHARE))
+        return len(self.requests) < max(1, int(usable * share))
+
     def backlog_tokens(self, now_s: float) -> int:
         """Return the prompt tokens that the upstream has yet to process."""
         reported = (
--- a/lentilchute/gateway/upstream_notices.py
+++ b/lentilchute/gateway/upstream_notices.py
@@ -8,10 +8,16 @@
 from .placement_client import PlacementClient
 from .tickets import Placement
 from .upstream_limit import NO_LIMIT
+from .upstream_model import BRITTLE_MEMORY_S
 
 MAX_PAUSE_S = 300.0
 """Longest pause that an upstream is granted at a time; it can ask again."""
 
+BRITTLE_PAUSE_S = 1.0
+"""A brittle upstream counts the requests that it turns away in any second."""
+BRITTLE_REPORT_INTERVAL_S = 1.0
+"""Interval at which the coordinator is told again that an upstream is brittle."""
+
 
 class UpstreamNotices:
     """Notices of leaving, pauses and limits, for this node and by its reports for the fleet."""
@@ -31,6 +37,8 @@
             self._apply_limit(active, placement, answer)
         if answer.is_leaving:
             self._leaving_notices.announce(listing.upstream, listing.started_ms)
+        if status != 421 and answer.brittle_limit is not None:
+            self._apply_brittleness(active, placement, answer)
         if status == 503 and answer.retry_after_s:
             self._apply_pause(active, placement, answer.retry_after_s)
 
@@ -48,6 +56,27 @@
             pause_s=round(pause_s, 3),
         )
 
+    def _apply_brittleness(
+        self, active: ActiveRequest, placement: Placement, answer: AnswerHeaders
+    ) -> None:
+        """Leave room at an upstream that is brittle, and send it nothing for the rest of a second
+        in which it had to turn a request away."""
+        dispatcher = self._context.placements.dispatcher(active.ticket.service)
+        model = dispatcher.model(placement.listing.upstream)
+        if model is not None:
+            silence_s = model.brittle_for_s(self._context.now_s())
+            if silence_s >= BRITTLE_REPORT_INTERVAL_S:
+                self._placement_client.report(active.ticket, placement, is_brittle=True)
+            if silence_s >= BRITTLE_MEMORY_S:
+                log_event(
+                    Event.UPSTREAM_BRITTLE,
+                    request_id=active.call.log_id,
+                    upstream=placement.listing.upstream,
+                    brittle_limit=answer.brittle_limit,
+                )
+        if answer.is_not_executed:
+            self._apply_pause(active, placement, BRITTLE_PAUSE_S)
+
     def _apply_limit(
         self, active: ActiveRequest, placement: Placement, answer: AnswerHeaders
     ) -> None:
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -232,6 +232,7 @@
   8: bool unreachable
   9: double pause_s
   10: optional double limit_per_s
+  11: optional bool is_brittle
 }
 
 struct TicketWithdrawal {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -448,6 +448,7 @@
         8: (TType.BOOL, "unreachable", False),
         9: (TType.DOUBLE, "pause_s", False),
         10: (TType.DOUBLE, "limit_per_s", False),
+        11: (TType.BOOL, "is_brittle", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("number", None),
@@ -460,6 +461,7 @@
         ("unreachable", None),
         ("pause_s", None),
         ("limit_per_s", None),
+        ("is_brittle", None),
     ]
 
 
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -89,6 +89,8 @@
     """How long the upstream wants no requests from this node, if its status is 503."""
     limit_per_s: float | None
     """Requests a second that the upstream takes at present, from all nodes together."""
+    brittle_limit: int | None
+    """The upstream falls over when it has to turn away more requests than this in a second."""
 
     def belongs_to(self, attempt_id: str, *, must_name: bool) -> bool:
         """Return whether this is the answer to a request, as far as its headers tell.
@@ -155,6 +157,7 @@
         is_leaving=header_value(headers, LEAVING) == "1",
         retry_after_s=_decimal(header_value(headers, http_messages.RETRY_AFTER_HEADER)),
         limit_per_s=_decimal(header_value(headers, REQUEST_LIMIT)),
+        brittle_limit=_integer(header_value(headers, BRITTLE_LIMIT)),
     )
 
 
