Let callers that name no stream take it up while upstreams are alike

Callers would see: streams that they take up refused, for half a minute after the nodes have started and while the store is down, if they do not name the stream. Cause: the proof that a service has had a single version, which covers named streams whose node forgot them, was asked for these too, although no node can ever tell more about them. Change: they go on if one version is listed and none has gone that this node or a peer saw, and are refused otherwise. Measured: the new test fails without the change and passes with it, as do the others of stream versions.

--- a/lentilchute/gateway/stream_continuity.py
+++ b/lentilchute/gateway/stream_continuity.py
@@ -109,7 +109,13 @@
         found = None if stream is None else self._origins.find(stream, self._context.now_s())
         if found is not None:
             return found
-        version = self._only_version(service)
+        if stream is None:
+            # Nobody can tell about a stream that its caller does not name, so that more certainty
+            # would refuse all of them after each start and during each outage of the store.
+            now_s = self._context.now_s()
+            version = self._versions.only_version(service, now_s, needs_certainty=False)
+        else:
+            version = self._only_version(service)
         return None if version is None else StreamOrigin(service, version)
 
     def _only_version(self, service: ServiceName) -> SoftwareVersion | None:
--- a/lentilchute/gateway/version_history.py
+++ b/lentilchute/gateway/version_history.py
@@ -59,10 +59,16 @@
         if self._complete_since_s is not None:
             self._complete_since_s = min(self._complete_since_s, now_s - complete_for_s)
 
-    def only_version(self, service: ServiceName, now_s: float) -> SoftwareVersion | None:
+    def only_version(
+        self, service: ServiceName, now_s: float, *, needs_certainty: bool = True
+    ) -> SoftwareVersion | None:
         """Return the version that began all streams of a service that may still go on, or ``None``
-        if there may be several."""
-        if self.complete_for_s(now_s) < STREAM_LIFETIME_S:
+        if there may be several.
+
+        Without ``needs_certainty`` a version that went before anybody followed the service is left
+        out of account.
+        """
+        if needs_certainty and self.complete_for_s(now_s) < STREAM_LIFETIME_S:
             return None
         recent = {
             origin for origin, gone_s in self._gone_s.items() if now_s - gone_s < STREAM_LIFETIME_S
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -56,6 +56,18 @@
     return 0 if answer is None else answer.status
 
 
+async def take_up_unnamed(world: GatewayWorld, node: int) -> int:
+    """Take a stream up as a caller that does not name it, and return the answer's status."""
+    answer = await world.call(
+        "/drafts/1",
+        node,
+        method="POST",
+        tokens=TOKENS,
+        headers=((names.LAST_EVENT_ID, str(BEGUN_EVENTS)),),
+    )
+    return 0 if answer is None else answer.status
+
+
 def versions_of(world: GatewayWorld, stream: str) -> set[SoftwareVersion]:
     """Return the versions of the upstreams that a stream's requests reached."""
     listings = {
@@ -191,3 +203,15 @@
         assert await take_all_up(world, streams, [1, 2]) == STREAMS
 
     run_world(scenario, nodes=3)
+
+
+def test_a_stream_that_its_caller_does_not_name_goes_on_while_upstreams_are_alike() -> None:
+    """Guards against refusing callers that name no stream after each start of the nodes, and
+    against a guess for them where versions differ."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        assert await take_up_unnamed(world, 0) == 200
+        await add_new_version(world)
+        assert await take_up_unnamed(world, 0) == 503
+
+    run_world(scenario, nodes=3)
