Take the detour only while nothing can be reached, and blame an upstream at once otherwise

Cause: the first form of the detour asked a peer after any failed connection. A request to an upstream that had fallen silent then cost one time limit at its node and one or two more at the peer before it went elsewhere, and two nodes that had lost the path to the same upstream confirmed to each other that it had ended. Change: a node counts as cut off when connections to two upstreams have failed and none was opened meanwhile. Until then a failed connection is handled as before; from then on requests go through peers, and peers that are cut off say so at once. Probes try one upstream that failed and another one. The peer's connections that tell a dead upstream from a lost path are opened at the same time.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -80,10 +80,10 @@
     UPSTREAM_BRITTLE = EventInfo(
         412, "An upstream says that it falls over when it has to turn away many requests."
     )
-    PATH_LOST = EventInfo(
-        410, "This node cannot connect to an upstream that a peer reaches, and goes through peers."
+    PATHS_LOST = EventInfo(
+        410, "This node seems to have lost its paths to all upstreams; requests go through peers."
     )
-    PATH_BACK = EventInfo(411, "This node can connect to an upstream again.")
+    PATHS_BACK = EventInfo(411, "This node can connect to upstreams again.")
     POISON_VERDICT = EventInfo(
         405,
         "A request's content, or a part of its prompt, was suspected of crashing upstreams, "
--- a/lentilchute/gateway/path_exchange.py
+++ b/lentilchute/gateway/path_exchange.py
@@ -26,8 +26,8 @@
 class PathExchange:
     """One request and its answer, with the interface of ``HttpExchange``.
 
-    A connection that fails leads to peers, which are asked to carry the request until one of them
-    can tell what has become of the upstream.
+    While this node seems to be cut off from all upstreams, peers are asked in turn to carry the
+    request, until one of them can tell what has become of its upstream.
     """
 
     def __init__(
@@ -50,7 +50,7 @@
         self.is_connected = False
         """This node or a peer had a connection for the request."""
         self.is_upstream_down = False
-        """Neither this node nor a peer that reaches other upstreams can connect."""
+        """Nobody who reaches other upstreams can connect, as far as this node knows."""
 
     @property
     def is_reused(self) -> bool:
@@ -64,20 +64,20 @@
 
     async def head(self) -> Result[HttpHead, HttpFault]:
         """Send the request and return the head of its answer; call it once."""
-        needs_detour = self._paths.needs_detour(self._listing)
-        if not needs_detour:
+        was_cut_off = self._paths.is_cut_off
+        if not was_cut_off:
             head = await self._direct.head()
             if self.is_connected:
                 return head
-        peers = self._paths.helpful_peers(self._listing)
-        for peer in peers:
-            relayed_head = await self._head_through(peer, has_failed=not needs_detour)
+            self._paths.record_failed(self._listing)
+            if not self._paths.is_cut_off:
+                self.is_upstream_down = True
+                return head
+        for peer in self._paths.helpful_peers(self._listing):
+            relayed_head = await self._head_through(peer)
             if relayed_head is not None:
                 return relayed_head
-        if needs_detour:
-            return await self._direct.head()
-        self.is_upstream_down = not peers and not self._paths.has_peers
-        return head
+        return await self._direct.head() if was_cut_off else head
 
     async def part(self) -> Result[bytes | None, HttpFault]:
         """Return the next piece of the body, or ``None`` at the regular end of the answer."""
@@ -95,12 +95,10 @@
     def _may_send_directly(self) -> bool:
         self.is_connected = True
         if not self._direct.is_reused:
-            self._paths.record_opened(self._listing)
+            self._paths.record_opened()
         return self._before_first_byte()
 
-    async def _head_through(
-        self, peer: InstanceId, *, has_failed: bool
-    ) -> Result[HttpHead, HttpFault] | None:
+    async def _head_through(self, peer: InstanceId) -> Result[HttpHead, HttpFault] | None:
         """Return what a peer makes of the request, or ``None`` if it cannot tell."""
         self._close_relay()
         if not self._before_first_byte():
@@ -109,12 +107,12 @@
         self._used = relayed
         head = await relayed.head()
         is_unsent = isinstance(head, Err) and head.err_value is HttpFault.NOT_SENT
-        self._paths.record_relayed(self._listing, peer, relayed.state, has_failed=has_failed)
         if not is_unsent:
             self.is_connected = True
             return head
         self._take_back()
         if relayed.state is PathState.UNKNOWN:
+            self._paths.mark_unhelpful(peer)
             return None
         self.is_upstream_down = relayed.state is PathState.REFUSED
         return head
--- a/lentilchute/gateway/relay_service.py
+++ b/lentilchute/gateway/relay_service.py
@@ -160,10 +160,19 @@
             if other.upstream != listing.upstream and other.address != listing.address
         ]
         self._context.rng.shuffle(others)
-        for other in others[:CONTROL_CONNECTIONS]:
-            if await self._context.connections.can_connect(other):
-                return PathState.REFUSED
-        return PathState.UNKNOWN
+        # Where there is no other upstream, nothing speaks for a lost path.
+        state = PathState.UNKNOWN if others else PathState.REFUSED
+        async with trio.open_nursery() as nursery:
+
+            async def connect(other: UpstreamListing) -> None:
+                nonlocal state
+                if await self._context.connections.can_connect(other):
+                    state = PathState.REFUSED
+                    nursery.cancel_scope.cancel()
+
+            for other in others[:CONTROL_CONNECTIONS]:
+                nursery.start_soon(connect, other)
+        return state
 
 
 def _client_request(request: RelayRequest) -> ClientRequest:
--- a/lentilchute/gateway/request_log.py
+++ b/lentilchute/gateway/request_log.py
@@ -93,8 +93,8 @@
     def log_unreachable(
         self, active: ActiveRequest, placement: Placement, *, is_down: bool
     ) -> None:
-        """Log that neither this node nor a peer could connect to an upstream; ``is_down`` says that
-        the peer reaches others."""
+        """Log that a request found no path to an upstream; ``is_down`` says that the upstream is
+        blamed for it."""
         self._context.metrics.record_unreachable(active.ticket.service)
         log_event(
             Event.UPSTREAM_UNREACHABLE,
--- a/lentilchute/gateway/upstream_paths.py
+++ b/lentilchute/gateway/upstream_paths.py
@@ -1,8 +1,7 @@
-"""Controller that sends requests to upstreams, directly or, where the path is lost, through a peer.
+"""Controller that sends requests to upstreams, directly or through a peer.
 
-A node may lose its paths to some or all upstreams while its callers and its peers still reach it. A
-connection that fails is therefore not taken for a dead upstream: the request goes to a peer, which
-carries it or says that it cannot connect either.
+A node may lose its paths to all upstreams while its callers and its peers still reach it. Its
+requests then go to a peer, which carries them or says that it cannot connect either.
 """
 
 from collections.abc import AsyncIterator, Callable, Mapping
@@ -41,7 +40,7 @@
 REPLY_TIMEOUT_S = 0.3
 """A peer that is not cut off replies within milliseconds."""
 PROBE_INTERVAL_S = 0.5
-"""Interval between probes of lost paths; requests do not try them meanwhile."""
+"""Interval between probes while this node is cut off, since its requests try nothing then."""
 DEFAULT_TIMEOUT_S = 30.0
 
 
@@ -107,26 +106,29 @@
         can tell."""
         for peer in self.helpful_peers(listing):
             state = await self._ask(peer, listing)
-            if state is PathState.OPEN:
-                self._record_lost(listing, peer)
             if state is not PathState.UNKNOWN:
                 return state is PathState.REFUSED
-            self._mark_unhelpful(peer)
+            self.mark_unhelpful(peer)
         service = self._context.controller(RelayServiceController)
         return await service.state_after_failure(listing) is PathState.REFUSED
 
     @property
-    def has_peers(self) -> bool:
-        """Whether any other node is alive."""
-        return len(self._context.membership.alive(self._context.now_s())) > 1
-
-    def needs_detour(self, listing: UpstreamListing) -> bool:
-        """Return whether a request had better go through a peer."""
-        return self._context.path_health.needs_detour(listing.upstream)
-
-    def record_opened(self, listing: UpstreamListing) -> None:
-        """Record a new connection of this node to an upstream."""
-        self._context.path_health.record_opened(listing.upstream)
+    def is_cut_off(self) -> bool:
+        """Whether this node has probably lost its paths to all upstreams."""
+        return self._context.path_health.is_cut_off
+
+    def record_opened(self) -> None:
+        """Record that this node has opened a connection to an upstream."""
+        if self.is_cut_off:
+            log_event(Event.PATHS_BACK)
+        self._context.path_health.record_opened()
+
+    def record_failed(self, listing: UpstreamListing) -> None:
+        """Record that this node could not connect to an upstream."""
+        was_cut_off = self.is_cut_off
+        self._context.path_health.record_failed(listing.upstream)
+        if self.is_cut_off and not was_cut_off:
+            log_event(Event.PATHS_LOST, upstreams=self._context.path_health.failed)
 
     def helpful_peers(self, listing: UpstreamListing) -> list[InstanceId]:
         """Return the live peers that may reach an upstream, those in its zone first."""
@@ -171,25 +173,8 @@
         if not relayed.is_over:
             self._context.post(peer, RelayCancel(number))
 
-    def record_relayed(
-        self, listing: UpstreamListing, peer: InstanceId, state: PathState, *, has_failed: bool
-    ) -> None:
-        """Record what a peer found of an upstream; ``has_failed`` says that this node's own
-        connection to it failed just before."""
-        if state is PathState.UNKNOWN:
-            self._mark_unhelpful(peer)
-        elif state is PathState.OPEN and has_failed:
-            self._record_lost(listing, peer)
-        elif state is PathState.REFUSED:
-            self._context.path_health.forget(listing.upstream)
-
-    def _record_lost(self, listing: UpstreamListing, peer: InstanceId) -> None:
-        health = self._context.path_health
-        if listing.upstream not in health.lost:
-            log_event(Event.PATH_LOST, upstream=listing.upstream, through=peer)
-        health.record_lost(listing.upstream)
-
-    def _mark_unhelpful(self, peer: InstanceId) -> None:
+    def mark_unhelpful(self, peer: InstanceId) -> None:
+        """Ask a peer nothing for a while, as it cannot tell about upstreams."""
         self._unhelpful_until_s[peer] = self._context.now_s() + UNHELPFUL_S
 
     async def _ask(self, peer: InstanceId, listing: UpstreamListing) -> PathState:
@@ -205,23 +190,18 @@
         return pending.state
 
     async def _probe(self) -> None:
-        """Try lost paths until one is still lost; try any other if all may be."""
+        """While this node is cut off, try an upstream that failed and any other."""
         context, health = self._context, self._context.path_health
-        for upstream in health.lost:
-            listing = context.fleet.listing(upstream)
-            if listing is None:
-                health.forget(upstream)
-            elif await context.connections.can_connect(listing):
-                log_event(Event.PATH_BACK, upstream=upstream)
-                health.record_opened(upstream)
-            else:
-                health.postpone(upstream)
-                break
-        others = [item for item in context.fleet.listed() if item.upstream not in health.lost]
-        if health.is_cut_off and others:
-            other = context.rng.choice(others)
-            if await context.connections.can_connect(other):
-                health.record_opened(other.upstream)
+        if not health.is_cut_off:
+            return
+        listings = [context.fleet.listing(upstream) for upstream in health.failed]
+        failed = [listing for listing in listings if listing is not None]
+        others = [item for item in context.fleet.listed() if item.upstream not in health.failed]
+        for listing in (*failed[:1], *context.rng.sample(others, min(1, len(others)))):
+            if await context.connections.can_connect(listing):
+                self.record_opened()
+                return
+            health.record_failed(listing.upstream)
 
     def _on_reply(self, _sender: InstanceId, reply: PathReply) -> None:
         pending = self._questions.get(reply.number)
