--- a/test/gateway/test_lost_paths.py
+++ b/test/gateway/test_lost_paths.py
@@ -8,7 +8,7 @@
 import trio
 from gateway_world import GatewayWorld, run_world
 
-from lentilchute.http.client import Opener, open_tcp
+from lentilchute.http.client import HttpAnswer, Opener, open_tcp
 
 CONTACT_S = 3.0
 """How long after its paths were lost a node may fail its callers (platform)."""
@@ -79,7 +79,8 @@
 
     async def call(node: int) -> None:
         tries.sent[node] += 1
-        tries.served[node] += await CALLS[kind](world, node)
+        is_served = await CALLS[kind](world, node)
+        tries.served[node] += is_served
 
     async with trio.open_nursery() as nursery:
         end_s = trio.current_time() + duration_s
@@ -163,3 +164,46 @@
         assert opened
 
     run_world(scenario, nodes=3)
+
+
+def test_the_work_ends_when_a_caller_of_a_node_without_paths_leaves() -> None:
+    """Guards against upstreams working on at a peer for callers that have left."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        await cut_off(world, [0], refuse)
+        await call_for(world, "drafts", 1.0)
+        standins = [world.upstreams[f"d{number}"].standin for number in range(2)]
+        for standin in standins:
+            standin.behaviour.event_pause_s = 0.3
+        with trio.move_on_after(0.5):
+            await _draft(world, 0)
+        await world.until(lambda: not any(standin.running for standin in standins), limit_s=0.5)
+        assert any(standin.abandoned for standin in standins)
+
+    run_world(scenario, nodes=3)
+
+
+def test_a_booking_that_a_peer_carries_to_its_end_is_not_sent_again() -> None:
+    """Guards against a booking that runs twice since the peer that carried it has ended."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        await cut_off(world, [0], refuse)
+        await call_for(world, "bookings", 1.0)
+        for number in range(2):
+            world.upstreams[f"a{number}"].standin.behaviour.plain_s = 1.0
+        answers: list[HttpAnswer | None] = []
+
+        async def book() -> None:
+            answers.append(
+                await world.call("/book/1", 0, method="POST", body=b"x", attempt="booking")
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(book)
+            await world.until(lambda: world.runs("booking") == 1)
+            for node in world.nodes[1:]:
+                node.scope.cancel()
+        assert world.runs("booking") == 1
+        assert answers[0] is not None and answers[0].status in (502, 504)
+
+    run_world(scenario, nodes=3)
