Read an answer from the path that brings it

Callers would see: a request that fails although its upstream answers, at a node whose own paths are back while no peer can tell about upstreams. Cause: after peers that could not tell, the request went out directly, but its body was awaited from the last peer. Found by reading the change. Change: the path that sends a request is the one that is read. The choice of the path is written as two cases. Measured: the new test fails without the line and passes with it, with the others of lost paths.

--- a/lentilchute/gateway/path_exchange.py
+++ b/lentilchute/gateway/path_exchange.py
@@ -64,20 +64,18 @@
 
     async def head(self) -> Result[HttpHead, HttpFault]:
         """Send the request and return the head of its answer; call it once."""
-        was_cut_off = self._paths.is_cut_off
-        if not was_cut_off:
-            head = await self._direct.head()
-            if self.is_connected:
-                return head
-            self._paths.record_failed(self._listing)
-            if not self._paths.is_cut_off:
-                self.is_upstream_down = True
-                return head
-        for peer in self._paths.helpful_peers(self._listing):
-            relayed_head = await self._head_through(peer)
-            if relayed_head is not None:
-                return relayed_head
-        return await self._direct.head() if was_cut_off else head
+        if self._paths.is_cut_off:
+            head = await self._head_through_peers()
+            # Where no peer can tell, the own path may be back sooner than the next probe.
+            return await self._direct.head() if head is None else head
+        direct_head = await self._direct.head()
+        if self.is_connected:
+            return direct_head
+        if not self._paths.record_failed(self._listing):
+            self.is_upstream_down = True
+            return direct_head
+        head = await self._head_through_peers()
+        return direct_head if head is None else head
 
     async def part(self) -> Result[bytes | None, HttpFault]:
         """Return the next piece of the body, or ``None`` at the regular end of the answer."""
@@ -94,10 +92,19 @@
 
     def _may_send_directly(self) -> bool:
         self.is_connected = True
+        self._used = self._direct
         if not self._direct.is_reused:
             self._paths.record_opened()
         return self._before_first_byte()
 
+    async def _head_through_peers(self) -> Result[HttpHead, HttpFault] | None:
+        """Return what a peer makes of the request, or ``None`` if none can tell."""
+        for peer in self._paths.helpful_peers(self._listing):
+            head = await self._head_through(peer)
+            if head is not None:
+                return head
+        return None
+
     async def _head_through(self, peer: InstanceId) -> Result[HttpHead, HttpFault] | None:
         """Return what a peer makes of the request, or ``None`` if it cannot tell."""
         self._close_relay()
--- a/lentilchute/gateway/upstream_paths.py
+++ b/lentilchute/gateway/upstream_paths.py
@@ -123,12 +123,15 @@
             log_event(Event.PATHS_BACK)
         self._context.path_health.record_opened()
 
-    def record_failed(self, listing: UpstreamListing) -> None:
-        """Record that this node could not connect to an upstream."""
-        was_cut_off = self.is_cut_off
-        self._context.path_health.record_failed(listing.upstream)
-        if self.is_cut_off and not was_cut_off:
-            log_event(Event.PATHS_LOST, upstreams=self._context.path_health.failed)
+    def record_failed(self, listing: UpstreamListing) -> bool:
+        """Record that this node could not connect to an upstream; return whether it seems to be
+        cut off from all."""
+        health = self._context.path_health
+        was_cut_off = health.is_cut_off
+        health.record_failed(listing.upstream)
+        if health.is_cut_off and not was_cut_off:
+            log_event(Event.PATHS_LOST, upstreams=health.failed)
+        return health.is_cut_off
 
     def helpful_peers(self, listing: UpstreamListing) -> list[InstanceId]:
         """Return the live peers that may reach an upstream, those in its zone first."""
--- a/test/gateway/test_lost_paths.py
+++ b/test/gateway/test_lost_paths.py
@@ -207,3 +207,20 @@
         assert answers[0] is not None and answers[0].status in (502, 504)
 
     run_world(scenario, nodes=3)
+
+
+def test_a_node_whose_paths_are_back_first_serves_its_callers() -> None:
+    """Guards against an answer that is awaited from a peer which could not tell, while the node's
+    own connection brings it."""
+
+    async def scenario(world: GatewayWorld) -> None:
+        numbers = list(range(len(world.nodes)))
+        await cut_off(world, numbers, refuse)
+        health = world.nodes[0].node.context.path_health
+        await call_for(world, "views", 1.0)
+        assert health.is_cut_off
+        await cut_off(world, [0], open_tcp)
+        assert await _view(world, 0)
+        assert await _draft(world, 0)
+
+    run_world(scenario, nodes=3)
