Move the checks after failed attempts to a module of their own

forwarder.py had grown by paths; what is found out about an upstream after a failure is in upstream_faults.py now. A move, with the two reports of a crash in one method. test_crashing_prompts.py and test_lost_paths.py pass.

--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -22,19 +22,17 @@
 from .context import GatewayContext
 from .crash_reports import CrashReportController
 from .event_relay import EventRelay
-from .messages import NOT_MEASURED, CrashedPrompt, CrashNotice
+from .messages import NOT_MEASURED
 from .path_exchange import PathExchange
 from .placement_client import PlacementClient
 from .request_log import RequestLog
 from .routes import RequestKind
 from .stream_continuity import StreamContinuityController
 from .tickets import Placement, RefusalReason, Refused, Ticket, TicketKey
+from .upstream_faults import UpstreamFaults
 from .upstream_notices import UpstreamNotices
 from .upstream_paths import UpstreamPathController
 
-CRASH_CHECK_TIMEOUT_S = 0.2
-"""A live upstream accepts a connection within a few milliseconds; a crashed one refuses it as
-quickly."""
 ANSWER_MARGIN_S = 0.03
 """A request times out this long before its deadline, so that the answer arrives in time."""
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
@@ -73,6 +71,7 @@
         self._notices = UpstreamNotices(context)
         self._last_number = 0
         self._request_log = RequestLog(context)
+        self._faults = UpstreamFaults(context, self._request_log)
         self._answer_memory = AnswerMemory()
         self.in_progress = 0
 
@@ -204,7 +203,7 @@
         again = await self._exchange_once(active, placement, needs_new=True, is_again=True)
         if again is AttemptEnd.NOT_SENT:
             # The upstream is gone, perhaps by this request.
-            await self._check_crash(active, placement)
+            await self._faults.check_crash(active, placement)
         return AttemptEnd.BROKEN if again in (None, AttemptEnd.NOT_SENT) else again
 
     async def _exchange_once(
@@ -242,7 +241,9 @@
                 if head.err_value is HttpFault.RESET and exchange.is_reused:
                     return None
                 if not exchange.is_connected:
-                    self._record_unreachable(active, placement, is_down=exchange.is_upstream_down)
+                    self._faults.record_unreachable(
+                        active, placement, is_down=exchange.is_upstream_down
+                    )
                 return await self._end_after_fault(active, placement, head.err_value)
             return await self._relay_answer(active, placement, exchange, head.ok_value)
 
@@ -288,13 +289,6 @@
     def _allows_another_send(self, active: ActiveRequest) -> bool:
         return active.route.is_repeatable and active.attempts.sends + 1 < active.route.max_attempts
 
-    def _record_unreachable(
-        self, active: ActiveRequest, placement: Placement, *, is_down: bool
-    ) -> None:
-        self._request_log.log_unreachable(active, placement, is_down=is_down)
-        if is_down:
-            self._placement_client.report(active.ticket, placement, unreachable=True)
-
     async def _end_after_fault(
         self, active: ActiveRequest, placement: Placement, fault: HttpFault
     ) -> AttemptEnd:
@@ -303,40 +297,9 @@
         if fault is HttpFault.TIMED_OUT:
             return AttemptEnd.TIMED_OUT
         if fault is HttpFault.RESET:
-            await self._check_crash(active, placement)
+            await self._faults.check_crash(active, placement)
         return AttemptEnd.BROKEN
 
-    async def _check_crash(self, active: ActiveRequest, placement: Placement) -> None:
-        """Probe the upstream after a broken connection; report a crash if nobody reaches it."""
-        try:
-            with trio.fail_after(CRASH_CHECK_TIMEOUT_S):
-                stream = await self._context.connections.opener(placement.listing.address)
-        except trio.TooSlowError:
-            return
-        except OSError:
-            if not await self._paths.is_down(placement.listing):
-                return
-            self._placement_client.report(active.ticket, placement, unreachable=True)
-            self._request_log.log_crash(active, placement)
-            self._report_crash(active, placement)
-            return
-        await trio.aclose_forcefully(stream)
-
-    def _report_crash(self, active: ActiveRequest, placement: Placement) -> None:
-        content = active.call.fingerprint
-        if content is None:
-            return
-        prompt = CrashedPrompt(content, active.call.headers.shared_prompt_parts)
-        listing = placement.listing
-        self._crash_reports.report_crash(
-            CrashNotice(
-                upstream=listing.upstream,
-                contents=(content,),
-                started_ms=listing.started_ms,
-                prompts=() if active.has_first_event else (prompt,),
-            )
-        )
-
     async def _relay_answer(
         self, active: ActiveRequest, placement: Placement, exchange: PathExchange, head: HttpHead
     ) -> AttemptEnd:
@@ -408,7 +371,7 @@
         if not ended.ok_value:
             return AttemptEnd.BROKEN
         if _is_broken_off(active.relay, exchange):
-            await self._check_crash(active, placement)
+            await self._faults.check_crash(active, placement)
             return AttemptEnd.BROKEN
         self._record_event_gap(
             active, placement, active.relay.relayed_events - first_event, started_s
