Refuse a stream that its caller does not name at once

Cause: a node that could not tell where such a stream began asked its peers and waited 0.3 s for what none can know; found by reading the change. Change: only streams with a name are asked about. A needless bound on a deadline is gone. Measured: test_stream_versions.py and test_relayed_exchange.py pass.

--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -315,7 +315,6 @@
     notice."""
 
     stream: StreamId
-    """Empty if the caller does not name it."""
 
 
 @peer_message("stream_notice")
--- a/lentilchute/gateway/relayed_exchange.py
+++ b/lentilchute/gateway/relayed_exchange.py
@@ -1,6 +1,5 @@
 """The near end of an exchange that a peer carries, with the interface of ``HttpExchange``."""
 
-import math
 from collections import deque
 
 import trio
@@ -102,7 +101,7 @@
         return Ok(None) if fault is None else Err(fault)
 
     async def _next(self, deadline_s: float) -> Result[RelayMessage, HttpFault]:
-        with trio.CancelScope(deadline=min(deadline_s, math.inf)):
+        with trio.CancelScope(deadline=deadline_s):
             while not self._messages and self._fault is None:
                 self._arrived = trio.Event()
                 await self._arrived.wait()
--- a/lentilchute/gateway/stream_continuity.py
+++ b/lentilchute/gateway/stream_continuity.py
@@ -75,12 +75,8 @@
         """Return where the stream that a caller takes up began; ``None`` if nobody can tell."""
         stream = active.call.headers.resumed_stream
         origin = self._known_origin(stream, active.ticket.service)
-        if origin is None:
-            self._context.broadcast(StreamQuestion(stream or StreamId("")))
-        with trio.move_on_after(ORIGIN_WAIT_S):
-            while origin is None:
-                await self._was_told.wait()
-                origin = self._known_origin(stream, active.ticket.service)
+        if origin is None and stream is not None:
+            origin = await self._ask_peers(stream, active.ticket.service)
         if origin is not None:
             return origin
         log_event(Event.STREAM_UNKNOWN, request_id=active.call.log_id, resumed_stream=stream)
@@ -95,6 +91,16 @@
         for notice in self._notices(streams) or [self._notice(())]:
             self._context.post(instance, notice)
 
+    async def _ask_peers(self, stream: StreamId, service: ServiceName) -> StreamOrigin | None:
+        self._context.broadcast(StreamQuestion(stream))
+        with trio.move_on_after(ORIGIN_WAIT_S):
+            while True:
+                await self._was_told.wait()
+                origin = self._known_origin(stream, service)
+                if origin is not None:
+                    return origin
+        return None
+
     def _on_question(self, sender: InstanceId, question: StreamQuestion) -> None:
         """Reply also without knowing the stream: the sender may not have followed its service."""
         origin = self._origins.find(question.stream, self._context.now_s())
