Review: silent connections between machines split them for good

Cause: a link between nodes is never replaced while its connection stays open, so that nodes that lost each other never connect anew, forget each other and grant the whole quota each.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import fcntl
 import json
 import os
 import random
@@ -15,7 +16,9 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
+import termios
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -332,6 +335,77 @@
         await writer.drain()
 
 
+class Link:
+    """A proxy before the port of one machine that other machines connect to."""
+
+    def __init__(self, record: Record, address: str, target: str) -> None:
+        self.address = address
+        self._record = record
+        self._target = target
+        self._pumps: set[asyncio.Task[None]] = set()
+        self._kept: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port), limit=4096)
+
+    def silence(self) -> None:
+        """Let the open connections go silent for good; they stay open."""
+        self._record.write(f"{len(self._kept)} open connections at {self.address} go silent")
+        for pump in list(self._pumps):
+            pump.cancel()
+
+    def unread_bytes(self) -> int:
+        """Return the most bytes that wait unread on an open connection."""
+        most = 0
+        for writer in self._kept:
+            descriptor = writer.get_extra_info("socket").fileno()
+            if descriptor >= 0:
+                waiting = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4))
+                most = max(most, int.from_bytes(waiting, sys.byteorder))
+        return most
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pump in list(self._pumps):
+            pump.cancel()
+        for writer in self._kept:
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port), limit=4096)
+        except OSError:
+            writer.close()
+            return
+        pair = [writer, far_writer]
+        self._kept += pair
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            pump = asyncio.create_task(self._pump(source, sink, pair))
+            self._pumps.add(pump)
+            pump.add_done_callback(self._pumps.discard)
+
+    async def _pump(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        pair: list[asyncio.StreamWriter],
+    ) -> None:
+        try:
+            while data := await source.read(4096):
+                sink.write(data)
+                await sink.drain()
+        except ConnectionError:
+            pass
+        for writer in pair:
+            writer.close()
+            if writer in self._kept:
+                self._kept.remove(writer)
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
     connection = writer.get_extra_info("socket")
@@ -417,7 +491,14 @@
 class World:
     """A small deployment: a store, engines and some machines."""
 
-    def __init__(self, folder: Path, machines: int, bounds: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        machines: int,
+        bounds: dict[str, Any] | None = None,
+        *,
+        has_links: bool = False,
+    ) -> None:
         self.record = Record(folder / "record.txt")
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._temporary.name)
@@ -425,6 +506,11 @@
         self.store = Store(f"{self._net}.1:8225")
         self.engines: list[Engine] = []
         self.machines = [Machine(self, n, f"{self._net}.{100 + n}") for n in range(1, machines + 1)]
+        self.links: dict[str, Link] = {}
+        """Proxies before the ports for traffic between machines, by the machine's IP address."""
+        for n in range(1, machines + 1) if has_links else ():
+            ip = f"{self._net}.{100 + n}"
+            self.links[ip] = Link(self.record, f"{self._net}.{180 + n}:7600", f"{ip}:7600")
         self.bounds = {
             "drain-ms": 2000,
             "config-ms": 2000,
@@ -458,7 +544,18 @@
         text = (ROOT / "deploy" / "gateway.yaml.template").read_text(encoding="utf-8")
         # There is no section for roll-outs, as these deployments have none.
         text = re.sub(r"\{\{#[^}]*\}\}.*?\{\{/[^}]*\}\}\n?", "", text, flags=re.DOTALL)
-        return re.sub(r"\{\{([^}]*)\}\}", lambda match: str(values[match[1]]), text)
+        text = re.sub(r"\{\{([^}]*)\}\}", lambda match: str(values[match[1]]), text)
+        if ip in self.links:
+            advertised = f'  peers_advertised: "{self.links[ip].address}"\n'
+            text = text.replace("listen:\n", f"listen:\n{advertised}")
+        return text
+
+    def silence_links(self) -> None:
+        """Let all open connections between machines go silent for good; new ones work."""
+        for link in self.links.values():
+            link.silence()
+        for machine in self.machines:
+            machine.disturbed_s = self.record.now_s()
 
     def engine(self, name: str, service: str, handler: Handler) -> Engine:
         """Add an engine."""
@@ -470,6 +567,8 @@
     async def start(self, config: dict[str, Any]) -> bool:
         """Start everything; return whether all machines are ready."""
         await self.store.start()
+        for link in self.links.values():
+            await link.start()
         self.store.put("op", "config", config)
         for engine in self.engines:
             await engine.start()
