--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -31,6 +31,9 @@
 CONTACT_S = 3.0
 """``contact-ms`` of the small deployments."""
 
+LONGEST_S = 110.0
+"""A script ends after this long, whatever happens."""
+
 Headers = dict[str, str]
 
 
@@ -577,6 +580,24 @@
         ready = await asyncio.gather(*(machine.wait_ready(20.0) for machine in self.machines))
         return all(ready)
 
+    def play(self, main: Callable[[], Awaitable[int]]) -> int:
+        """Play a case and end all processes; return the exit code of its script."""
+
+        async def play_in_time() -> int:
+            try:
+                async with asyncio.timeout(LONGEST_S):
+                    return await main()
+            except TimeoutError:
+                self.record.write("the case took too long")
+                return 2
+
+        # Without this, the end of the script would leave the gateways running.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+        try:
+            return asyncio.run(play_in_time())
+        finally:
+            self.end()
+
     def end(self) -> None:
         """End all processes that were started."""
         for machine in self.machines:
