Replace connections between nodes that nothing arrives over any more

Cause: a link counted as working as long as its connection was open. What nodes send each other fits into the socket's buffer for minutes, so that no write ever failed; heartbeats and attempts to join went over the same dead connection, and after forget_after_s each node was alone.

Evidence: the record of the case shows 47,031 bytes unread on one connection at most and no second connection between any two nodes; had writes failed, links would have been opened again.

Change: the receiver of a link confirms on it that bytes arrive, the sender probes where it has nothing to send, and gives a connection up whose confirmation is overdue. Event 524 and a metric tell of it. Greetings say who confirms, so that earlier builds are neither probed nor confirmed to.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -107,6 +107,9 @@
     PEER_LINK_REFUSED = EventInfo(
         502, "A peer link failed authentication or sent an invalid frame."
     )
+    PEER_LINK_SILENT = EventInfo(
+        524, "Nothing arrived at a peer any more over an open connection; the link opens another."
+    )
     PEER_LEAVING = EventInfo(503, "A peer announced its planned stop.")
     PEER_GONE = EventInfo(
         504, "An incarnation of a peer ended, or a later one of this node appeared."
--- a/lentilchute/gateway/metric_names.py
+++ b/lentilchute/gateway/metric_names.py
@@ -51,6 +51,9 @@
     "lentilchute.gateway.peers.withheld_messages": (
         "Messages that peers of earlier builds were not sent."
     ),
+    "lentilchute.gateway.peers.silent_links": (
+        "Connections to peers that were replaced because nothing arrived over them."
+    ),
     "lentilchute.gateway.nodes.covered": "Nodes whose shares of quotas this one spends.",
     "lentilchute.gateway.prompt_parts.blocked": "Parts of prompts that crash upstreams.",
     "lentilchute.gateway.held.bytes": "Bytes held for callers and peers, as counted.",
--- a/lentilchute/peers/links.py
+++ b/lentilchute/peers/links.py
@@ -1,11 +1,14 @@
 """Authenticated TCP links between nodes.
 
 Messages on a link go one way: a node opens a link to each peer that it sends to. When a link
-breaks, its queued messages are dropped; a later refresh or poll makes up for each of them.
+breaks, its queued messages are dropped; a later refresh or poll makes up for each of them. The
+receiver confirms that bytes arrive (``link_proof.py``), so that a connection that has gone silent
+is replaced.
 """
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 from typing import Any
 
 import trio
@@ -37,6 +40,7 @@
     derive_key,
 )
 from .heartbeats import PeerInfo
+from .link_proof import ConfirmationPace, LinkProof
 
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
@@ -44,6 +48,11 @@
 IDLE_TIMEOUT_S = 30.0
 """An outbound link without a message for this long is closed at the next check."""
 IDLE_CHECK_INTERVAL_S = 5.0
+PROOF_CHECK_INTERVAL_S = 0.25
+PROBE = b""
+"""An empty frame, which asks for a confirmation and says nothing else."""
+CONFIRMATION = b""
+MAX_CONFIRMATION_BYTES = 64
 RECEIVE_TIMEOUT_S = 90.0
 """An inbound link without a byte for this long is closed."""
 RETRY_INTERVAL_S = 0.2
@@ -87,6 +96,8 @@
         """Messages of later builds that were received and left unread."""
         self.withheld_messages = 0
         """Messages that were not sent to a peer that doesn't understand them."""
+        self.silent_links = 0
+        """Connections that were given up because nothing that was sent arrived any more."""
         self._links: dict[tuple[InstanceId, str], _OutboundLink] = {}
         self._inbound_count = 0
         self._nursery: trio.Nursery | None = None
@@ -104,6 +115,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._close_idle)
+            nursery.start_soon(self._prove_links)
             await nursery.start(trio.serve_listeners, self._serve, listeners)
             task_status.started(address)
 
@@ -139,6 +151,17 @@
             for link in self._links.values():
                 link.close_if_idle(trio.current_time())
 
+    async def _prove_links(self) -> None:
+        while True:
+            await sleep_to_tick(PROOF_CHECK_INTERVAL_S)
+            for link in self._links.values():
+                link.prove(trio.current_time())
+
+    def start_task(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run a task of a link beside it; the links must be running."""
+        assert self._nursery is not None
+        self._nursery.start_soon(task)
+
     async def _run_link(self, link: "_OutboundLink") -> None:
         try:
             await link.run()
@@ -180,6 +203,8 @@
         """The connection, while all earlier messages have been written."""
         self._unsent = b""
         self._is_broken = False
+        self._proof: LinkProof | None = None
+        """Proof that the open connection is heard; ``None`` if the peer confirms nothing."""
         self.understood: frozenset[int] = frozenset()
         """Numbers of the messages that the peer reads, as its last greeting said."""
 
@@ -198,14 +223,37 @@
             return
         stream, writer = self._open
         self._waits_since_s = trio.current_time()
+        self._write_to_open(stream, writer.frame(payload))
+
+    def _write_to_open(self, stream: trio.SocketStream, frame: bytes) -> None:
         try:
-            self._write_now(stream, writer.frame(payload))
+            self._write_now(stream, frame)
         except _CONNECTION_ERRORS:
             self._is_broken = True
         if self._unsent or self._is_broken:
             self._open = None
             self._wake.set()
 
+    def prove(self, now_s: float) -> None:
+        """Give up a connection whose confirmation is overdue, or ask for one where none is due."""
+        proof = self._proof
+        if proof is None or self._is_broken:
+            return
+        if proof.is_silent(now_s):
+            self._links.silent_links += 1
+            silent_s = round(proof.unconfirmed_s(now_s), 3)
+            log_event(Event.PEER_LINK_SILENT, peer=self.instance, silent_s=silent_s)
+            self._break()
+        elif self._open is not None and proof.needs_probe(now_s):
+            stream, writer = self._open
+            self._write_to_open(stream, writer.frame(PROBE))
+
+    def _break(self) -> None:
+        """Have the link's task give up the connection."""
+        self._is_broken = True
+        self._open = None
+        self._wake.set()
+
     def _is_understood(self, payload: bytes) -> bool:
         """Return whether the peer reads a message, and count it if not."""
         is_understood = message_number(payload) in self.understood
@@ -215,6 +263,8 @@
     def _write_now(self, stream: trio.SocketStream, data: bytes) -> None:
         written = write_now(stream, data)
         self._links.sent_bytes += len(data)
+        if self._proof is not None and data:
+            self._proof.record_sent(trio.current_time())
         self._unsent = data[written:]
 
     def _enqueue(self, payload: bytes) -> None:
@@ -256,7 +306,12 @@
             stream = await connect(host, port)
         try:
             with trio.fail_after(HELLO_TIMEOUT_S):
-                writer = await self._handshake(stream)
+                writer, confirmations = await self._handshake(stream)
+            if confirmations is not None:
+                self._proof = LinkProof(trio.current_time())
+                self._links.start_task(
+                    partial(self._read_confirmations, stream, confirmations, self._proof)
+                )
             while True:
                 await self._write_queue(stream, writer)
                 self._open = stream, writer
@@ -267,7 +322,7 @@
                 if not has_more and not self._unsent:
                     return
         finally:
-            self._open = None
+            self._open = self._proof = None
             self._is_broken = False
             self._unsent = b""
             await trio.aclose_forcefully(stream)
@@ -286,8 +341,26 @@
                     await stream.send_all(self._unsent)
                 self._unsent = b""
 
-    async def _handshake(self, stream: trio.SocketStream) -> FrameWriter:
-        """Exchange hellos with nonces, authenticated by the shared key on both sides."""
+    async def _read_confirmations(
+        self, stream: trio.SocketStream, reader: FrameReader, proof: LinkProof
+    ) -> None:
+        """Follow what the peer confirms, and notice when it closes the connection."""
+        try:
+            while data := await read_some(stream, READ_BYTES):
+                if reader.feed(data):
+                    proof.record_confirmed(trio.current_time())
+        except FrameError as error:
+            log_event(Event.PEER_LINK_REFUSED, peer=self.instance, reason=str(error))
+        except _CONNECTION_ERRORS:
+            pass
+        if self._proof is proof:
+            self._break()
+
+    async def _handshake(self, stream: trio.SocketStream) -> tuple[FrameWriter, FrameReader | None]:
+        """Exchange hellos with nonces, authenticated by the shared key on both sides.
+
+        Returns the writer of messages, and the reader of confirmations if the peer sends any.
+        """
         identity = self._links.identity
         nonce = self._links.random_bytes(NONCE_BYTES)
         key = derive_key(identity.shared_key, "hello")
@@ -297,7 +370,11 @@
         if peer.instance != self.instance:
             raise FrameError(f"connected to unexpected instance {peer.instance}")
         self.understood = stated_messages(peer.understands)
-        return FrameWriter(derive_key(identity.shared_key, "messages", nonce, peer.nonce))
+        writer = FrameWriter(derive_key(identity.shared_key, "messages", nonce, peer.nonce))
+        if not peer.confirms:
+            return writer, None
+        confirm_key = derive_key(identity.shared_key, "confirmations", nonce, peer.nonce)
+        return writer, FrameReader(confirm_key, MAX_CONFIRMATION_BYTES)
 
     def _drain_queue(self) -> list[bytes]:
         payloads = list(self._payloads)
@@ -319,7 +396,8 @@
     async def run(self) -> None:
         """Receive until the link closes. Raises ``FrameError`` for an invalid frame."""
         with trio.fail_after(HELLO_TIMEOUT_S):
-            sender, reader = await self._accept_handshake()
+            sender, reader, confirmations = await self._accept_handshake()
+        pace = ConfirmationPace()
         with trio.move_on_after(RECEIVE_TIMEOUT_S) as scope:
             while True:
                 deadline_s = trio.current_time() + RECEIVE_TIMEOUT_S
@@ -329,10 +407,20 @@
                 if not data:
                     return
                 self._links.received_bytes += len(data)
+                if confirmations is not None and pace.is_due(trio.current_time()):
+                    self._confirm(confirmations)
                 for payload in reader.feed(data):
-                    self._deliver(sender, payload)
+                    if payload != PROBE:
+                        self._deliver(sender, payload)
+
+    def _confirm(self, writer: FrameWriter) -> None:
+        """Tell the peer that its bytes arrive."""
+        frame = writer.frame(CONFIRMATION)
+        self._links.sent_bytes += len(frame)
+        if write_now(self._stream, frame) < len(frame):
+            raise trio.BrokenResourceError("the peer reads no confirmations")
 
-    async def _accept_handshake(self) -> tuple[InstanceId, FrameReader]:
+    async def _accept_handshake(self) -> tuple[InstanceId, FrameReader, FrameWriter | None]:
         identity = self._links.identity
         hello_reader = FrameReader(derive_key(identity.shared_key, "hello"), MAX_HELLO_BYTES)
         peer, unread_bytes = await _read_hello(self._stream, hello_reader)
@@ -342,7 +430,11 @@
         if unread_bytes:
             raise FrameError("data received before the handshake completed")
         messages_key = derive_key(identity.shared_key, "messages", peer.nonce, nonce)
-        return InstanceId(peer.instance), FrameReader(messages_key)
+        reader = FrameReader(messages_key)
+        if not peer.confirms:
+            return InstanceId(peer.instance), reader, None
+        confirm_key = derive_key(identity.shared_key, "confirmations", peer.nonce, nonce)
+        return InstanceId(peer.instance), reader, FrameWriter(confirm_key)
 
     def _deliver(self, sender: InstanceId, payload: bytes) -> None:
         if is_of_later_build(payload):
@@ -363,6 +455,7 @@
         incarnation=identity.incarnation,
         nonce=nonce,
         understands=sorted(OWN_MESSAGES),
+        confirms=True,
     )
     return write_struct(hello)
 
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -534,4 +534,5 @@
   2: string incarnation
   3: binary nonce
   4: optional list<i16> understands
+  5: optional bool confirms
 }
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -1413,6 +1413,7 @@
         2: (TType.STRING, "incarnation", False),
         3: (TType.BINARY, "nonce", False),
         4: (TType.LIST, "understands", TType.I16, False),
+        5: (TType.BOOL, "confirms", False),
     }
 
     def __init__(
@@ -1421,8 +1422,10 @@
         incarnation: Any = None,
         nonce: Any = None,
         understands: Any = None,
+        confirms: Any = None,
     ) -> None:
         self.instance = instance
         self.incarnation = incarnation
         self.nonce = nonce
         self.understands = understands
+        self.confirms = confirms
--- a/test/peers/test_peer_links.py
+++ b/test/peers/test_peer_links.py
@@ -7,6 +7,7 @@
 import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
+from silent_proxy import Silence, SilentProxy
 
 import lentilchute.gateway.node
 import lentilchute.node  # noqa: F401 - registers the product's messages
@@ -282,6 +283,133 @@
     ]
 
 
+CONTACT_S = 3.0
+"""Nodes are in touch again this long after their connections were harmed."""
+
+
+def run_silenced(directions: Silence, *, is_idle: bool) -> tuple[Node, Node]:
+    """Silence the link of two nodes, let it rest or carry on, and send ``ACK`` after
+    ``CONTACT_S``."""
+
+    async def body(first: Node, second: Node, address: str) -> None:
+        reservations = AddressReservations()
+        proxy = SilentProxy(reservations.reserve(), address)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(proxy.run)
+            first.links.send(second.name, proxy.address, acknowledgement(0))
+            await second.changed.wait()
+            proxy.silence(directions)
+            end_s = trio.current_time() + CONTACT_S
+            while trio.current_time() < end_s:
+                await trio.sleep(0.4)
+                if not is_idle:
+                    first.links.send(second.name, proxy.address, acknowledgement(1))
+            second.received.clear()
+            second.changed = trio.Event()
+            first.links.send(second.name, proxy.address, ACK)
+            with trio.move_on_after(1.0):
+                while ACK not in [message for _, message in second.received]:
+                    second.changed = trio.Event()
+                    await second.changed.wait()
+            nursery.cancel_scope.cancel()
+        reservations.close()
+
+    return run_pair(body)
+
+
+# Nodes went on writing to a connection that had gone silent, and never heard of each other again.
+@pytest.mark.parametrize("is_idle", [False, True], ids=["used", "idle"])
+@pytest.mark.parametrize(
+    "directions", list(Silence.__members__.values()), ids=lambda item: item.name
+)
+def test_a_silent_connection_is_replaced_in_time(directions: Silence, is_idle: bool) -> None:
+    first, second = run_silenced(directions, is_idle=is_idle)
+    assert [message for _, message in second.received][-1:] == [ACK]
+    assert first.links.silent_links == 1
+
+
+# Confirmations that come in time must keep a link, however seldom it is used.
+def test_a_link_that_is_heard_is_kept() -> None:
+    opened = []
+
+    async def body(first: Node, second: Node, address: str) -> None:
+        reservations = AddressReservations()
+        proxy = SilentProxy(reservations.reserve(), address)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(proxy.run)
+            for number in range(3):
+                first.links.send(second.name, proxy.address, acknowledgement(number))
+                await trio.sleep(2.0)
+            nursery.cancel_scope.cancel()
+        opened.append(proxy.accepted)
+        reservations.close()
+
+    first, second = run_pair(body)
+    assert len(second.received) == 3
+    assert (opened, first.links.silent_links) == ([1], 0)
+
+
+def earlier_hello(name: str) -> bytes:
+    """Return the greeting of a build that neither sends nor reads confirmations."""
+    hello = peer_structs.Hello(
+        instance=name,
+        incarnation=f"{name}.1",
+        nonce=bytes(links.NONCE_BYTES),
+        understands=sorted(EARLIER_MESSAGES),
+    )
+    return codec.write_struct(hello)
+
+
+# A build that reads no confirmations would run into a full buffer some day.
+def test_a_sender_of_an_earlier_build_gets_no_confirmations() -> None:
+    async def body(first: Node, second: Node, address: str) -> None:
+        stream = await trio.open_tcp_stream(*split_address(address))
+        await stream.send_all(FrameWriter(derive_key(KEY, "hello")).frame(earlier_hello("entry-9")))
+        assert await stream.receive_some(10_000)
+        nonce = bytes(links.NONCE_BYTES)
+        writer = FrameWriter(derive_key(KEY, "messages", nonce, nonce))
+        for _ in range(3):
+            await stream.send_all(writer.frame(codec.encode_message(ACK, trio.current_time())))
+            await trio.sleep(0.6)
+        with pytest.raises(trio.TooSlowError), trio.fail_after(0.1):
+            await stream.receive_some(1)
+
+    _, second = run_pair(body)
+    assert second.received == [("entry-9", ACK)] * 3
+
+
+# A build that confirms nothing takes an empty frame for an invalid message, and is not silent.
+def test_a_receiver_of_an_earlier_build_is_not_probed() -> None:
+    received: list[bytes] = []
+    connections: list[trio.SocketStream] = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        connections.append(stream)
+        greeted = await stream.receive_some(10_000)
+        hello_key = derive_key(KEY, "hello")
+        assert FrameReader(hello_key).feed(bytes(greeted))
+        nonce = bytes(links.NONCE_BYTES)
+        welcome = FrameWriter(derive_key(KEY, "welcome", nonce))
+        await stream.send_all(welcome.frame(earlier_hello("entry-9")))
+        reader = FrameReader(derive_key(KEY, "messages", nonce, nonce))
+        while data := await stream.receive_some(10_000):
+            received.extend(reader.feed(bytes(data)))
+
+    async def body(first: Node, second: Node, address: str) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            for _ in range(2):
+                first.links.send(ids.InstanceId("entry-9"), f"127.0.0.1:{port}", ACK)
+                await trio.sleep(2.5)
+            nursery.cancel_scope.cancel()
+
+    first, _ = run_pair(body)
+    assert received == [codec.encode_message(ACK, 0.0)] * 2
+    assert (len(connections), first.links.silent_links) == (1, 0)
+
+
 def acknowledgement(number: int, size: int = 1) -> messages.SchedulerAck:
     return messages.SchedulerAck(ids.ServiceName(f"agenda-{number}-" + "x" * size))
 
