--- a/lentilchute/gateway/crash_guard.py
+++ b/lentilchute/gateway/crash_guard.py
@@ -1,7 +1,8 @@
 """Detects requests that crash the upstreams that run them; free of I/O.
 
 A crash makes all requests in flight at the upstream suspects. A request that was in flight when a
-second upstream crashed is refused at every node for a while; a request that completes is cleared.
+second incarnation of an upstream crashed, be it another upstream or the same one started again, is
+refused at every node for a while; a request that completes is cleared.
 """
 
 from collections import OrderedDict
@@ -9,10 +10,11 @@
 
 import xxhash
 
-from ..ids import Fingerprint, UpstreamId
+from ..ids import Fingerprint
+from .departures import Incarnation
 
 CRASHES_TO_REFUSE = 2
-"""One upstream may crash by coincidence, a second one with the same request does not."""
+"""One crash may be a coincidence, a second one with the same request is not."""
 SUSPICION_LIFETIME_S = 60.0
 """Such a request is resent soon or not at all, so older suspicions expire."""
 MAX_SUSPECTS = 10_000
@@ -21,7 +23,7 @@
 
 @dataclass(slots=True)
 class _Suspect:
-    crashes: dict[UpstreamId, float]
+    crashes: set[Incarnation]
     changed_s: float
 
 
@@ -40,11 +42,14 @@
     def __init__(self) -> None:
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
 
-    def record_crash(self, content: Fingerprint, upstream: UpstreamId, now_s: float) -> int:
-        """Record that a request was in flight when an upstream crashed; return the number of
-        upstreams that have crashed with it."""
-        suspect = self._suspects.setdefault(content, _Suspect({}, now_s))
-        suspect.crashes[upstream] = now_s
+    def record_crash(self, content: Fingerprint, incarnation: Incarnation, now_s: float) -> int:
+        """Record that a request was in flight when an incarnation of an upstream crashed; return
+        the number of incarnations that have crashed with it.
+
+        Several nodes may report one crash.
+        """
+        suspect = self._suspects.setdefault(content, _Suspect(set(), now_s))
+        suspect.crashes.add(incarnation)
         suspect.changed_s = now_s
         self._suspects.move_to_end(content)
         self._evict(now_s)
@@ -55,7 +60,7 @@
         return self._suspects.pop(content, None) is not None
 
     def is_refused(self, content: Fingerprint, now_s: float) -> bool:
-        """Return whether a request has crashed too many upstreams to be sent again."""
+        """Return whether a request has crashed too many incarnations to be sent again."""
         suspect = self._suspects.get(content)
         if suspect is None or now_s - suspect.changed_s > SUSPICION_LIFETIME_S:
             return False
--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -45,17 +45,18 @@
 
     def _record_crash(self, reporter: InstanceId, notice: CrashNotice) -> None:
         now_s = self._context.now_s()
+        incarnation = notice.upstream, notice.started_ms or 0
         for content in notice.contents:
-            crashes = self._context.crash_guard.record_crash(content, notice.upstream, now_s)
+            crashes = self._context.crash_guard.record_crash(content, incarnation, now_s)
             log_event(
                 Event.POISON_VERDICT,
                 fingerprint=content,
                 verdict="suspected",
                 upstream=notice.upstream,
+                started_ms=notice.started_ms,
                 crashes=crashes,
                 reporter=reporter,
             )
-        incarnation = notice.upstream, notice.started_ms or 0
         for prompt in notice.prompts:
             blocked = self._context.prompt_part_guard.record_crash(incarnation, prompt, now_s)
             self._announce_blocked(reporter, blocked, notice.upstream)
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -468,7 +468,11 @@
     run_world(scenario)
 
 
-def test_a_request_that_crashes_upstreams_is_refused_everywhere() -> None:
+# A request that crashed an upstream again and again, which came back each time, was never refused.
+@pytest.mark.parametrize(
+    "second", [("a1", 1), ("a0", 4_001)], ids=["two upstreams", "one upstream twice"]
+)
+def test_a_request_that_crashes_upstreams_is_refused_everywhere(second: tuple[str, int]) -> None:
     async def scenario(world: GatewayWorld) -> None:
         first_node = world.nodes[0].node
         content_path = "/book/poison"
@@ -476,7 +480,8 @@
         content = fingerprint("POST", content_path, "key-1", b"x")
         crash_reports = first_node.context.controller(CrashReportController)
         crash_reports.report_crash(CrashNotice(UpstreamId("a0"), (content,), 1, ()))
-        crash_reports.report_crash(CrashNotice(UpstreamId("a1"), (content,), 1, ()))
+        upstream, started_ms = second
+        crash_reports.report_crash(CrashNotice(UpstreamId(upstream), (content,), started_ms, ()))
         await trio.sleep(0.2)
         for node in range(2):
             answer = await world.call(content_path, node, method="POST", body=b"x")
