Bound what accounts use beyond what the store holds

Cause: what is used after the last row that the store took is lost with the processes, and new ones took it for nothing, however old the row was; only the growth of one second was projected into it.

Change: running nodes use up to three quarters of what is allowed without storing it and need a reserve in the row beyond that; a process that starts assumes that this bound was reached just before. It works because the assumption of the one is the limit of the other, whatever happened in between. Earlier builds read the row as before.

Tests: the two tests of outages and ends fail without the bound and pass with it.

--- a/lentilchute/gateway/account_usage.py
+++ b/lentilchute/gateway/account_usage.py
@@ -160,6 +160,10 @@
         self.assumed, self.assumed_until_s = 0.0, until_s
         self._add_assumed(self._to_buckets(history, until_s))
 
+    def assume_more(self, amount: float, at_s: float) -> None:
+        """Assume further usage at one time."""
+        self._add_assumed([Bucket(at_s, used=amount)])
+
     def assume_full_use(self, rate_per_s: float, burst: float, now_s: float) -> None:
         """Assume that the full quota was used, at a constant rate and with the burst at the end."""
         self.assumed_until_s = now_s
--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -5,6 +5,9 @@
 coordinator spends an equal share of the quota, counted by its own requests; the coordinator
 reserves that share for each node that has not reported. A node that does not know the usage before
 its start counts the full quota as used.
+
+Where usage is stored, no more is admitted than a node can know that starts after the end of all
+(``stored_usage.py``).
 """
 
 from collections.abc import Iterable
@@ -15,9 +18,14 @@
 from .quota_bounds import QuotaBounds
 from .routes import Account
 from .settings import QuotaSettings
+from .stored_usage import RESERVE_SHARE, UNSTORED_SHARE, StoredUsage
 
 History = dict[ClientAccountId, list[float]]
 """Usage by account: sums over the parts of a window, oldest first."""
+WRITE_WAIT_S = 0.3
+"""Room that waits for a write of the usage is there within this time, if the store is up."""
+RECENT_WRITE_S = 1.5
+"""A store that took a write no longer ago is up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +47,8 @@
         self._bounds: dict[ClientAccountId, QuotaBounds] = {}
         self._last_totals: dict[ClientAccountId, float] = {}
         self._projected_totals: dict[ClientAccountId, float] = {}
+        self._stored: StoredUsage | None = None
+        """What the store holds, ``None`` if usage is not stored."""
         self._has_accounts = False
 
     def apply_settings(self, settings: QuotaSettings) -> None:
@@ -77,9 +87,23 @@
             used = usage.used_since(bound.since_s, share)
             if used + cost > self._allowed(bound.account) * share:
                 return None
+        if self._exceeds_stored(limit, cost, share, now_s):
+            return None
         usage.add(cost, now_s)
         return Charge(account, cost, now_s)
 
+    def _exceeds_stored(self, limit: Account, cost: float, share: float, now_s: float) -> bool:
+        """Return whether a request has to wait until more usage is stored."""
+        if self._stored is None:
+            return False
+        allowed = self._allowed(limit)
+        used = self._usage[limit.name].used_since(float("-inf"), share) + cost
+        if used <= UNSTORED_SHARE * allowed * share:
+            return False
+        return (
+            used > self._stored.bound(limit.name, allowed, self._settings.window_s, now_s) * share
+        )
+
     def record(self, account: ClientAccountId, cost: float, now_s: float) -> None:
         """Record the usage of a request that the coordinator has admitted."""
         if account in self._accounts:
@@ -104,6 +128,12 @@
         for bound in self._bounds[account].binding(oldest_s):
             remaining = self._allowed(bound.account) * share - cost
             wait_s = max(wait_s, usage.last_blocking_s(bound.since_s, remaining, share) - oldest_s)
+        if self._stored is not None and self._exceeds_stored(limit, cost, share, now_s):
+            unstored_s = WRITE_WAIT_S
+            if now_s - self._stored.at_s > RECENT_WRITE_S:
+                remaining = UNSTORED_SHARE * self._allowed(limit) * share - cost
+                unstored_s = usage.last_blocking_s(float("-inf"), remaining, share) - oldest_s
+            wait_s = max(wait_s, unstored_s)
         return min(wait_s, self._settings.window_s)
 
     def totals(self, now_s: float) -> dict[ClientAccountId, float]:
@@ -164,23 +194,56 @@
         for name in self._usage:
             self._current_usage(name, now_s).take_over()
 
-    def projected_history(self, now_s: float) -> History:
-        """Return the projected usage until the next call, for a node that starts after a crash.
+    def projected_usage(self, now_s: float) -> StoredUsage:
+        """Return the usage to store, with what is reserved until the next call.
 
-        Each account is projected to grow as much as since the last call, up to its quota.
+        Each account may use as much as since the last call, and a fixed share of its quota at
+        least, up to its quota.
         """
         totals, history = self.totals(now_s), self.history(now_s)
+        reserved = {}
         for name, account in self._accounts.items():
+            if account.quota_per_s is None:
+                continue
+            allowed = self._allowed(account)
             growth = max(0.0, totals[name] - self._last_totals.get(name, totals[name]))
-            history[name][-1] += min(growth, max(0.0, self._allowed(account) - totals[name]))
+            reserved[name] = min(
+                max(growth, RESERVE_SHARE * allowed), max(0.0, allowed - totals[name])
+            )
         self._last_totals = totals
-        self._projected_totals = {name: sum(parts) for name, parts in history.items()}
-        return history
+        self._projected_totals = {
+            name: total + reserved.get(name, 0.0) / 2 for name, total in totals.items()
+        }
+        return StoredUsage(history, reserved, now_s)
 
     def exceeds_projection(self, now_s: float) -> bool:
-        """Return whether an account has used more than the last projection."""
-        totals = self.totals(now_s)
-        return any(total > self._projected_totals.get(name, 0.0) for name, total in totals.items())
+        """Return whether an account has used half of what was reserved last, so that it may have to
+        wait for the next write."""
+        return any(
+            total > self._projected_totals.get(name, 0.0) and self._needs_store(name, total)
+            for name, total in self.totals(now_s).items()
+        )
+
+    def _needs_store(self, name: ClientAccountId, total: float) -> bool:
+        """Return whether an account is about to use more than may be used unstored."""
+        allowed = self._allowed(self._accounts[name])
+        return total > (UNSTORED_SHARE - RESERVE_SHARE) * allowed
+
+    def record_stored(self, stored: StoredUsage) -> None:
+        """Record what the store holds from now on; ``StoredUsage()`` if that is not known. Usage is
+        bounded by it from the first call on."""
+        self._stored = stored
+
+    def assume_unstored(self, stored: StoredUsage, since_s: float, now_s: float) -> None:
+        """Assume what nodes can have used from the row to ``since_s``, the start of this process,
+        all of it in the last moment."""
+        if stored.at_s >= since_s:
+            return
+        for name, account in self._accounts.items():
+            if account.quota_per_s is not None:
+                allowed, window_s = self._allowed(account), self._settings.window_s
+                unknown = stored.unknown(name, allowed, window_s, since_s)
+                self._current_usage(name, now_s).assume_more(unknown, since_s)
 
     def restore_history(self, history: History, age_s: float, now_s: float) -> None:
         """Replace the usage assumed at the start by the history that the last coordinator stored.
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from dataclasses import field
 from typing import Any
 
 from result import Result
@@ -79,26 +80,38 @@
     at_s: float
     used: dict[ClientAccountId, list[float]]
     """Usage in each part of the window, oldest first."""
+    reserved: dict[ClientAccountId, float] = field(default_factory=dict)
+    """Further usage that the row allows for."""
 
 
 def decode_quota_usage(value: bytes) -> Result[QuotaUsage, str]:
     """Decode the row with the quota usage."""
-    return decode_row(
-        value,
-        lambda row: QuotaUsage(
-            at_s=number(row["at-s"]),
-            used={
-                ClientAccountId(string(account)): [number(part) for part in parts]
-                for account, parts in row["used"].items()
-            },
-        ),
-    )
+    return decode_row(value, _quota_usage)
+
+
+def _quota_usage(row: Any) -> QuotaUsage:
+    used = {
+        ClientAccountId(string(account)): [number(part) for part in parts]
+        for account, parts in row["used"].items()
+    }
+    reserved = {
+        ClientAccountId(string(account)): number(amount)
+        for account, amount in (row.get("reserved") or {}).items()
+    }
+    for account, amount in reserved.items():
+        if used.get(account):
+            # Earlier builds read the last part alone, which therefore holds both.
+            used[account][-1] = max(0.0, used[account][-1] - amount)
+    return QuotaUsage(at_s=number(row["at-s"]), used=used, reserved=reserved)
 
 
 def encode_quota_usage(usage: QuotaUsage) -> bytes:
     """Return the value of the row with the quota usage."""
     used = {account: [round(part) for part in parts] for account, parts in usage.used.items()}
-    return json.dumps({"at-s": usage.at_s, "used": used}).encode()
+    reserved = {account: round(amount) for account, amount in usage.reserved.items()}
+    for account, parts in used.items():
+        parts[-1] += reserved.get(account, 0)
+    return json.dumps({"at-s": usage.at_s, "used": used, "reserved": reserved}).encode()
 
 
 def decode_blocked_parts(value: bytes) -> Result[dict[PromptPartId, float], str]:
--- a/test/gateway/test_quota.py
+++ b/test/gateway/test_quota.py
@@ -6,6 +6,7 @@
 from lentilchute.gateway.quota import QuotaTracker
 from lentilchute.gateway.routes import Account
 from lentilchute.gateway.settings import QuotaSettings
+from lentilchute.gateway.stored_usage import StoredUsage
 from lentilchute.ids import ClientAccountId
 
 ACCOUNT = ClientAccountId("notary")
@@ -161,15 +162,15 @@
     tolerant = SETTINGS.model_copy(update=tolerance)
     quotas = make_tracker(account(burst=10.0), tolerant)
     admitted: list[float] = []
-    written: tuple[float, dict[ClientAccountId, list[float]]] = (0.0, {})
+    written = StoredUsage()
     for tick in range(900):
         now_s = tick * 0.02
         is_checked = tick % 5 == 0 and tick < 240
         if is_checked and (tick % 50 == 0 or quotas.exceeds_projection(now_s)):
-            written = now_s, quotas.projected_history(now_s)
+            written = quotas.projected_usage(now_s)
         if tick == 240:
             quotas = make_tracker(account(burst=10.0), tolerant, started_s=now_s + 1.0)
-            quotas.restore_history(written[1], now_s + 1.0 - written[0], now_s + 1.0)
+            restore(quotas, written, now_s + 1.0)
         is_down = 240 <= tick < 290
         # The account's rate rises just before the crash.
         is_hot = tick > 201
@@ -184,6 +185,115 @@
         assert used <= 1.1 * (10.0 * 8.0 + 10.0) + 14.0
 
 
+def restore(quotas: QuotaTracker, stored: StoredUsage, now_s: float) -> None:
+    """Have a node that starts now adopt what the last coordinator stored."""
+    quotas.restore_history(stored.used, now_s - stored.at_s, now_s)
+    quotas.assume_unstored(stored, now_s, now_s)
+    quotas.record_stored(stored)
+
+
+TOLERANT = SETTINGS.model_copy(update={"overrun": 0.1, "slack": 14.0, "tolerance_share": 0.25})
+CHECK_S = 0.1
+
+
+class StoringFleet:
+    """Nodes that count as one, store what they use while the store is up, and end together."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.admitted: list[tuple[float, float]] = []
+        self._row = StoredUsage()
+        self._written_s = float("-inf")
+        self.start()
+
+    def start(self) -> None:
+        self.quotas = make_tracker(account(), TOLERANT, started_s=self.now_s)
+        restore(self.quotas, self._row, self.now_s)
+
+    def run(self, duration_s: float, cost_per_s: float, *, is_store_up: bool) -> None:
+        """Send requests at a rate and store usage as the coordinator does."""
+        for _ in range(round(duration_s / CHECK_S)):
+            self.now_s += CHECK_S
+            for _ in range(10):
+                cost = cost_per_s * CHECK_S / 10
+                if cost and self.quotas.admit(ACCOUNT, cost, 1.0, self.now_s) is not None:
+                    self.admitted.append((self.now_s, cost))
+            is_due = self.now_s - self._written_s >= 1.0
+            if is_store_up and (is_due or self.quotas.exceeds_projection(self.now_s)):
+                self._written_s = self.now_s
+                self._row = self.quotas.projected_usage(self.now_s)
+                self.quotas.record_stored(self._row)
+
+    def kill(self, down_s: float) -> None:
+        """End all nodes and start them again."""
+        self.now_s += down_s
+        self.start()
+
+    def used(self, end_s: float, window_s: float = 8.0) -> float:
+        return sum(cost for at_s, cost in self.admitted if end_s - window_s < at_s <= end_s)
+
+    def most_used(self) -> float:
+        """Return the most that was used in any window."""
+        return max((self.used(end_s) for end_s, _ in self.admitted), default=0.0)
+
+
+PERMITTED = 1.1 * (10.0 * 8.0 + 20.0) + 14.0
+
+
+# After an outage of the store the time between the stored row and the end of all nodes was taken as
+# time without use, and the quota was granted twice.
+def test_an_outage_of_the_store_before_a_crash_of_all_nodes_does_not_double_a_quota() -> None:
+    fleet = StoringFleet()
+    fleet.run(12.0, 5.0, is_store_up=True)
+    fleet.run(3.0, 75.0, is_store_up=False)
+    fleet.kill(1.0)
+    fleet.run(8.0, 75.0, is_store_up=True)
+    assert fleet.most_used() <= PERMITTED
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["run", "run", "kill"]),
+            st.sampled_from([0.3, 1.0, 2.5, 6.0]),
+            st.sampled_from([3.0, 8.0, 40.0, 150.0]),
+            st.booleans(),
+        ),
+        min_size=3,
+        max_size=9,
+    )
+)
+def test_no_window_exceeds_the_limit_over_outages_of_the_store_and_crashes_of_all_nodes(
+    steps: list[tuple[str, float, float, bool]],
+) -> None:
+    fleet = StoringFleet()
+    for step, duration_s, cost_per_s, is_store_up in steps:
+        if step == "kill":
+            fleet.kill(duration_s)
+        else:
+            fleet.run(duration_s, cost_per_s, is_store_up=is_store_up)
+    assert fleet.most_used() <= PERMITTED
+
+
+# What the bound costs: usual traffic, at half of the quota, must not notice it.
+def test_usual_use_is_not_refused_in_an_outage_nor_after_a_crash_of_all_nodes() -> None:
+    fleet = StoringFleet()
+    fleet.run(20.0, 6.0, is_store_up=True)
+    fleet.run(10.0, 6.0, is_store_up=False)
+    fleet.run(10.0, 6.0, is_store_up=True)
+    fleet.kill(2.0)
+    fleet.run(20.0, 6.0, is_store_up=True)
+    sent_s = 10.0 + 10.0 + 20.0
+    assert fleet.used(fleet.now_s, 52.0) >= 0.97 * 6.0 * (sent_s + 10.0)
+
+
+def test_an_account_can_use_its_whole_quota_while_the_store_is_up() -> None:
+    fleet = StoringFleet()
+    fleet.run(30.0, 75.0, is_store_up=True)
+    assert fleet.used(fleet.now_s) >= 100.0
+
+
 def test_stored_usage_replaces_assumed_usage() -> None:
     quotas = make_tracker(account(), started_s=0.0)
     quotas.restore_history({ACCOUNT: [0, 0, 0, 0, 0, 0, 10.0, 20.0]}, 1.0, 0.0)
