--- a/lentilchute/http/socket_io.py
+++ b/lentilchute/http/socket_io.py
@@ -20,7 +20,14 @@
 
 
 async def connect(host: str, port: int) -> trio.SocketStream:
-    """Connect to a port. Raises ``OSError`` when that fails."""
+    """Connect to a port. Raises ``OSError`` when that fails, also for what is no address."""
+    try:
+        return await _connect(host, port)
+    except (OverflowError, UnicodeError, ValueError) as error:
+        raise OSError(f"no address: {error}") from error
+
+
+async def _connect(host: str, port: int) -> trio.SocketStream:
     try:
         version = ipaddress.ip_address(host).version
     except ValueError:
--- a/lentilchute/peers/links.py
+++ b/lentilchute/peers/links.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from ..errors import UserError
 from ..events import Event, log_event
 from ..http.messages import READ_BYTES, split_address
 from ..http.server import open_listeners
@@ -287,7 +288,7 @@
             except _CONNECTION_ERRORS:
                 self._clear_queue()
                 await trio.sleep(RETRY_INTERVAL_S)
-            except FrameError as error:
+            except (FrameError, UserError) as error:
                 log_event(Event.PEER_LINK_REFUSED, peer=self.instance, reason=str(error))
                 self._clear_queue()
                 await trio.sleep(RETRY_INTERVAL_S)
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -33,7 +33,7 @@
 )
 from ..peers.heartbeats import PeerAddress
 from ..util.lean_dataclasses import dataclass
-from .row_fields import decode_row, integer, number, string
+from .row_fields import address, decode_row, integer, number, string
 
 CONFIG_TABLE = "op"
 """The table with the operator's configuration."""
@@ -70,7 +70,7 @@
 
 def decode_node(key: str, value: bytes) -> Result[PeerAddress, str]:
     """Decode the row of a node of this system; ``key`` is its instance."""
-    return decode_row(value, lambda row: PeerAddress(InstanceId(key), string(row["peers"])))
+    return decode_row(value, lambda row: PeerAddress(InstanceId(key), address(row["peers"])))
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,14 +217,10 @@
 
 
 def _upstream(key: str, row: Any) -> UpstreamListing:
-    address = string(row["address"])
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError("the address lacks a host or a port")
     return UpstreamListing(
         upstream=UpstreamId(key),
         service=ServiceName(string(row["service"])),
-        address=address,
+        address=address(row["address"]),
         zone=AvailabilityZone(string(row["zone"])),
         slots=max(1, integer(row["slots"])),
         state=_UPSTREAM_STATES[row["state"]],
