Let nodes that have just started admit before they store anything

What callers saw: after the end of all processes every account got 429 until the new coordinator had written the row, as the assumed usage alone reached the bound of usage that is not stored.

Cause: the bound of running nodes and the assumption of starting ones were the same figure, so that nothing was left in between.

Evidence: two tests of streams after a kill of all got 429 from their first request on, with a Retry-After of 0.3 s.

Change: 0.8 of what is allowed is assumed at a start; 0.6 may be used unstored by running nodes, 0.2 by nodes that have found a row and stored none. The sum is what is assumed, should these end too.

--- a/lentilchute/gateway/quota.py
+++ b/lentilchute/gateway/quota.py
@@ -25,7 +25,7 @@
 WRITE_WAIT_S = 0.3
 """Room that waits for a write of the usage is there within this time, if the store is up."""
 RECENT_WRITE_S = 1.5
-"""A store that took a write no longer ago is up."""
+"""A store that was heard no longer ago is up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +49,10 @@
         self._projected_totals: dict[ClientAccountId, float] = {}
         self._stored: StoredUsage | None = None
         """What the store holds, ``None`` if usage is not stored."""
+        self._starting_until_s = float("-inf")
+        """Until when this node goes by a row that it has found, unless it stores one itself."""
+        self._store_heard_s = float("-inf")
+        """When the store last took or gave a row."""
         self._has_accounts = False
 
     def apply_settings(self, settings: QuotaSettings) -> None:
@@ -100,9 +104,9 @@
         used = self._usage[limit.name].used_since(float("-inf"), share) + cost
         if used <= UNSTORED_SHARE * allowed * share:
             return False
-        return (
-            used > self._stored.bound(limit.name, allowed, self._settings.window_s, now_s) * share
-        )
+        is_starting = now_s < self._starting_until_s
+        bound = self._stored.starting_bound if is_starting else self._stored.running_bound
+        return used > bound(limit.name, allowed, self._settings.window_s, now_s) * share
 
     def record(self, account: ClientAccountId, cost: float, now_s: float) -> None:
         """Record the usage of a request that the coordinator has admitted."""
@@ -130,7 +134,7 @@
             wait_s = max(wait_s, usage.last_blocking_s(bound.since_s, remaining, share) - oldest_s)
         if self._stored is not None and self._exceeds_stored(limit, cost, share, now_s):
             unstored_s = WRITE_WAIT_S
-            if now_s - self._stored.at_s > RECENT_WRITE_S:
+            if now_s - self._store_heard_s > RECENT_WRITE_S:
                 remaining = UNSTORED_SHARE * self._allowed(limit) * share - cost
                 unstored_s = usage.last_blocking_s(float("-inf"), remaining, share) - oldest_s
             wait_s = max(wait_s, unstored_s)
@@ -229,21 +233,39 @@
         allowed = self._allowed(self._accounts[name])
         return total > (UNSTORED_SHARE - RESERVE_SHARE) * allowed
 
-    def record_stored(self, stored: StoredUsage) -> None:
-        """Record what the store holds from now on; ``StoredUsage()`` if that is not known. Usage is
-        bounded by it from the first call on."""
-        self._stored = stored
+    def bound_by_store(self) -> None:
+        """Bound usage by what is stored from now on; nothing is known to be stored yet."""
+        self._stored = StoredUsage()
+
+    def record_stored(self, stored: StoredUsage, now_s: float) -> None:
+        """Record that the store has taken this node's usage."""
+        self._stored, self._store_heard_s = stored, now_s
+        self._starting_until_s = float("-inf")
+
+    def record_unknown_row(self, now_s: float) -> None:
+        """Record that another node has replaced the row.
+
+        A node that has just started has stored nothing that could be lost by this.
+        """
+        if now_s >= self._starting_until_s:
+            self.record_stored(StoredUsage(), now_s)
+
+    def adopt_stored(self, stored: StoredUsage, started_s: float, now_s: float) -> None:
+        """Continue from the row that this node has found at its start at ``started_s``.
 
-    def assume_unstored(self, stored: StoredUsage, since_s: float, now_s: float) -> None:
-        """Assume what nodes can have used from the row to ``since_s``, the start of this process,
-        all of it in the last moment."""
-        if stored.at_s >= since_s:
+        It assumes what nodes before it can have used since the row, all of it in the last moment.
+        What those that run use, they and the coordinator count.
+        """
+        self.restore_history(stored.used, now_s - stored.at_s, now_s)
+        self._stored, self._store_heard_s = stored, now_s
+        if stored.at_s >= started_s:
             return
+        window_s = self._settings.window_s
+        self._starting_until_s = started_s + window_s
         for name, account in self._accounts.items():
             if account.quota_per_s is not None:
-                allowed, window_s = self._allowed(account), self._settings.window_s
-                unknown = stored.unknown(name, allowed, window_s, since_s)
-                self._current_usage(name, now_s).assume_more(unknown, since_s)
+                unknown = stored.unknown(name, self._allowed(account), window_s, started_s)
+                self._current_usage(name, now_s).assume_more(unknown, started_s)
 
     def restore_history(self, history: History, age_s: float, now_s: float) -> None:
         """Replace the usage assumed at the start by the history that the last coordinator stored.
--- a/lentilchute/gateway/quota_persistence.py
+++ b/lentilchute/gateway/quota_persistence.py
@@ -50,11 +50,10 @@
     async def run(self) -> None:
         while self._context.config is None:  # noqa: ASYNC110
             await trio.sleep(READ_RETRY_S)
-        # Nothing is known to be stored yet.
-        self._context.placements.quotas.record_stored(StoredUsage())
+        self._context.placements.quotas.bound_by_store()
         while not await self._restore():  # noqa: ASYNC110
             await trio.sleep(READ_RETRY_S * (1 + self._context.rng.random()))
-        last_write_s = self._context.now_s()
+        last_write_s = float("-inf")
         while True:
             if self._is_write_requested:
                 last_write_s = float("-inf")
@@ -72,7 +71,7 @@
     def _request_write(self) -> None:
         """Write at the next check, as the store may have lost what was written lately."""
         self._is_write_requested = True
-        self._context.placements.quotas.record_stored(StoredUsage())
+        self._context.placements.quotas.record_unknown_row(self._context.now_s())
 
     def _wake(self) -> None:
         self._role_changed.set()
@@ -95,7 +94,7 @@
         usage = decoded.ok_value
         now_s = self._context.now_s()
         age_s = max(0.0, now_s + self._store_clock_offset_s - usage.at_s)
-        self._adopt(StoredUsage(usage.used, usage.reserved, now_s - age_s), now_s)
+        self._adopt(StoredUsage(usage.used, usage.reserved, now_s - age_s))
         log_event(Event.QUOTAS_READ, accounts=len(usage.used), age_s=round(age_s, 3))
         return True
 
@@ -110,17 +109,13 @@
             return await self._restore()
         if fault is not None:
             return False
-        self._adopt(StoredUsage(at_s=now_s), now_s)
+        self._adopt(StoredUsage(at_s=now_s))
         log_event(Event.QUOTAS_READ, accounts=0, age_s=None)
         return True
 
-    def _adopt(self, stored: StoredUsage, now_s: float) -> None:
-        """Continue from what the store holds, and assume what nodes before this one can have used
-        since. What those that run use, they and the coordinator count."""
-        quotas, started_s = self._context.placements.quotas, self._context.started_s
-        quotas.restore_history(stored.used, now_s - stored.at_s, now_s)
-        quotas.assume_unstored(stored, started_s, now_s)
-        quotas.record_stored(stored)
+    def _adopt(self, stored: StoredUsage) -> None:
+        context = self._context
+        context.placements.quotas.adopt_stored(stored, context.started_s, context.now_s())
 
     async def _read(self) -> TablePage | None:
         requested_s = self._context.now_s()
@@ -144,9 +139,9 @@
         value = rows.encode_quota_usage(rows.QuotaUsage(at_s, usage.used, usage.reserved))
         fault = await self._write_row(value)
         if fault is None:
-            quotas.record_stored(usage)
+            quotas.record_stored(usage, self._context.now_s())
         elif fault is StoreFault.CONFLICT:
-            quotas.record_stored(StoredUsage())
+            quotas.record_unknown_row(self._context.now_s())
 
     async def _write_row(self, value: bytes) -> StoreFault | None:
         """Write the row unless somebody else has since this node read or wrote it; return what
--- a/lentilchute/gateway/stored_usage.py
+++ b/lentilchute/gateway/stored_usage.py
@@ -5,8 +5,12 @@
 that start assume that the bound was reached in the last moment::
 
     row = StoredUsage(used, reserved, at_s)
-    row.bound(account, allowed, window_s, now_s)      # running nodes: usage in the window, at most
-    row.unknown(account, allowed, window_s, now_s)    # starting nodes: assumed beside the row's
+    row.unknown(account, allowed, window_s, now_s)      # assumed at a start beside the row's usage
+    row.running_bound(account, allowed, window_s, now_s)      # usage of the nodes that stored it
+    row.starting_bound(account, allowed, window_s, now_s)     # the same of nodes that found it
+
+Nodes that have found a row may use a little before they store anything themselves. What is assumed
+covers this as well, should they end before.
 """
 
 from dataclasses import field
@@ -15,9 +19,13 @@
 from ..util.lean_dataclasses import dataclass
 from .account_usage import HISTORY_PARTS
 
-UNSTORED_SHARE = 0.75
-"""Share of what is allowed that may be used in a window without being stored. What is beyond can be
-used only after it is reserved in the store."""
+ASSUMED_SHARE = 0.8
+"""Share of what is allowed in a window that may have been used without being stored."""
+START_SHARE = 0.2
+"""The part of it that is for nodes which have just started and have stored nothing yet."""
+UNSTORED_SHARE = ASSUMED_SHARE - START_SHARE
+"""The part that is for nodes that run. What is beyond can be used only after it is reserved in the
+store."""
 RESERVE_SHARE = 0.1
 """Share of what is allowed that each write reserves for the usage until the next one."""
 
@@ -47,12 +55,21 @@
         self, account: ClientAccountId, allowed: float, window_s: float, now_s: float
     ) -> float:
         """Return the most that nodes can have used by now beside what the row holds."""
-        unstored = UNSTORED_SHARE * allowed - self.known(account, window_s, now_s)
+        unstored = ASSUMED_SHARE * allowed - self.known(account, window_s, now_s)
         return max(unstored, self.reserved.get(account, 0.0), 0.0)
 
-    def bound(
+    def running_bound(
+        self, account: ClientAccountId, allowed: float, window_s: float, now_s: float
+    ) -> float:
+        """Return the most that may be used in the window that ends now, by the nodes that have
+        stored this."""
+        known = self.known(account, window_s, now_s)
+        return max(known + self.reserved.get(account, 0.0), UNSTORED_SHARE * allowed)
+
+    def starting_bound(
         self, account: ClientAccountId, allowed: float, window_s: float, now_s: float
     ) -> float:
-        """Return the most that may be used in the window that ends now."""
+        """Return the same for nodes that have found this at their start, with what they assume."""
         known = self.known(account, window_s, now_s)
-        return known + self.unknown(account, allowed, window_s, now_s)
+        unknown = self.unknown(account, allowed, window_s, now_s)
+        return known + unknown + START_SHARE * allowed
--- a/test/gateway/test_quota.py
+++ b/test/gateway/test_quota.py
@@ -170,7 +170,7 @@
             written = quotas.projected_usage(now_s)
         if tick == 240:
             quotas = make_tracker(account(burst=10.0), tolerant, started_s=now_s + 1.0)
-            restore(quotas, written, now_s + 1.0)
+            quotas.adopt_stored(written, now_s + 1.0, now_s + 1.0)
         is_down = 240 <= tick < 290
         # The account's rate rises just before the crash.
         is_hot = tick > 201
@@ -185,13 +185,6 @@
         assert used <= 1.1 * (10.0 * 8.0 + 10.0) + 14.0
 
 
-def restore(quotas: QuotaTracker, stored: StoredUsage, now_s: float) -> None:
-    """Have a node that starts now adopt what the last coordinator stored."""
-    quotas.restore_history(stored.used, now_s - stored.at_s, now_s)
-    quotas.assume_unstored(stored, now_s, now_s)
-    quotas.record_stored(stored)
-
-
 TOLERANT = SETTINGS.model_copy(update={"overrun": 0.1, "slack": 14.0, "tolerance_share": 0.25})
 CHECK_S = 0.1
 
@@ -208,7 +201,7 @@
 
     def start(self) -> None:
         self.quotas = make_tracker(account(), TOLERANT, started_s=self.now_s)
-        restore(self.quotas, self._row, self.now_s)
+        self.quotas.adopt_stored(self._row, self.now_s, self.now_s)
 
     def run(self, duration_s: float, cost_per_s: float, *, is_store_up: bool) -> None:
         """Send requests at a rate and store usage as the coordinator does."""
@@ -222,7 +215,7 @@
             if is_store_up and (is_due or self.quotas.exceeds_projection(self.now_s)):
                 self._written_s = self.now_s
                 self._row = self.quotas.projected_usage(self.now_s)
-                self.quotas.record_stored(self._row)
+                self.quotas.record_stored(self._row, self.now_s)
 
     def kill(self, down_s: float) -> None:
         """End all nodes and start them again."""
