Give streams that go on room before new requests

Cause: a take-up waited like a new request, in its tier and by its share, although refusing it wastes the part that its caller has.

Change: a ticket that is bound to a version ranks with repeats.

Tests: test_a_stream_that_goes_on_gets_room_before_a_new_request failed before and passes now.

--- a/lentilchute/gateway/tickets.py
+++ b/lentilchute/gateway/tickets.py
@@ -70,6 +70,11 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     """The first parts of the prompt, in order."""
 
+    @property
+    def goes_on(self) -> bool:
+        """Whether the request continues a stream of which its caller has a part."""
+        return self.version is not None
+
     def allows(self, listing: UpstreamListing) -> bool:
         """Return whether the request may be sent to an upstream."""
         if listing.upstream in self.excluded:
--- a/lentilchute/gateway/waiting_list.py
+++ b/lentilchute/gateway/waiting_list.py
@@ -1,11 +1,11 @@
 """The tickets of one service that wait for an upstream, in the order in which they get room; free
 of I/O.
 
-Repeats come first, since refusing them wastes the work already done, then starved tiers, then by
-tier. Within a tier starved groups of requests come first, then those that can still be answered
-within their objective, and at last those that can't: one of them must not make another one late.
-Each of these begins with callers that return when they were told to, and goes on in the order of
-``RoomShares``.
+Repeats and streams that go on come first, since refusing them wastes the work already done, then
+starved tiers, then by tier. Within a tier starved groups of requests come first, then those that
+can still be answered within their objective, and at last those that can't: one of them must not
+make another one late. Each of these begins with callers that return when they were told to, and
+goes on in the order of ``RoomShares``.
 """
 
 import bisect
@@ -189,7 +189,7 @@
         item.is_late = now_s > item.on_time_until_s
         item.is_committed = item.is_committed_by(now_s)
         item.rank = (
-            not ticket.is_repeat,
+            not (ticket.is_repeat or ticket.goes_on),
             ticket.tier not in self._starved_tiers,
             ticket.tier,
             not starved or starved.isdisjoint(item.groups),
--- a/test/gateway/test_dispatcher.py
+++ b/test/gateway/test_dispatcher.py
@@ -120,6 +120,20 @@
     assert chosen_upstream(decision) == "a"
 
 
+# Callers that took their streams up were refused while new requests took the room at their version.
+def test_a_stream_that_goes_on_gets_room_before_a_new_request() -> None:
+    dispatcher = make_dispatcher("a", slots=1)
+    dispatcher.submit(ticket(1), 0.0)
+    assert dispatcher.submit(ticket(2, arrived_s=0.01), 0.01) is None
+    taken_up = ticket(3, arrived_s=0.02, tier=2)
+    taken_up.version = listing("a").version
+    assert dispatcher.submit(taken_up, 0.02) is None
+    dispatcher.drop(key(1))
+    ((first, decision),) = dispatcher.poll(0.05)
+    assert first is taken_up
+    assert chosen_upstream(decision) == "a"
+
+
 def test_slots_in_use_according_to_a_digest_are_not_free() -> None:
     dispatcher = make_dispatcher("a")
     apply_loads(dispatcher, load("a", running=4))
