Keep where streams began beyond the end of all nodes, and be certain of it

Cause: origins were kept in the memory of nodes alone; without a name, what nobody knew counted as not there; and a list counted as fresh by its age, not by whether it was read after the stream began.

Of the new tests 7 of 11 failed on the code before: 0 of 16 streams go on after the kill, an unnamed one is answered 200, and a node out of step sends a named stream to v1 and v1.1.

It works because each answer rests on a record or on a proof, and everything else is refused with its reason.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -107,6 +107,13 @@
     PEER_LINK_REFUSED = EventInfo(
         502, "A peer link failed authentication or sent an invalid frame."
     )
+    STREAMS_READ = EventInfo(
+        525, "A starting node has read from the store where streams began before it started."
+    )
+    VERSIONS_READ = EventInfo(
+        526,
+        "A starting node has read which versions services had, and whether it can have missed any.",
+    )
     PEER_LINK_SILENT = EventInfo(
         524, "Nothing arrived at a peer any more over an open connection; the link opens another."
     )
--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -64,6 +64,8 @@
     operator_row_listeners: list[Callable[[list[StoreRow]], None]] = field(default_factory=list)
     """Called with changed rows of the operator's table."""
     fleet_listeners: list[Callable[[], None]] = field(default_factory=list)
+    begun_stream_listeners: list[Callable[[], None]] = field(default_factory=list)
+    """Called when a stream has begun of which other nodes have to know."""
     blocked_part_listeners: list[Callable[[], None]] = field(default_factory=list)
     """Called when a part of prompts has been blocked or cleared."""
     coordinator_listeners: list[Callable[[], None]] = field(default_factory=list)
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -39,7 +39,9 @@
     reading,
     relay_service,
     stream_continuity,
+    stream_persistence,
     upstream_paths,
+    version_persistence,
 )
 from .context import GatewayContext, build_controllers
 from .coordination import CoordinatorChoice
@@ -75,7 +77,9 @@
     relay_service,
     rollouts,
     stream_continuity,
+    stream_persistence,
     upstream_paths,
+    version_persistence,
 )
 """Modules that register peer messages and controllers when they are imported."""
 
--- a/lentilchute/gateway/reading.py
+++ b/lentilchute/gateway/reading.py
@@ -1,13 +1,14 @@
 """Controller that keeps this node's copies of the configuration and the list of upstreams fresh."""
 
 import dataclasses
+import math
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import trio
-from result import Err
+from result import Err, Result
 
 from ..events import Event, log_event
 from ..ids import InstanceId, UpstreamId
@@ -19,6 +20,7 @@
 from .fleet import UpstreamChange, UpstreamChangeKind, UpstreamListing
 from .messages import ChangedRow, ConfigRelay, TableChanges
 from .table_freshness import TableCopy
+from .version_record import UpstreamRowChange
 
 CHECK_INTERVAL_S = 0.25
 """Interval between checks for a pause of the process; a small fraction of the lag allowed for the
@@ -34,6 +36,10 @@
 CONFIG_RELAY_INTERVAL_S = 1.0
 """A peer that has served an older configuration for this long gets the one in force; by then it
 should have read it."""
+CONFIRM_INTERVAL_S = 0.05
+"""Interval between reads that confirm the list of upstreams, for each ``CONFIRM_NODES`` nodes."""
+CONFIRM_NODES = 16
+MAX_CONFIRM_INTERVAL_S = 0.2
 MIN_PAUSE_S = 0.5
 """A loop that was delayed by more than this, or clocks that diverge by more, indicate a pause."""
 
@@ -59,12 +65,19 @@
     """Whether the table has been read in full, in any era."""
     read_requested: trio.Event = field(default_factory=trio.Event)
     """Set when the copy must be read before it is due."""
+    was_refreshed: trio.Event = field(default_factory=trio.Event)
+    """Set when the copy has become complete as of a later time."""
 
     def mark_stale(self) -> None:
         """Mark the copy as stale and request a read."""
         self.copy.mark_stale()
         self.read_requested.set()
 
+    def report_refresh(self) -> None:
+        """Wake those that wait for a fresher copy."""
+        self.was_refreshed.set()
+        self.was_refreshed = trio.Event()
+
 
 @gateway_controller
 class ReadingController:
@@ -81,6 +94,8 @@
         self._announced: dict[str, UpstreamListing] = {}
         self._config_value: bytes | None = None
         self._config_relayed_s: dict[InstanceId, float] = {}
+        self._confirmed_s = float("-inf")
+        """When a read of the upstreams was last requested to confirm the list."""
         context.store.era_listeners.append(self._begin_era)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
@@ -97,6 +112,51 @@
         version = self._config.copy.version
         return None if version is None else (self._context.store.era, version)
 
+    def upstreams_known(self) -> tuple[int, int] | None:
+        """Return the store's era and the version up to which this node knows the upstreams."""
+        version = self._upstreams.copy.version
+        return None if version is None else (self._context.store.era, version)
+
+    def are_upstreams_fresh(self) -> bool:
+        """Return whether the list of upstreams is not behind those of other nodes."""
+        age_s = self._upstreams.copy.age_s(self._context.now_s())
+        return age_s <= self._context.settings.reading.notice_within_s
+
+    def knows_upstreams_since(self, since_s: float) -> bool:
+        """Return whether this node knows all upstreams that were listed at a time."""
+        now_s = self._context.now_s()
+        return now_s - self._upstreams.copy.age_s(now_s) >= since_s
+
+    async def confirm_upstreams(self, since_s: float) -> None:
+        """Wait until this node knows all upstreams that were listed at a time, a moment ago.
+
+        All that wait share a read, and reads keep an interval that grows with the fleet.
+        """
+        nodes = len(self._context.membership.present()) + 1
+        interval_s = min(
+            CONFIRM_INTERVAL_S * math.ceil(nodes / CONFIRM_NODES), MAX_CONFIRM_INTERVAL_S
+        )
+        while not self.knows_upstreams_since(since_s):
+            due_s = self._confirmed_s + interval_s
+            if self._context.now_s() < due_s:
+                await trio.sleep_until(due_s)
+                continue
+            self._confirmed_s = self._context.now_s()
+            self._upstreams.mark_stale()
+            await self._upstreams.was_refreshed.wait()
+
+    async def read_upstream_changes(
+        self, after_version: int
+    ) -> Result[tuple[UpstreamRowChange, ...], StoreFault]:
+        """Return the last changes of upstreams' rows after a version of the store."""
+        result = await self._context.store.read_changes(rows.UPSTREAMS_TABLE, after_version)
+        return result.map(
+            lambda page: tuple(
+                UpstreamRowChange(UpstreamId(row.key), self._decode_upstream(row))
+                for row in page.rows
+            )
+        )
+
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_pauses)
@@ -217,6 +277,7 @@
         # All rows of a full read are applied: a row that is missing from it has been removed.
         updated_rows = list(page.rows) if base is None else newer
         table.apply_rows(updated_rows, base is None, after_outage)
+        table.report_refresh()
         if base is None:
             table.was_read = True
             return
@@ -263,6 +324,8 @@
         if newer:
             after_outage = message.after_outage or table.copy.is_after_outage(self._context.now_s())
             table.apply_rows(newer, False, after_outage)
+        if is_complete:
+            table.report_refresh()
 
     def _record_fault(self, table: _Table, fault: StoreFault) -> None:
         if fault is StoreFault.HISTORY_GONE:
--- a/lentilchute/gateway/request_log.py
+++ b/lentilchute/gateway/request_log.py
@@ -32,6 +32,7 @@
             account=None if call.account is None else call.account.name,
             config_version=None if call.config is None else call.config.version,
             waited_s=round(self._context.now_s() - call.arrived_s, 4),
+            resumed_stream=call.headers.resumed_stream,
             tried=[] if active is None else active.tried,
             left_out=suppressed,
         )
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -163,6 +163,8 @@
     """A planned stop."""
     rollouts: RolloutSettings | None = None
     """Bounds for roll-outs; without them, orders to roll a version out are not followed."""
+    first_start: bool = False
+    """The whole system starts for the first time, so that nothing has begun before."""
     machine: MachineSettings = MachineSettings()
     """The machine's resources that the node may use."""
     membership: MembershipSettings = MembershipSettings()
--- a/lentilchute/gateway/stream_continuity.py
+++ b/lentilchute/gateway/stream_continuity.py
@@ -2,13 +2,17 @@
 
 The attempt that began it may have been at another node, which may have ended. While a service has
 upstreams of several software versions, all nodes therefore tell each other of each stream that
-begins. While it has a single one, nothing has to be told; but until that is certain, as after a
-start or while the store is down, a few peers are told, so that the origin outlives the node. A node
-that was not told asks all peers.
+begins, and store it (``stream_persistence.py``). While it has a single one, nothing has to be told;
+but until that is certain, as after a start or while the store is down, a few peers are told, so
+that the origin outlives the node. A node that was not told asks all peers.
+
+That a service has a single version is certain only as of a time after the stream was taken up: the
+stream may have begun, at another node, at upstreams that joined a moment ago.
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from enum import Enum
 from typing import Any
 
 import trio
@@ -17,12 +21,11 @@
 from ..ids import InstanceId, ServiceName, SoftwareVersion, StreamId
 from ..peers.heartbeats import PeerInfo
 from ..peers.message_dispatch import MessageHandler
-from ..platform import rows
 from .active_request import ActiveRequest
 from .context import GatewayContext, gateway_controller
 from .messages import StreamGroup, StreamNotice, StreamQuestion, VersionSighting
 from .reading import ReadingController
-from .stream_origins import StreamOrigin, StreamOrigins
+from .stream_origins import STREAM_LIFETIME_S, StreamOrigin, StreamOrigins
 from .version_history import GoneVersion, VersionHistory
 
 SHARE_INTERVAL_S = 0.05
@@ -41,6 +44,16 @@
 but those that it saw go."""
 
 
+class Uncertainty(Enum):
+    """Why the origin of a stream is not certain, for the log."""
+
+    SHORT_HISTORY = "short-history"
+    """Nobody knows which versions there were before all nodes ended."""
+    SEVERAL_VERSIONS = "several-versions"
+    OLD_LIST = "old-list"
+    """Upstreams of another version may have joined since the list was read."""
+
+
 @gateway_controller
 class StreamContinuityController:
     """Remembers where streams began, and shares it with all nodes while versions differ."""
@@ -89,21 +102,104 @@
         self._origins.record_begun(StreamId(headers.attempt_id), origin, self._context.now_s())
         if not self._is_uniform(origin.service):
             self._has_news.set()
+            for listener in self._context.begun_stream_listeners:
+                listener()
 
     def knows(self, stream: StreamId, now_s: float) -> bool:
         """Return whether this node can tell where a stream began."""
         return self._origins.find(stream, now_s) is not None
 
     async def find_origin(self, active: ActiveRequest) -> StreamOrigin | None:
-        """Return where the stream that a caller takes up began; ``None`` if nobody can tell."""
-        stream = active.call.headers.resumed_stream
-        origin = self._known_origin(stream, active.ticket.service)
-        if origin is None and stream is not None:
-            origin = await self._ask_peers(stream, active.ticket.service)
-        if origin is not None:
-            return origin
-        log_event(Event.STREAM_UNKNOWN, request_id=active.call.log_id, resumed_stream=stream)
-        return None
+        """Return where the stream that a caller takes up began; ``None`` if that is not certain."""
+        stream, service = active.call.headers.resumed_stream, active.ticket.service
+        taken_up_s = self._context.now_s()
+        origin = self._recorded_origin(stream)
+        if origin is None:
+            origin = await self._search_origin(stream, service, taken_up_s)
+        if origin is None:
+            log_event(
+                Event.STREAM_UNKNOWN,
+                request_id=active.call.log_id,
+                resumed_stream=stream,
+                reason=self._uncertainty(service, taken_up_s).value,
+            )
+        return origin
+
+    async def _search_origin(
+        self, stream: StreamId | None, service: ServiceName, taken_up_s: float
+    ) -> StreamOrigin | None:
+        """Read the list of upstreams again and ask peers, until the origin is certain or there is
+        no more time."""
+        with trio.move_on_after(ORIGIN_WAIT_S):
+            if self._versions.only_version(service, taken_up_s) is not None:
+                await self._context.controller(ReadingController).confirm_upstreams(taken_up_s)
+                origin = self._only_origin(service, taken_up_s)
+                if origin is not None:
+                    return origin
+            if stream is not None:
+                self._context.broadcast(StreamQuestion(stream))
+            while True:
+                await self._was_told.wait()
+                origin = self._recorded_origin(stream) or self._only_origin(service, taken_up_s)
+                if origin is not None:
+                    return origin
+        return self._recorded_origin(stream) or self._only_origin(service, taken_up_s)
+
+    def _recorded_origin(self, stream: StreamId | None) -> StreamOrigin | None:
+        return None if stream is None else self._origins.find(stream, self._context.now_s())
+
+    def _only_origin(self, service: ServiceName, taken_up_s: float) -> StreamOrigin | None:
+        """Return the only origin that a stream which was taken up at a time can have."""
+        version = self._versions.only_version(service, self._context.now_s())
+        reading = self._context.controller(ReadingController)
+        if version is None or not reading.knows_upstreams_since(taken_up_s):
+            return None
+        return StreamOrigin(service, version)
+
+    def _uncertainty(self, service: ServiceName, taken_up_s: float) -> Uncertainty:
+        """Return why a stream of which nobody knows could have begun at several versions."""
+        now_s = self._context.now_s()
+        if self._versions.complete_for_s(now_s) < STREAM_LIFETIME_S:
+            return Uncertainty.SHORT_HISTORY
+        if self._versions.only_version(service, now_s) is None:
+            return Uncertainty.SEVERAL_VERSIONS
+        return Uncertainty.OLD_LIST
+
+    def take_unstored(self) -> dict[StreamOrigin, list[StreamId]]:
+        """Return the streams whose origins are to be stored, and count them as stored."""
+        return self._origins.take_unstored(
+            lambda name: not self._is_uniform(name), self._context.now_s()
+        )
+
+    def return_unstored(self, streams: Mapping[StreamOrigin, list[StreamId]]) -> None:
+        """Take streams back that could not be stored."""
+        self._origins.return_unstored(streams, self._context.now_s())
+
+    def adopt_origins(self, groups: Iterable[StreamGroup]) -> None:
+        """Record where streams began by the word of a peer or of the store."""
+        now_s = self._context.now_s()
+        for group in groups:
+            self._origins.adopt(group.streams, StreamOrigin(group.service, group.version), now_s)
+        self._tell_waiting()
+
+    def adopt_versions(self, seen: Iterable[VersionSighting], complete_for_s: float) -> None:
+        """Record which versions there were by the word of a peer or of the store, which may have
+        followed the services for longer."""
+        gone = (GoneVersion(StreamOrigin(item.service, item.version), item.age_s) for item in seen)
+        self._versions.adopt(gone, complete_for_s, self._context.now_s())
+        self._tell_waiting()
+
+    def seen_versions(self) -> tuple[VersionSighting, ...]:
+        """Return the versions that are listed, with age 0, and those that went lately."""
+        listed = (
+            VersionSighting(origin.service, origin.version, 0.0)
+            for origin in sorted(self._listed_versions())
+        )
+        return (*listed, *self._gone_versions())
+
+    def _tell_waiting(self) -> None:
+        self._was_told.set()
+        self._was_told = trio.Event()
 
     def repeat_to(self, instance: InstanceId) -> None:
         """Tell a node that has just started, or was out of reach, what all others know, if there
@@ -129,16 +225,6 @@
         is_followed = self._versions.complete_for_s(now_s) >= MIN_HISTORY_S
         return is_followed or bool(self._versions.gone(now_s))
 
-    async def _ask_peers(self, stream: StreamId, service: ServiceName) -> StreamOrigin | None:
-        self._context.broadcast(StreamQuestion(stream))
-        with trio.move_on_after(ORIGIN_WAIT_S):
-            while True:
-                await self._was_told.wait()
-                origin = self._known_origin(stream, service)
-                if origin is not None:
-                    return origin
-        return None
-
     def _on_question(self, sender: InstanceId, question: StreamQuestion) -> None:
         """Reply also without knowing the stream: the sender may not have followed its service."""
         origin = self._origins.find(question.stream, self._context.now_s())
@@ -149,19 +235,6 @@
         )
         self._context.post(sender, self._notice(groups))
 
-    def _known_origin(self, stream: StreamId | None, service: ServiceName) -> StreamOrigin | None:
-        found = None if stream is None else self._origins.find(stream, self._context.now_s())
-        if found is not None:
-            return found
-        if stream is None:
-            # Nobody can tell about a stream that its caller does not name, so that more certainty
-            # would refuse all of them after each start and during each outage of the store.
-            now_s = self._context.now_s()
-            version = self._versions.only_version(service, now_s, needs_certainty=False)
-        else:
-            version = self._only_version(service)
-        return None if version is None else StreamOrigin(service, version)
-
     def _only_version(self, service: ServiceName) -> SoftwareVersion | None:
         """Return the single version that a service can have had lately, as far as a fresh copy of
         the list of upstreams shows."""
@@ -175,11 +248,7 @@
         return self._only_version(service) is not None
 
     def _is_fresh(self) -> bool:
-        """Return whether this node's list of upstreams is not behind those of other nodes."""
-        context = self._context
-        ages_s = context.controller(ReadingController).ages_s(context.now_s())
-        age_s = ages_s.get(rows.UPSTREAMS_TABLE, math.inf)
-        return age_s <= context.settings.reading.notice_within_s
+        return self._context.controller(ReadingController).are_upstreams_fresh()
 
     def _listed_versions(self) -> set[StreamOrigin]:
         return {StreamOrigin(item.service, item.version) for item in self._context.fleet.listed()}
@@ -189,6 +258,12 @@
         # What was not worth telling before may be now.
         self._has_news.set()
 
+    def _gone_versions(self) -> tuple[VersionSighting, ...]:
+        return tuple(
+            VersionSighting(origin.service, origin.version, age_s)
+            for origin, age_s in self._versions.gone(self._context.now_s())
+        )
+
     def _notices(self, streams: Mapping[StreamOrigin, list[StreamId]]) -> list[StreamNotice]:
         return [
             self._notice((StreamGroup(origin.service, origin.version, tuple(batch)),))
@@ -201,21 +276,10 @@
         now_s = self._context.now_s()
         return StreamNotice(
             groups=groups,
-            gone=tuple(
-                VersionSighting(origin.service, origin.version, age_s)
-                for origin, age_s in self._versions.gone(now_s)
-            ),
+            gone=self._gone_versions(),
             complete_for_s=self._versions.complete_for_s(now_s) if self._is_fresh() else 0.0,
         )
 
     def _on_notice(self, _sender: InstanceId, notice: StreamNotice) -> None:
-        now_s = self._context.now_s()
-        for group in notice.groups:
-            self._origins.adopt(group.streams, StreamOrigin(group.service, group.version), now_s)
-        gone = (
-            GoneVersion(StreamOrigin(item.service, item.version), item.age_s)
-            for item in notice.gone
-        )
-        self._versions.adopt(gone, notice.complete_for_s, now_s)
-        self._was_told.set()
-        self._was_told = trio.Event()
+        self.adopt_versions(notice.gone, notice.complete_for_s)
+        self.adopt_origins(notice.groups)
--- a/lentilchute/gateway/stream_origins.py
+++ b/lentilchute/gateway/stream_origins.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from ..ids import ServiceName, SoftwareVersion, StreamId
@@ -35,12 +35,15 @@
         self._records: OrderedDict[StreamId, _Record] = OrderedDict()
         self._unshared: OrderedDict[StreamId, _Record] = OrderedDict()
         """Streams that began at this node and that peers have not been told of."""
+        self._unstored: OrderedDict[StreamId, _Record] = OrderedDict()
+        """Streams that began at this node and that the store doesn't hold."""
 
     def record_begun(self, stream: StreamId, origin: StreamOrigin, now_s: float) -> None:
         """Record a stream that has begun at this node."""
         record = _Record(origin, now_s + STREAM_LIFETIME_S)
         if _put(self._records, stream, record, now_s):
             _put(self._unshared, stream, record, now_s)
+            _put(self._unstored, stream, record, now_s)
 
     def adopt(self, streams: Iterable[StreamId], origin: StreamOrigin, now_s: float) -> None:
         """Record streams of which a peer says where they began."""
@@ -57,12 +60,24 @@
     ) -> dict[StreamOrigin, list[StreamId]]:
         """Return the streams of the wanted services that peers have not been told of, and count
         them as told."""
-        unshared = _by_origin(self._unshared, now_s)
-        wanted = {origin: names for origin, names in unshared.items() if is_wanted(origin.service)}
-        for names in wanted.values():
+        return _take(self._unshared, is_wanted, now_s)
+
+    def take_unstored(
+        self, is_wanted: Callable[[ServiceName], bool], now_s: float
+    ) -> dict[StreamOrigin, list[StreamId]]:
+        """Return the streams of the wanted services that the store doesn't hold, and count them as
+        stored."""
+        return _take(self._unstored, is_wanted, now_s)
+
+    def return_unstored(
+        self, streams: Mapping[StreamOrigin, Iterable[StreamId]], now_s: float
+    ) -> None:
+        """Count streams as not stored after all, as far as they still matter."""
+        for names in streams.values():
             for name in names:
-                del self._unshared[name]
-        return wanted
+                record = self._records.get(name)
+                if record is not None:
+                    _put(self._unstored, name, record, now_s)
 
     def remembered(self, now_s: float) -> dict[StreamOrigin, list[StreamId]]:
         """Return all streams, for a node that has just started."""
@@ -84,6 +99,18 @@
     return True
 
 
+def _take(
+    records: OrderedDict[StreamId, _Record], is_wanted: Callable[[ServiceName], bool], now_s: float
+) -> dict[StreamOrigin, list[StreamId]]:
+    """Remove the streams of the wanted services and return them."""
+    found = _by_origin(records, now_s)
+    wanted = {origin: names for origin, names in found.items() if is_wanted(origin.service)}
+    for names in wanted.values():
+        for name in names:
+            del records[name]
+    return wanted
+
+
 def _by_origin(
     records: OrderedDict[StreamId, _Record], now_s: float
 ) -> dict[StreamOrigin, list[StreamId]]:
--- a/lentilchute/platform/store.py
+++ b/lentilchute/platform/store.py
@@ -77,13 +77,14 @@
     """A new value for a row, or its removal if ``value`` is ``None``.
 
     ``expected_version`` makes the whole transaction conditional on the row's version; 0 requires
-    that the row does not exist.
+    that the row does not exist. All writes of a transaction are to one part of their tables.
     """
 
     table: str
     key: str
     value: bytes | None
     expected_version: int | None = None
+    part: str = ""
 
 
 class StoreClient:
@@ -117,16 +118,21 @@
             for listener in self.era_listeners:
                 listener()
 
-    async def read_table(self, table: str) -> Result[TablePage, StoreFault]:
-        """Return all rows of a table, in its empty part."""
+    async def read_table(
+        self, table: str, part: str = "", from_key: str | None = None, to_key: str | None = None
+    ) -> Result[TablePage, StoreFault]:
+        """Return all rows of one part of a table, or those from one key up to another, which is
+        left out."""
         rows: list[StoreRow] = []
         version: int | None = None
-        start: str | None = None
+        start = from_key
         era: int | None = None
         while True:
-            query = {"table": table, "part": "", "limit": PAGE_ROWS}
+            query = {"table": table, "part": part, "limit": PAGE_ROWS}
             if start is not None:
                 query["from"] = start
+            if to_key is not None:
+                query["to"] = to_key
             answered = await self._get(ROWS_GET_PATH, query)
             if isinstance(answered, Err):
                 return answered
@@ -202,7 +208,7 @@
 
 
 def _row_id(write: RowWrite) -> dict[str, str]:
-    return {"table": write.table, "part": "", "key": write.key}
+    return {"table": write.table, "part": write.part, "key": write.key}
 
 
 _FAULT_BY_STATUS = {
--- a/lentilchute/standins/store.py
+++ b/lentilchute/standins/store.py
@@ -124,7 +124,11 @@
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == names.ROWS_GET_PATH:
-            return 200, self._page(query["table"], -1, with_removed=False)
+            page = self._page(
+                stored_name(query["table"], query.get("part", "")), -1, with_removed=False
+            )
+            in_range = [row for row in page["rows"] if _is_in_range(row["key"], query)]
+            return 200, {**page, "rows": in_range}
         if url.path == names.ROWS_FEED_PATH:
             after = int(query["start-after"])
             if after < self.state.compacted_version or after > self.state.version:
@@ -149,18 +153,32 @@
     def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         state = self.state
         for row in body["expected-rev"]:
-            if state.current_version(row["table"], row["key"]) != row["ver"]:
+            if state.current_version(_stored_table(row), row["key"]) != row["ver"]:
                 return 412, {"rows": []}
         values = [(row, base64.b64decode(row["value"])) for row in body["set-keys"]]
         state.put_together(
-            [(row["table"], row["key"], value) for row, value in values]
-            + [(row["table"], row["key"], None) for row in body["remove"]]
+            [(_stored_table(row), row["key"], value) for row, value in values]
+            + [(_stored_table(row), row["key"], None) for row in body["remove"]]
         )
         return 200, {"ver": state.version, "now-ms": self._now_ms()}
 
 
+def stored_name(table: str, part: str) -> str:
+    """Return the name under which ``StoreState`` keeps a part of a table."""
+    return f"{table}/{part}" if part else table
+
+
+def _stored_table(row: dict[str, Any]) -> str:
+    return stored_name(row["table"], row["part"])
+
+
+def _is_in_range(key: str, query: dict[str, str]) -> bool:
+    return query.get("from", "") <= key and ("to" not in query or key < query["to"])
+
+
 def _row_body(table: str, key: str, row: _Row) -> dict[str, Any]:
-    body = {"table": table, "part": "", "key": key, "ver": row.version}
+    name, _, part = table.partition("/")
+    body = {"table": name, "part": part, "key": key, "ver": row.version}
     if row.value is None:
         return {**body, "tombstone": True}
     return {**body, "value": row.value}
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -7,10 +7,16 @@
 from gateway_world import GatewayWorld, run_world
 
 from lentilchute.gateway import version_history
+from lentilchute.gateway.context import GatewayContext
+from lentilchute.gateway.reading import ReadingController
 from lentilchute.gateway.stream_continuity import KEEPERS, StreamContinuityController
+from lentilchute.gateway.stream_persistence import STORE_INTERVAL_S
+from lentilchute.gateway.version_persistence import CHECK_INTERVAL_S as RECORD_CHECK_S
 from lentilchute.http.messages import header_value
 from lentilchute.ids import SoftwareVersion, StreamId
 from lentilchute.platform import headers as names
+from lentilchute.platform import rows
+from lentilchute.standins.store import StoreFaultMode
 
 STREAMS = 16
 TOKENS = "400,60"
@@ -23,17 +29,31 @@
 
 async def add_new_version(world: GatewayWorld) -> None:
     """Start upstreams of another software version, and wait until all nodes list them."""
+    await add_new_version_except(world, None)
+
+
+async def add_new_version_except(world: GatewayWorld, lagging: GatewayContext | None) -> None:
+    """Do the same, but wait for no node that is out of step."""
     for name in ("e0", "e1"):
         await world.add_upstream(name, "drafters", version=NEW_VERSION)
+    contexts = [node.node.context for node in world.nodes if node.node.context is not lagging]
     await world.until(
         lambda: all(
-            node.node.context.fleet.listing(name) is not None  # type: ignore[arg-type]
-            for node in world.nodes
+            context.fleet.listing(name) is not None  # type: ignore[arg-type]
+            for context in contexts
             for name in ("e0", "e1")
         )
     )
 
 
+def hear_nothing(world: GatewayWorld, context: GatewayContext) -> None:
+    """Have a node hear nothing of its peers, and its list of upstreams count as fresh for long."""
+    context.links.receiver = lambda sender, message: None
+    reading = context.settings.reading
+    relaxed = reading.model_copy(update={"leaving_within_s": 60.0, "config_within_s": 60.0})
+    context.controller(ReadingController)._upstreams.copy._settings = relaxed
+
+
 async def begin_streams(world: GatewayWorld, nodes: list[int]) -> list[str]:
     """Begin streams at these nodes in turn, and return their ids."""
     streams = [f"stream-{number}" for number in range(STREAMS)]
@@ -71,8 +91,13 @@
 
 def versions_of(world: GatewayWorld, stream: str) -> set[SoftwareVersion]:
     """Return the versions of the upstreams that a stream's requests reached."""
+    return versions_of_node(world, stream, -1)
+
+
+def versions_of_node(world: GatewayWorld, stream: str, node: int) -> set[SoftwareVersion]:
+    """Return the same with the versions that a node knows."""
     listings = {
-        name: world.nodes[-1].node.context.fleet.listing(name)  # type: ignore[arg-type]
+        name: world.nodes[node].node.context.fleet.listing(name)  # type: ignore[arg-type]
         for name in world.upstreams
     }
     return {
@@ -199,6 +224,147 @@
     run_world(scenario, nodes=3)
 
 
+async def remove_upstreams(world: GatewayWorld, names_of_upstreams: list[str]) -> None:
+    """End upstreams and take them off the list, and wait until all nodes know it."""
+    for name in names_of_upstreams:
+        world.upstreams[name].scope.cancel()
+        world.store.state.put(rows.UPSTREAMS_TABLE, name, None)
+    await world.until(
+        lambda: all(
+            node.node.context.fleet.listing(name) is None  # type: ignore[arg-type]
+            for node in world.nodes
+            for name in names_of_upstreams
+        )
+    )
+
+
+# All streams were refused after the end of all nodes, as nobody knew any more where they had begun.
+def test_streams_go_on_at_their_versions_after_all_nodes_were_killed() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await add_new_version(world)
+        streams = await begin_streams(world, [0, 1, 2])
+        await trio.sleep(2 * STORE_INTERVAL_S)
+        await world.restart_nodes(world.nodes)
+        assert await take_all_up(world, streams, [1, 2, 0]) >= MIN_CONTINUED_SHARE * STREAMS
+        reached = [versions_of(world, stream) for stream in streams]
+        assert {version for versions in reached for version in versions} == {"v1", NEW_VERSION}
+
+    run_world(scenario, nodes=3)
+
+
+# What the store took before it went down must be enough, and what it did not take is refused.
+def test_streams_that_the_store_did_not_take_are_refused_after_all_nodes_were_killed() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await add_new_version(world)
+        stored = await begin_streams(world, [0, 1, 2])
+        await trio.sleep(2 * STORE_INTERVAL_S)
+        world.store.mode = StoreFaultMode.BUSY
+        answer = await world.call(
+            "/drafts/1", 0, method="POST", tokens=TOKENS, attempt="not-stored"
+        )
+        assert answer is not None and answer.status == 200
+        await trio.sleep(2 * STORE_INTERVAL_S)
+        world.store.mode = StoreFaultMode.NONE
+        for node in world.nodes:
+            node.scope.cancel()
+        await world.restart_nodes(world.nodes)
+        assert await take_up(world, "not-stored", 1) == 503
+        assert await take_all_up(world, stored, [1, 2, 0]) >= MIN_CONTINUED_SHARE * STREAMS
+
+    run_world(scenario, nodes=3)
+
+
+# While upstreams are alike nothing is stored of streams; the record of the versions must do.
+def test_streams_go_on_after_all_nodes_were_killed_while_upstreams_are_alike() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        streams = await begin_streams(world, [0, 1, 2])
+        await trio.sleep(2 * RECORD_CHECK_S)
+        await world.restart_nodes(world.nodes)
+        assert await take_all_up(world, streams, [1, 2, 0]) == STREAMS
+        assert await take_up_unnamed(world, 0) == 200
+
+    run_world(scenario, nodes=3)
+
+
+# A stream of a version that had just left was joined with another one at the only version listed.
+@pytest.mark.parametrize("is_named", [True, False], ids=["named", "unnamed"])
+@pytest.mark.parametrize("left", ["before", "meanwhile"])
+def test_no_stream_goes_on_elsewhere_when_its_version_left_around_a_kill(
+    left: str, is_named: bool
+) -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await add_new_version(world)
+        await trio.sleep(2 * RECORD_CHECK_S)
+        if left == "before":
+            await remove_upstreams(world, ["d0", "d1"])
+            await trio.sleep(2 * RECORD_CHECK_S)
+        for node in world.nodes:
+            node.scope.cancel()
+        if left == "meanwhile":
+            for name in ("d0", "d1"):
+                world.store.state.put(rows.UPSTREAMS_TABLE, name, None)
+                del world.upstreams[name]
+        await world.restart_nodes(world.nodes)
+        for node in range(3):
+            status = (
+                await take_up(world, "began-at-the-old-version", node)
+                if is_named
+                else await take_up_unnamed(world, node)
+            )
+            assert status == 503
+
+    run_world(scenario, nodes=3)
+
+
+# An upstream that came and went while no node kept up leaves only its removal in the changes.
+@pytest.mark.parametrize("is_history_gone", [False, True], ids=["removal", "no history"])
+def test_a_version_that_nobody_recorded_makes_origins_uncertain(is_history_gone: bool) -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await trio.sleep(2 * RECORD_CHECK_S)
+        for node in world.nodes:
+            node.scope.cancel()
+        await trio.sleep(0.05)
+        if is_history_gone:
+            world.store.state.put(rows.UPSTREAMS_TABLE, "any", None)
+            world.store.state.compact()
+        else:
+            world.store.state.put(rows.UPSTREAMS_TABLE, "e0", b"{}")
+            world.store.state.put(rows.UPSTREAMS_TABLE, "e0", None)
+        await world.restart_nodes(world.nodes)
+        assert await take_up(world, "began-somewhere", 0) == 503
+
+    run_world(scenario, nodes=3)
+
+
+# A node that was cut off while another version joined took its own list for all there is.
+@pytest.mark.parametrize("is_named", [True, False], ids=["named", "unnamed"])
+def test_a_node_out_of_step_sends_no_stream_to_another_version(
+    monkeypatch: pytest.MonkeyPatch, is_named: bool
+) -> None:
+    followed_s = 0.5
+    monkeypatch.setattr(version_history, "STREAM_LIFETIME_S", followed_s)
+
+    async def scenario(world: GatewayWorld) -> None:
+        await trio.sleep(followed_s)
+        lagging = world.nodes[2].node.context
+        hear_nothing(world, lagging)
+        await add_new_version_except(world, lagging)
+        streams = [f"new-{number}" for number in range(STREAMS)]
+        for stream in streams:
+            answer = await world.call("/drafts/1", 0, method="POST", tokens=TOKENS, attempt=stream)
+            assert answer is not None and answer.status == 200
+        assert any(versions_of_node(world, stream, 0) == {NEW_VERSION} for stream in streams)
+        for stream in streams:
+            began_at = versions_of_node(world, stream, 0)
+            if not is_named:
+                assert await take_up_unnamed(world, 2) == 503
+                continue
+            assert await take_up(world, stream, 2) in (200, 503)
+            assert versions_of_node(world, stream, 0) == began_at
+
+    run_world(scenario, nodes=3)
+
+
 def test_a_stream_whose_beginning_nobody_knows_is_refused_while_versions_differ() -> None:
     """Guards against a guess after all that knew the stream have ended."""
 
