Return a place that is given to a request in the moment of its cancellation

Cause: a decision made between the cancellation of a waiting request and the next turn of its task was taken for delivered, so that neither the task nor the registry gave the place back.

Evidence: a test that cancels the wait, frees a place and polls in one turn of the loop finds 8 places counted as taken where 7 are.

Change: a ticket counts as taken only once its task goes on; otherwise it is dropped, placed or not. A counter shows how often. It works because the drop frees a place as well as a queued ticket.

Tests: test_a_place_that_is_given_to_a_cancelled_request_is_returned failed before and passes now.

--- a/lentilchute/gateway/coordinator.py
+++ b/lentilchute/gateway/coordinator.py
@@ -109,12 +109,18 @@
             return decision
         wait = self._local_waits[ticket.key] = _LocalWait()
         self._has_waits.set()
+        is_taken = False
         try:
             await wait.decided.wait()
+            is_taken = True
         finally:
             del self._local_waits[ticket.key]
-            if wait.decision is None:
+            if not is_taken:
+                # It may have been placed since the wait was cancelled: nobody else gives that back.
                 registry.drop(ticket.service, ticket.key, context.now_s())
+                if isinstance(wait.decision, Placement):
+                    context.metrics.record_returned_place()
+                    self.poll(ticket.service, only_placements=True)
         assert wait.decision is not None
         return wait.decision
 
--- a/lentilchute/gateway/metric_names.py
+++ b/lentilchute/gateway/metric_names.py
@@ -15,6 +15,7 @@
     "lentilchute.gateway.attempts",
     "lentilchute.gateway.store.calls",
     "lentilchute.gateway.coordinator.silences",
+    "lentilchute.gateway.returned_places",
     "lentilchute.gateway.crashed_requests",
     "lentilchute.gateway.unreachable",
     "lentilchute.gateway.prompt_tokens",
--- a/lentilchute/gateway/metrics.py
+++ b/lentilchute/gateway/metrics.py
@@ -73,6 +73,10 @@
         """Count a request for which the coordinator did not reply in time or declined to decide."""
         self._add("coordinator.silences", ())
 
+    def record_returned_place(self) -> None:
+        """Count a place that was given to a request whose caller had just left."""
+        self._add("returned_places", ())
+
     def render(self) -> tuple[str, bytes]:
         """Return the content type and the metrics page, in the Prometheus text format."""
         instruments = self._loaded_instruments()
