Clear a request that crashed upstreams only when its answer is complete

Cause: the first event cleared the suspicion against the whole request, so that each further upstream wiped out the crash before.

Change: the first event clears parts of prompts, a complete answer clears the request. A crash after the first event adds two thirds of the suspicion of one before it, as sound streams are in flight for long. The notice has a new optional field for that, which earlier builds skip.

--- a/lentilchute/gateway/crash_guard.py
+++ b/lentilchute/gateway/crash_guard.py
@@ -1,8 +1,9 @@
 """Detects requests that crash the upstreams that run them; free of I/O.
 
-A crash makes all requests in flight at the upstream suspects. A request that was in flight when a
-second incarnation of an upstream crashed, be it another upstream or the same one started again, is
-refused at every node for a while; a request that completes is cleared.
+A crash makes all requests in flight at the upstream suspects. A request that was in flight when
+several incarnations of upstreams crashed, be it other upstreams or the same one started again, is
+refused at every node for a while; a request that completes is cleared. A crash after the first
+event of an answer says less: a sound stream is in flight for long, and goes on elsewhere.
 """
 
 from collections import OrderedDict
@@ -13,8 +14,11 @@
 from ..ids import Fingerprint
 from .departures import Incarnation
 
-CRASHES_TO_REFUSE = 2
-"""One crash may be a coincidence, a second one with the same request is not."""
+SUSPICION_TO_REFUSE = 6
+"""A request is refused from this suspicion on: after two crashes before its answers began, or three
+of any kind. One crash may be a coincidence."""
+SUSPICION_BEFORE_ANSWER = 3
+SUSPICION_AFTER_FIRST_EVENT = 2
 SUSPICION_LIFETIME_S = 60.0
 """Such a request is resent soon or not at all, so older suspicions expire."""
 MAX_SUSPECTS = 10_000
@@ -23,7 +27,8 @@
 
 @dataclass(slots=True)
 class _Suspect:
-    crashes: set[Incarnation]
+    crashes: dict[Incarnation, int]
+    """Suspicion that each crash adds."""
     changed_s: float
 
 
@@ -42,14 +47,23 @@
     def __init__(self) -> None:
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
 
-    def record_crash(self, content: Fingerprint, incarnation: Incarnation, now_s: float) -> int:
+    def record_crash(
+        self,
+        content: Fingerprint,
+        incarnation: Incarnation,
+        now_s: float,
+        *,
+        had_begun: bool = False,
+    ) -> int:
         """Record that a request was in flight when an incarnation of an upstream crashed; return
         the number of incarnations that have crashed with it.
 
-        Several nodes may report one crash.
+        ``had_begun`` says that the first event of its answer had come. Several nodes may report one
+        crash.
         """
-        suspect = self._suspects.setdefault(content, _Suspect(set(), now_s))
-        suspect.crashes.add(incarnation)
+        suspect = self._suspects.setdefault(content, _Suspect({}, now_s))
+        added = SUSPICION_AFTER_FIRST_EVENT if had_begun else SUSPICION_BEFORE_ANSWER
+        suspect.crashes[incarnation] = max(added, suspect.crashes.get(incarnation, 0))
         suspect.changed_s = now_s
         self._suspects.move_to_end(content)
         self._evict(now_s)
@@ -64,7 +78,7 @@
         suspect = self._suspects.get(content)
         if suspect is None or now_s - suspect.changed_s > SUSPICION_LIFETIME_S:
             return False
-        return len(suspect.crashes) >= CRASHES_TO_REFUSE
+        return sum(suspect.crashes.values()) >= SUSPICION_TO_REFUSE
 
     def _evict(self, now_s: float) -> None:
         while self._suspects:
--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -9,6 +9,9 @@
 from .context import GatewayContext, gateway_controller
 from .messages import BlockedPart, ClearedNotice, CrashNotice
 
+NO_CONTENT = Fingerprint("")
+"""Named by a notice that clears parts of prompts only."""
+
 
 @gateway_controller
 class CrashReportController:
@@ -28,9 +31,17 @@
         self._record_crash(self._context.instance, notice)
         self._context.broadcast(notice)
 
-    def report_begun(self, content: Fingerprint, parts: tuple[PromptPartId, ...]) -> None:
-        """Clear a request whose answer has begun and the parts of its prompt, locally and at all
-        peers, as far as they were suspected."""
+    def report_begun(self, parts: tuple[PromptPartId, ...]) -> None:
+        """Clear the parts of a prompt whose answer has begun, locally and at all peers, as far as
+        they were suspected."""
+        self._report_cleared(NO_CONTENT, parts)
+
+    def report_completed(self, content: Fingerprint) -> None:
+        """Clear a request whose answer is complete, locally and at all peers, if it was
+        suspected."""
+        self._report_cleared(content, ())
+
+    def _report_cleared(self, content: Fingerprint, parts: tuple[PromptPartId, ...]) -> None:
         is_cleared, cleared_parts = self._clear(self._context.instance, content, parts)
         if is_cleared or cleared_parts:
             self._context.broadcast(ClearedNotice(content, cleared_parts))
@@ -47,7 +58,9 @@
         now_s = self._context.now_s()
         incarnation = notice.upstream, notice.started_ms or 0
         for content in notice.contents:
-            crashes = self._context.crash_guard.record_crash(content, incarnation, now_s)
+            crashes = self._context.crash_guard.record_crash(
+                content, incarnation, now_s, had_begun=content in notice.begun
+            )
             log_event(
                 Event.POISON_VERDICT,
                 fingerprint=content,
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -414,6 +414,7 @@
         if active.attempts.has_started_answer:
             return AttemptEnd.BROKEN
         active.attempts.has_started_answer = True
+        self._record_completion(active)
         self._report_end(active, placement, AttemptEnd.DELIVERED)
         await active.responder.answer_parts(head.status, head.headers, body)
         return AttemptEnd.DELIVERED
@@ -480,6 +481,7 @@
     async def _end_stream(
         self, active: ActiveRequest, placement: Placement, head: HttpHead
     ) -> AttemptEnd:
+        self._record_completion(active)
         self._report_end(active, placement, AttemptEnd.DELIVERED)
         if not active.attempts.has_started_answer:
             await self._send_events(active, head, b"")
@@ -496,9 +498,11 @@
             active.ticket.service, now_s - active.call.arrived_s
         )
         self._placement_client.report(active.ticket, placement, first_event_s=took_s)
-        call = active.call
-        if call.fingerprint is not None:
-            self._crash_reports.report_begun(call.fingerprint, call.headers.shared_prompt_parts)
+        self._crash_reports.report_begun(active.call.headers.shared_prompt_parts)
+
+    def _record_completion(self, active: ActiveRequest) -> None:
+        if active.call.fingerprint is not None:
+            self._crash_reports.report_completed(active.call.fingerprint)
 
     async def _finish_unplaced(self, active: ActiveRequest, refused: Refused) -> None:
         refusal = CallRefusal(_REFUSAL_CAUSES[refused.reason], refused.retry_after_s)
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -341,6 +341,8 @@
     started_ms: int | None
     prompts: tuple[CrashedPrompt, ...]
     """Those whose answers had not begun."""
+    begun: tuple[Fingerprint, ...] = ()
+    """Those whose first events had come; earlier builds don't tell."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -392,8 +394,10 @@
 @peer_message("cleared_notice")
 @dataclass(frozen=True, slots=True)
 class ClearedNotice:
-    """The fingerprint of a suspected request whose answer has begun, and the suspected parts of its
-    prompt."""
+    """A suspected request that has completed, or suspected parts of a prompt whose answer has
+    begun."""
 
     content: Fingerprint
+    """Empty if only parts are cleared. Earlier builds also name a request whose answer has
+    begun."""
     parts: tuple[PromptPartId, ...]
--- a/lentilchute/gateway/upstream_faults.py
+++ b/lentilchute/gateway/upstream_faults.py
@@ -62,5 +62,6 @@
                 contents=(content,),
                 started_ms=listing.started_ms,
                 prompts=() if active.has_first_event else (prompt,),
+                begun=(content,) if active.has_first_event else (),
             )
         )
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -379,6 +379,7 @@
   2: list<string> contents
   3: i64 started_ms
   4: list<CrashedPrompt> prompts
+  5: optional list<string> begun
 }
 
 struct ClearedNotice {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -1005,6 +1005,7 @@
         2: (TType.LIST, "contents", TType.STRING, False),
         3: (TType.I64, "started_ms", False),
         4: (TType.LIST, "prompts", (TType.STRUCT, CrashedPrompt), False),
+        5: (TType.LIST, "begun", TType.STRING, False),
     }
 
     def __init__(
@@ -1013,11 +1014,13 @@
         contents: Any = None,
         started_ms: Any = None,
         prompts: Any = None,
+        begun: Any = None,
     ) -> None:
         self.upstream = upstream
         self.contents = contents
         self.started_ms = started_ms
         self.prompts = prompts
+        self.begun = begun
 
 
 class ClearedNotice(Struct):
--- a/test/gateway/test_crash_guard.py
+++ b/test/gateway/test_crash_guard.py
@@ -26,6 +26,18 @@
     assert guard.is_refused(CONTENT, 4.1)
 
 
+# The first event at each further upstream cleared a stream that crashed each of them after it.
+def test_crashes_after_the_first_event_count_until_the_request_completes() -> None:
+    guard = CrashGuard()
+    for number in range(2):
+        guard.record_crash(CONTENT, (UpstreamId(f"u{number}"), 1), 1.0 * number, had_begun=True)
+        assert not guard.is_refused(CONTENT, 1.0 * number)
+    guard.record_crash(CONTENT, (UpstreamId("u2"), 1), 2.0, had_begun=True)
+    assert guard.is_refused(CONTENT, 2.0)
+    guard.record_completion(CONTENT)
+    assert not guard.is_refused(CONTENT, 2.0)
+
+
 def test_a_request_that_completes_is_cleared() -> None:
     guard = CrashGuard()
     guard.record_crash(CONTENT, FIRST, 0.0)
--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -492,6 +492,45 @@
     run_world(scenario)
 
 
+# A stream that crashed each upstream after its first event was cleared by the next first event.
+def test_a_stream_that_crashes_upstreams_after_its_first_event_is_refused_everywhere() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        context = world.nodes[0].node.context
+        content = fingerprint("POST", "/drafts/poison", "key-1", b"x")
+        crash_reports = context.controller(CrashReportController)
+        for started_ms in range(1, 4):
+            notice = CrashNotice(UpstreamId("d0"), (content,), started_ms, (), (content,))
+            crash_reports.report_crash(notice)
+            # The stream begins at the next upstream.
+            crash_reports.report_begun(())
+        await trio.sleep(0.2)
+        for node in range(2):
+            answer = await world.call(
+                "/drafts/poison", node, method="POST", tokens="400,60", body=b"x"
+            )
+            assert answer is not None and answer.status == 503
+
+    run_world(scenario)
+
+
+# A request whose answer is complete must not be held against its caller.
+def test_a_suspected_request_that_completes_is_cleared_everywhere() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        context = world.nodes[0].node.context
+        for path, tokens in (("/view/1", None), ("/drafts/1", "400,60")):
+            method = "GET" if tokens is None else "POST"
+            content = fingerprint(method, path, "key-1", b"")
+            notice = CrashNotice(UpstreamId("gone"), (content,), 1, ())
+            context.controller(CrashReportController).report_crash(notice)
+            answer = await world.call(path, 0, method=method, tokens=tokens)
+            assert answer is not None and answer.status == 200
+            await trio.sleep(0.2)
+            guards = [node.node.context.crash_guard for node in world.nodes]
+            assert not any(guard.record_completion(content) for guard in guards)
+
+    run_world(scenario)
+
+
 def test_nodes_that_start_together_share_quotas_before_they_see_each_other() -> None:
     """Otherwise each node would spend the whole quota after all nodes were killed."""
 
