--- a/lentilchute/gateway/stream_persistence.py
+++ b/lentilchute/gateway/stream_persistence.py
@@ -90,7 +90,7 @@
         """Read rows of one part of the table and adopt them; try until that succeeds."""
         while True:
             requested_s = self._context.now_s()
-            page = await self._context.store.read_table(
+            page = await self._context.store.read_part(
                 stream_rows.STREAMS_TABLE, part, from_key, to_key
             )
             if not isinstance(page, Err):
--- a/lentilchute/platform/store.py
+++ b/lentilchute/platform/store.py
@@ -118,8 +118,12 @@
             for listener in self.era_listeners:
                 listener()
 
-    async def read_table(
-        self, table: str, part: str = "", from_key: str | None = None, to_key: str | None = None
+    async def read_table(self, table: str) -> Result[TablePage, StoreFault]:
+        """Return all rows of a table, in its empty part."""
+        return await self.read_part(table, "")
+
+    async def read_part(
+        self, table: str, part: str, from_key: str | None = None, to_key: str | None = None
     ) -> Result[TablePage, StoreFault]:
         """Return all rows of one part of a table, or those from one key up to another, which is
         left out."""
