Ask peers for a stream while the store is silent, and go on asking for missed notices

A node that took its own list for certain waited for the store alone, so that a stream that a peer knows would be refused while the store is down.

Change: the store is waited for half of the time, then peers are asked; what peers told is kept apart from what the store told; an empty list is followed. The test world's settings are as before, and tests that need a first start say so.

A peer that has itself just learned from the record still counts as one that was told; that stays open.

--- a/lentilchute/gateway/missed_notices.py
+++ b/lentilchute/gateway/missed_notices.py
@@ -42,7 +42,7 @@
         streams = self._context.controller(StreamContinuityController)
         for _ in range(ASK_ROUNDS):
             await trio.sleep(ASK_INTERVAL_S)
-            if streams.follows_since_s() < self._context.started_s:
+            if streams.peers_follow_since_s() < self._context.started_s:
                 return
             self._ask()
 
--- a/lentilchute/gateway/stream_continuity.py
+++ b/lentilchute/gateway/stream_continuity.py
@@ -35,6 +35,8 @@
 ORIGIN_WAIT_S = 0.3
 """Peers reply within tens of milliseconds; a refusal any later would keep the caller from nodes
 that know its stream."""
+CONFIRM_WAIT_S = 0.15
+"""The part of it for which the store is waited for before peers are asked."""
 MAX_STREAMS_PER_GROUP = 5_000
 KEEPERS = 4
 """Peers that are told of a stream while all known upstreams of its service have one version."""
@@ -64,6 +66,7 @@
         self._versions = VersionHistory()
         self._has_news = trio.Event()
         self._was_told = trio.Event()
+        self._peers_follow_since_s = math.inf
         context.fleet_listeners.append(self._on_fleet)
 
     def handlers(self) -> Mapping[type[Any], MessageHandler]:
@@ -132,7 +135,8 @@
         no more time."""
         with trio.move_on_after(ORIGIN_WAIT_S):
             if self._versions.only_version(service, taken_up_s) is not None:
-                await self._context.controller(ReadingController).confirm_upstreams(taken_up_s)
+                with trio.move_on_after(CONFIRM_WAIT_S):
+                    await self._context.controller(ReadingController).confirm_upstreams(taken_up_s)
                 origin = self._only_origin(service, taken_up_s)
                 if origin is not None:
                     return origin
@@ -185,8 +189,12 @@
     def adopt_versions(self, seen: Iterable[VersionSighting], complete_for_s: float) -> None:
         """Record which versions there were by the word of a peer or of the store, which may have
         followed the services for longer."""
+        now_s = self._context.now_s()
+        if self._context.fleet.is_known:
+            # An empty list is followed as well, though nothing about it has changed yet.
+            self._versions.update(self._listed_versions(), now_s)
         gone = (GoneVersion(StreamOrigin(item.service, item.version), item.age_s) for item in seen)
-        self._versions.adopt(gone, complete_for_s, self._context.now_s())
+        self._versions.adopt(gone, complete_for_s, now_s)
         self._tell_waiting()
 
     def seen_versions(self) -> tuple[VersionSighting, ...]:
@@ -216,10 +224,15 @@
 
     def follows_since_s(self) -> float:
         """Return since when no version of a service can have been missed, which is before the start
-        of this node once a peer has told it."""
+        of this node once a peer or the store has told it."""
         now_s = self._context.now_s()
         return now_s - self._versions.complete_for_s(now_s)
 
+    def peers_follow_since_s(self) -> float:
+        """Return since when peers that have told this node follow the services; infinite if none
+        has."""
+        return self._peers_follow_since_s
+
     def _has_history(self, now_s: float) -> bool:
         """Return whether this node knows more than one that starts now learns by itself."""
         is_followed = self._versions.complete_for_s(now_s) >= MIN_HISTORY_S
@@ -281,5 +294,7 @@
         )
 
     def _on_notice(self, _sender: InstanceId, notice: StreamNotice) -> None:
+        since_s = self._context.now_s() - notice.complete_for_s
+        self._peers_follow_since_s = min(self._peers_follow_since_s, since_s)
         self.adopt_versions(notice.gone, notice.complete_for_s)
         self.adopt_origins(notice.groups)
--- a/lentilchute/gateway/version_persistence.py
+++ b/lentilchute/gateway/version_persistence.py
@@ -26,6 +26,7 @@
 REFRESH_S = 6.0
 """A record is written again after this long; the store keeps its history for 20 s."""
 CHECK_INTERVAL_S = 0.25
+LISTED_POLL_S = 0.05
 RETRY_INTERVAL_S = 0.3
 READ_TRIES = 20
 """A node that runs for as long without the record has learned most of it by itself."""
@@ -63,8 +64,10 @@
                 await self._write()
 
     async def _restore(self) -> None:
+        while not self._context.fleet.is_known:  # noqa: ASYNC110
+            await trio.sleep(LISTED_POLL_S)
         for _ in range(READ_TRIES):
-            if self._context.fleet.is_known and await self._read():
+            if await self._read():
                 return
             await trio.sleep(RETRY_INTERVAL_S)
 
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -25,6 +25,8 @@
 MIN_CONTINUED_SHARE = 0.5
 """Share of the streams taken up that goes on, of the share of new ones that begin (platform)."""
 NEW_VERSION = "v1.1"
+FIRST_START = "first_start: true"
+"""Settings by which nodes know that no stream can have begun before them."""
 
 
 async def add_new_version(world: GatewayWorld) -> None:
@@ -283,7 +285,7 @@
         assert await take_all_up(world, streams, [1, 2, 0]) == STREAMS
         assert await take_up_unnamed(world, 0) == 200
 
-    run_world(scenario, nodes=3)
+    run_world(scenario, FIRST_START, nodes=3)
 
 
 # A stream of a version that had just left was joined with another one at the only version listed.
@@ -336,6 +338,29 @@
     run_world(scenario, nodes=3)
 
 
+# A node that waits for the store must not miss a peer that knows the stream.
+def test_a_stream_that_a_peer_knows_goes_on_while_the_store_is_down() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await trio.sleep(2 * RECORD_CHECK_S)
+        streams = await begin_streams(world, [0])
+        world.store.mode = StoreFaultMode.SILENT
+        assert await take_all_up(world, streams, [1, 2]) == STREAMS
+
+    run_world(scenario, FIRST_START, nodes=3)
+
+
+# An empty list was not followed, so that what a first start knows was forgotten.
+def test_versions_are_certain_from_a_first_start_on_without_upstreams() -> None:
+    async def scenario(world: GatewayWorld) -> None:
+        await trio.sleep(2 * RECORD_CHECK_S)
+        streams = [node.node.context.controller(StreamContinuityController) for node in world.nodes]
+        starts_s = [node.node.context.started_s for node in world.nodes]
+        for node in range(3):
+            assert streams[node].follows_since_s() < starts_s[node]
+
+    run_world(scenario, FIRST_START, nodes=3, drafters=0, agendas=0)
+
+
 # A node that was cut off while another version joined took its own list for all there is.
 @pytest.mark.parametrize("is_named", [True, False], ids=["named", "unnamed"])
 def test_a_node_out_of_step_sends_no_stream_to_another_version(
@@ -400,4 +425,4 @@
         await add_new_version(world)
         assert await take_up_unnamed(world, 0) == 503
 
-    run_world(scenario, nodes=3)
+    run_world(scenario, FIRST_START, nodes=3)
--- a/test/gateway_world.py
+++ b/test/gateway_world.py
@@ -214,7 +214,6 @@
 store:
   address: {store_address}
 shared_key: key-of-the-test-world
-first_start: true
 quotas:
   overrun: 0.1
   slack: 140000
