--- a/review/standins-2/clients.py
+++ b/review/standins-2/clients.py
@@ -5,12 +5,21 @@
 import random
 import secrets
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from http1 import Answer, call
 from nodes import Node
 
 LOOKUPS = 3
+CLIENTS = 36
+
+
+@dataclass
+class Resolved:
+    """What the directory told one client, and until when the client keeps it."""
+
+    addresses: list[str] = field(default_factory=list)
+    until_s: float = 0.0
 
 
 @dataclass
@@ -34,13 +43,13 @@
         self.nodes = nodes
         self.tried: list[Tried] = []
         self._host = host
-        self._addresses: list[str] = []
-        self._until_s = 0.0
+        self._resolved = [Resolved() for _ in range(CLIENTS)]
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def address(self) -> str | None:
-        """Return an address at random; each answer of the directory is kept for its time."""
-        if time.monotonic() >= self._until_s:
+        """Return an address for one of the clients, at random among those that it was told."""
+        known = random.choice(self._resolved)
+        if time.monotonic() >= known.until_s:
             for node in random.sample(self.nodes, min(LOOKUPS, len(self.nodes))):
                 target = f"/api/resolve?name={self._host}&region=north&zone=z1"
                 answer = await call(
@@ -48,10 +57,10 @@
                 )
                 if answer.status == 200:
                     found = json.loads(answer.body)
-                    self._addresses = found["addresses"]
-                    self._until_s = time.monotonic() + min(found["ttl-s"], 5.0)
+                    known.addresses = found["addresses"]
+                    known.until_s = time.monotonic() + min(found["ttl-s"], 5.0)
                     break
-        return random.choice(self._addresses) if self._addresses else None
+        return random.choice(known.addresses) if known.addresses else None
 
     async def send(
         self,
