Review: a request that states a size of 32 bits or more ends the nodes while the leader stands still

A node that places a request by itself reports it to the coordinator. The count of prompt tokens doesn't fit into the message, the controller's task fails, and the process ends with all that it had accepted.

--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -46,6 +46,7 @@
         slots: int = 12,
         work_s: float = 0.03,
         events: int = 0,
+        memory_tokens: int = 0,
     ) -> None:
         self.id = f"i-{secrets.token_hex(5)}"
         self.service = service
@@ -59,6 +60,8 @@
         self._slots = slots
         self._work_s = work_s
         self._events = events
+        self._memory_tokens = memory_tokens
+        """A larger request is rejected as if the engine were full; 0 for any size."""
         self._sequence = 0
         self._born_ms = int(time.time() * 1000)
         self._running = 0
@@ -114,9 +117,11 @@
         if expected != self.id:
             return Answer(421, {"Lentilchute-Instance-Id": self.id})
         echo = {"Lentilchute-Attempt-Id": attempt} if attempt else {}
-        if self._running >= 2 * self._slots:
-            return Answer(503, {**echo, "Lentilchute-Not-Executed": "1"})
         counts = request.headers.get("lentilchute-token-counts", "0,0").split(",")
+        tokens = sum(int(count) for count in counts)
+        is_too_large = 0 < self._memory_tokens < tokens
+        if is_too_large or self._running >= 2 * self._slots:
+            return Answer(503, {**echo, "Lentilchute-Not-Executed": "1"})
         run = Run(
             time.monotonic(),
             self.id,
@@ -125,7 +130,7 @@
             request.method,
             request.target,
             request.headers.get("lentilchute-tenant-name", ""),
-            sum(int(count) for count in counts),
+            tokens,
         )
         self._runs.append(run)
         self._running += 1
--- a/review/standins-2/nodes.py
+++ b/review/standins-2/nodes.py
@@ -77,7 +77,7 @@
         self.ready = f"{host}:8224"
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
-        self._log = folder / f"{name}.log"
+        self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.yaml"
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self._role = deploy["roles"]["gateway"]
@@ -102,7 +102,7 @@
         env["PYTHONPATH"] = str(ROOT / "target/deps")
         command = self._role["run"].split(" ")
         self.starts += 1
-        with self._log.open("ab") as log:
+        with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
