--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,138 +1,70 @@
-"""A request of a client that states a wrong size, while the leading node stands still."""
+"""A configuration that lacks a tenant by mistake, and the next one that has it again."""
 
 import asyncio
-import json
 import os
-import secrets
-import signal
 import time
-from collections import Counter
 
-from deployment import DRAFTING, HOST, KEY, READING, Deployment, config, route, tenant
-from http1 import call, read_body, read_head
-from nodes import Node
+from deployment import DRAFTING, KEY, OTHER_KEY, Deployment, config, route, tenant
+from nodes import BOUNDS
 from runner import run_case
 
-NODES = 4
-KEPT_EACH = 8
-"""Clients of each node that keep their connections."""
-FREEZE_S = 4.0
-WRONG_COUNTS = "3000000000,80"
-MEMORY_TOKENS = 539_155
-"""Of each engine, as in the site file; the wrong size is rejected as if the engine were full."""
-WORK_S = 2.0
-LOST_ALLOWED = 3
-ROUTES = [
-    route("r-views", "/views/", "safe", READING, **{"max-attempts": 2}),
-    route("r-draft", "/draft/", "streaming", DRAFTING, **{"gap-target-ms": 400}),
-]
+RATE_PER_S, BURST = 60_000, 60_000
+TOKENS = "6000,400"
+DEMAND_PER_S = 39.0
+"""4.16 times the tenant's rate, which is 7.5 times its usual where the quota is 1.8 times that."""
+SETTLED_S = 10.0
+"""A window and a little more after the start of the nodes."""
+REMOVED_AFTER_S = 3.0
+RESTORED_AFTER_S = 2.5
+WATCHED_S = 12.0
 
 
-def leader_of(nodes: list[Node]) -> Node:
-    """Return the node that most nodes take for the coordinator, by their logs."""
-    named: Counter[str] = Counter()
-    for node in nodes:
-        lines = node.log.read_text(errors="replace").splitlines()
-        chosen = [line for line in lines if '"lentilchute:coordinator_chosen"' in line]
-        named[json.loads(chosen[-1])["coordinator"] if chosen else node.name] += 1
-    name = named.most_common(1)[0][0]
-    return next(node for node in nodes if node.name == name)
-
-
-class Kept:
-    """A client that sends one request after the other on one connection."""
-
-    def __init__(self, node: Node) -> None:
-        self.node = node
-        self.answered = 0
-        self.cut: list[str] = []
-        """Attempts whose connection ended without an answer."""
-
-    async def run(self, until_s: float) -> None:
-        """Send requests until a time, or until the connection is closed."""
-        host, _, port = self.node.front.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        while time.monotonic() < until_s:
-            attempt = secrets.token_hex(8)
-            lines = [
-                f"GET /views/{attempt} HTTP/1.1",
-                f"Host: {HOST}",
-                f"Lentilchute-Attempt-Id: {attempt}",
-                "Lentilchute-Deadline-Ms: 4000",
-                f"Lentilchute-Key: {KEY}",
-            ]
-            try:
-                writer.write("\r\n".join([*lines, "", ""]).encode())
-                head = await read_head(reader)
-                if head is None:
-                    raise ConnectionResetError
-                _, is_complete = await read_body(reader, head[1], until_close=False)
-                if not is_complete:
-                    raise ConnectionResetError
-            except ConnectionError:
-                self.cut.append(attempt)
-                break
-            self.answered += 1
-            if head[1].get("connection") == "close":
-                break
-        writer.close()
+def most_in_a_window(deployment: Deployment) -> float:
+    """Return the most tokens of the tenant that ran in any window."""
+    runs = sorted((run.at_s, run.tokens) for run in deployment.runs if run.tenant == "alpha")
+    best, total, first = 0, 0, 0
+    for run_s, tokens in runs:
+        total += tokens
+        while runs[first][0] < run_s - float(BOUNDS["quota-window-s"]):
+            total -= runs[first][1]
+            first += 1
+        best = max(best, total)
+    return best
 
 
 async def play(deployment: Deployment, trouble: bool) -> list[str]:
-    """Freeze the leader, and send the request with the wrong size to the others."""
-    written = config(3, ROUTES, [tenant("alpha", [KEY])])
-    for service in written["services"]:
-        if service["name"] == DRAFTING:
-            service["engine"] = {"slots": 12, "kv-tokens": MEMORY_TOKENS, "stride": 6}
-    deployment.store.put("op", "config", written)
-    await deployment.add_engines(READING, 4, slots=12, work_s=WORK_S)
-    await deployment.add_engines(DRAFTING, 4, slots=12, events=4, memory_tokens=MEMORY_TOKENS)
-    nodes = await deployment.start_nodes(NODES)
-    await asyncio.sleep(6.0)
-    leader = leader_of(nodes)
-    others = [node for node in nodes if node is not leader]
-    deployment.note(f"{leader.name} leads")
-    until_s = time.monotonic() + 14.0
-    kept = [Kept(node) for node in others for _ in range(KEPT_EACH)]
-    running = [asyncio.create_task(client.run(until_s)) for client in kept]
-    sending = deployment.clients.start_sending(40.0, "POST", "/draft/1", KEY, "600,80")
-    await asyncio.sleep(5.0)
-    if trouble:
-        leader.send(signal.SIGSTOP)
-        deployment.note(f"{leader.name} stands still for {FREEZE_S} s")
-    frozen_s = time.monotonic()
-    await asyncio.sleep(0.5)
-    headers = {
-        "Host": HOST,
-        "Lentilchute-Key": KEY,
-        "Lentilchute-Deadline-Ms": "4000",
-        "Lentilchute-Model-Name": "m",
-        "Lentilchute-Token-Counts": WRONG_COUNTS,
-    }
-    while time.monotonic() < frozen_s + FREEZE_S - 0.5:
-        for node in others:
-            headers["Lentilchute-Attempt-Id"] = secrets.token_hex(8)
-            answer = await call(node.front, "POST", "/draft/1", headers, b"{}", 2.0)
-            deployment.note(f"{node.name}: {WRONG_COUNTS} tokens -> {answer.status}")
-        await asyncio.sleep(0.3)
-    await asyncio.sleep(max(0.0, frozen_s + FREEZE_S - time.monotonic()))
+    """Send more than a quota allows while the tenant goes from the configuration and returns."""
+    routes = [route("r-draft", "/draft/", "streaming", DRAFTING, **{"gap-target-ms": 400})]
+    alpha = tenant("alpha", [KEY], RATE_PER_S, BURST)
+    beta = tenant("beta", [OTHER_KEY], RATE_PER_S, BURST)
+    deployment.store.put("op", "config", config(3, routes, [alpha, beta]))
+    await deployment.add_engines(DRAFTING, 4, events=4, slots=12)
+    await deployment.start_nodes(3)
+    await asyncio.sleep(SETTLED_S)
+    began_s = time.monotonic()
+    deployment.note("the tenant begins to send")
+    sending = deployment.clients.start_sending(DEMAND_PER_S, "POST", "/draft/1", KEY, TOKENS)
+    await asyncio.sleep(REMOVED_AFTER_S)
     if trouble:
-        leader.send(signal.SIGCONT)
-        deployment.note(f"{leader.name} goes on")
+        deployment.store.put("op", "config", config(5, routes, [beta]))
+        deployment.note("configuration 5, without the tenant, acknowledged")
+        await asyncio.sleep(RESTORED_AFTER_S)
+        deployment.store.put("op", "config", config(6, routes, [alpha, beta]))
+        deployment.note("configuration 6, with the tenant as before, acknowledged")
+    await asyncio.sleep(WATCHED_S)
     sending.cancel()
-    await asyncio.gather(*running)
-    broken = []
-    for node in others:
-        clients = [client for client in kept if client.node is node]
-        ran = {run.attempt for run in deployment.runs}
-        cut = [attempt for client in clients for attempt in client.cut if attempt in ran]
-        code = None if node.process is None else node.process.poll()
-        answered = sum(client.answered for client in clients)
-        deployment.note(f"{node.name}: exit code {code}, {answered} answered, {len(cut)} cut")
-        if len(cut) > LOST_ALLOWED:
-            text = f"LOST {len(cut)} requests that engines ran, on kept connections"
-            broken.append(f"{text} of {node.name}, which ended by itself with code {code}")
-    return broken
+    statuses = [item.status for item in deployment.clients.tried]
+    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
+    deployment.note(f"answers by status: {counts}")
+    for second in range(int(time.monotonic() - began_s)):
+        low_s = began_s + second
+        ran = sum(run.tokens for run in deployment.runs if low_s <= run.at_s < low_s + 1)
+        deployment.note(f"second {second} after the beginning: {ran} tokens ran")
+    quota = RATE_PER_S * float(BOUNDS["quota-window-s"]) + BURST
+    bound = quota * (1 + float(BOUNDS["quota-overrun"])) + float(BOUNDS["quota-slack"])
+    most = most_in_a_window(deployment)
+    deployment.note(f"most in a window: {most:.0f} tokens, bound {bound:.0f}")
+    return [f"QUOTA {most:.0f} tokens in 8 s, bound {bound:.0f}"] if most > bound else []
 
 
 run_case(play, os.getcwd())
