--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -12,10 +12,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from http1 import Answer, Request, serve
+from http1 import Answer, Listener, Request, serve
 from store import Store
 
 HEARTBEAT_S = 1.2
+CRASH_S = 2.0
+"""A crashed engine is back after this."""
 
 
 @dataclass
@@ -54,6 +56,9 @@
         self.state = "ready"
         self.hears: Callable[[Request], None] = lambda request: None
         """Called with each request, also one that isn't run."""
+        self.crashes_on = ""
+        """A request for this target crashes the engine as it begins to run it."""
+        self._restart: asyncio.Task[None] | None = None
         self._store = store
         self._zone = zone
         self._runs = runs
@@ -65,13 +70,13 @@
         self._sequence = 0
         self._born_ms = int(time.time() * 1000)
         self._running = 0
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self._beats: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Serve, and register in the store."""
         host, _, port = self.address.rpartition(":")
-        self._server = await serve(host, int(port), self.handle)
+        self._listener = await serve(host, int(port), self.handle)
         self._beats = asyncio.create_task(self._beat())
 
     def write(self) -> int:
@@ -104,10 +109,19 @@
             self._beats.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._beats
-        if self._server is not None:
-            self._server.close()
-
-    async def handle(self, request: Request) -> Answer:
+        if self._listener is not None and self._listener.server is not None:
+            self._listener.server.close()
+
+    async def crash(self) -> None:
+        """Break off all work, and start again under the same id some seconds later."""
+        assert self._listener is not None and self._beats is not None
+        self._beats.cancel()
+        self._listener.crash()
+        await asyncio.sleep(CRASH_S)
+        self._born_ms, self._sequence = int(time.time() * 1000), 0
+        await self.start()
+
+    async def handle(self, request: Request) -> Answer | None:
         """Answer a request."""
         self.hears(request)
         if request.target == "/healthz":
@@ -133,6 +147,10 @@
             tokens,
         )
         self._runs.append(run)
+        if self.crashes_on and request.target == self.crashes_on:
+            self._restart = asyncio.create_task(self.crash())
+            await asyncio.sleep(CRASH_S)
+            return None
         self._running += 1
         try:
             await asyncio.sleep(self._work_s)
--- a/review/standins-2/http1.py
+++ b/review/standins-2/http1.py
@@ -72,10 +72,27 @@
         return b"", False
 
 
-async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
+class Listener:
+    """A server with its open connections."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def crash(self) -> None:
+        """Refuse connections, and break off those that are open."""
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+async def serve(host: str, port: int, handler: Handler) -> Listener:
     """Serve ``handler`` at an address; each connection carries one request at a time."""
+    listener = Listener()
 
     async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        listener.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (head := await read_head(reader)) is not None:
                 method, target, _ = head[0].split(" ", 2)
@@ -84,9 +101,13 @@
                 if answer is None:
                     break
                 await _write(writer, answer)
+        listener.writers.discard(writer)
         writer.close()
 
-    return await asyncio.start_server(connected, host, port, limit=LIMIT_BYTES, backlog=512)
+    listener.server = await asyncio.start_server(
+        connected, host, port, limit=LIMIT_BYTES, backlog=512
+    )
+    return listener
 
 
 async def _write(writer: asyncio.StreamWriter, answer: Answer) -> None:
