Hold the body of a request as one array, and read it in turns

Callers saw a node end for want of memory while some of them sent bodies in chunks of two bytes. The server kept each chunk as an object of its own, which takes 56 bytes for two of the body, and counted two. It also parsed all chunks of a read in one go, so that other requests waited for it.

The pieces go into one bytearray, so that a body takes its size, and every 64 pieces other tasks have their turn.

--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -22,6 +22,9 @@
 from .responder import Responder, headers_without_framing
 from .socket_io import LINGER_RESET, read_now, read_some
 
+PIECES_PER_TURN = 64
+"""A body in many small pieces lets other connections take their turns after so many of them."""
+
 
 class ServerContext(Protocol):
     """State and settings of the server that its connections use."""
@@ -181,24 +184,29 @@
         event = self._event_at_hand()
         if isinstance(event, h11.EndOfMessage):
             return b""
-        chunks: list[bytes] = []
-        body_bytes = 0
+        body = bytearray()
         try:
             with trio.move_on_after(self._settings.body_timeout_s) as scope:
-                if event is h11.NEED_DATA:
-                    event = await self._next_event()
-                while isinstance(event, h11.Data):
-                    chunk = bytes(event.data)
-                    chunks.append(chunk)
-                    body_bytes += len(chunk)
-                    self._server.reading_bytes += len(chunk)
-                    self._check_body(body_bytes, limit_bytes)
-                    event = await self._next_event()
+                await self._fill_body(body, event, limit_bytes)
         finally:
-            self._server.reading_bytes -= body_bytes
+            self._server.reading_bytes -= len(body)
         if scope.cancelled_caught:
             raise input_error(408, "timeout", "request body not received in time")
-        return b"".join(chunks)
+        return bytes(body)
+
+    async def _fill_body(self, body: bytearray, event: object, limit_bytes: int) -> None:
+        """Read a body to its end."""
+        pieces = 0
+        if event is h11.NEED_DATA:
+            event = await self._next_event()
+        while isinstance(event, h11.Data):
+            body += event.data
+            self._server.reading_bytes += len(event.data)
+            self._check_body(len(body), limit_bytes)
+            pieces += 1
+            if pieces % PIECES_PER_TURN == 0:
+                await trio.lowlevel.checkpoint()
+            event = await self._next_event()
 
     def _check_body(self, body_bytes: int, limit_bytes: int) -> None:
         if body_bytes > limit_bytes:
