Bound what a connection reads beyond the request that it handles

Callers saw a node end for want of memory while some of them sent thousands of requests ahead and read no answers. While a request is handled, the server reads on, to learn at once that its caller has gone. It stopped after 32 KB for each request: what it had read ahead before stayed in the parser, so every request that was served let the server read another 96 KB. A connection with 4,000 short requests behind the first held them all.

What counts is now all that the parser holds beyond the request, 16 KB at most; heads are read in pieces of that size, so that one read doesn't bring more. The rest waits in the kernel, whose buffers for callers no longer grow by themselves. The parser's own bound for a head that is incomplete has 1 KB more than the limit for headers, which doesn't count the request line: with shorter reads, a legal head would have been refused.

--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -172,7 +172,8 @@
             (self._directory, listen.directory),
             (self._metrics, listen.metrics),
         ):
-            await nursery.start(server.serve, await open_listeners(address))
+            listeners = await open_listeners(address, has_bounded_buffers=True)
+            await nursery.start(server.serve, listeners)
 
     async def _log_ready(self) -> None:
         started_s = self.context.now_s()
--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -22,6 +22,13 @@
 from .responder import Responder, headers_without_framing
 from .socket_io import LINGER_RESET, read_now, read_some
 
+HEAD_READ_BYTES = 16_384
+"""Maximum number of bytes to read at once while a head is awaited: what follows it, and is no body,
+is held until the request has been answered."""
+HEAD_SLACK_BYTES = 1_024
+"""A head may be so much longer than the limit in bytes that the limit does not count."""
+AHEAD_BYTES = 16_384
+"""Most bytes that are read beyond the request that is handled."""
 PIECES_PER_TURN = 64
 """A body in many small pieces lets other connections take their turns after so many of them."""
 
@@ -50,7 +57,8 @@
         self._settings = server.settings
         self._stream = stream
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.settings.max_header_bytes
+            h11.SERVER,
+            max_incomplete_event_size=server.settings.max_header_bytes + HEAD_SLACK_BYTES,
         )
         self._idle_scope: trio.CancelScope | None = None
         self._idle_since_s = trio.current_time()
@@ -58,8 +66,8 @@
         self._has_caller_ended = False
         """The caller has closed its side, so that no input can be lost any more."""
         self._is_head_method = False
-        self._early_bytes = 0
-        """Bytes that arrived while the current request is handled."""
+        self._unparsed_bytes = 0
+        """Bytes that were read and belong to no request yet."""
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -111,17 +119,17 @@
         return self._server.is_closing
 
     async def _wait_first_byte(self) -> bool:
-        if self._http.trailing_data[0]:
+        if self._unparsed_bytes:
             return True
         with trio.CancelScope(deadline=self._idle_deadline_s()) as scope:
             self._idle_scope = scope
-            data = await self._read()
+            data = await self._read(HEAD_READ_BYTES)
         self._idle_scope = None
         if scope.cancelled_caught:
             if self._is_first and self._settings.answers_silent_connection:
                 raise input_error(408, "timeout", "no request received in time")
             return False
-        self._http.receive_data(data)
+        self._receive(data)
         return bool(data)
 
     def _idle_deadline_s(self) -> float:
@@ -138,13 +146,14 @@
         event = self._event_at_hand()
         if event is h11.NEED_DATA:
             with trio.move_on_after(self._settings.header_timeout_s) as scope:
-                event = await self._next_event()
+                event = await self._next_event(HEAD_READ_BYTES)
             if scope.cancelled_caught:
                 raise input_error(408, "timeout", "request header not received in time")
         if not isinstance(event, h11.Request):
             return None
         self._is_head_method = event.method == b"HEAD"
         body = await self._read_body(self._check_head(event))
+        self._unparsed_bytes = len(self._http.trailing_data[0])
         return HttpRequest(
             method=event.method.decode("ascii"),
             path=event.target.decode("ascii"),
@@ -198,7 +207,7 @@
         """Read a body to its end."""
         pieces = 0
         if event is h11.NEED_DATA:
-            event = await self._next_event()
+            event = await self._next_event(READ_BYTES)
         while isinstance(event, h11.Data):
             body += event.data
             self._server.reading_bytes += len(event.data)
@@ -206,7 +215,7 @@
             pieces += 1
             if pieces % PIECES_PER_TURN == 0:
                 await trio.lowlevel.checkpoint()
-            event = await self._next_event()
+            event = await self._next_event(READ_BYTES)
 
     def _check_body(self, body_bytes: int, limit_bytes: int) -> None:
         if body_bytes > limit_bytes:
@@ -215,20 +224,24 @@
         if is_full or not self._server.has_body_room():
             raise input_error(503, "overloaded", "too many request bytes are being read")
 
-    async def _next_event(self) -> object:
+    async def _next_event(self, max_bytes: int) -> object:
         """Return h11's next event, reading as needed."""
         while (event := self._event_at_hand()) is h11.NEED_DATA:
             if self._http.they_are_waiting_for_100_continue:
                 go_ahead = h11.InformationalResponse(status_code=100, headers=[])
                 await self._stream.send_all(self._http.send(go_ahead) or b"")
-            self._http.receive_data(await self._read())
+            self._receive(await self._read(max_bytes))
         return event
 
-    async def _read(self) -> bytes:
-        data = await read_some(self._stream, READ_BYTES)
+    async def _read(self, max_bytes: int) -> bytes:
+        data = await read_some(self._stream, max_bytes)
         self._has_caller_ended = not data
         return data
 
+    def _receive(self, data: bytes) -> None:
+        self._http.receive_data(data)
+        self._unparsed_bytes += len(data)
+
     def _event_at_hand(self) -> object:
         """Return h11's next event, which is ``NEED_DATA`` when more has to be read."""
         try:
@@ -237,7 +250,6 @@
             raise _input_error(error) from error
 
     async def _run_handler(self, request: HttpRequest, responder: Responder) -> None:
-        self._early_bytes = 0
         async with trio.open_nursery() as nursery:
             responder.start_task = nursery.start_soon
             request.caller_gone.watch = lambda: nursery.start_soon(self._watch_caller, request)
@@ -253,19 +265,20 @@
 
     async def _watch_caller(self, request: HttpRequest) -> None:
         """Read while the handler runs, to detect at once that the caller has disconnected."""
-        while self._reads_early and not request.caller_gone.is_noticed:
+        while (room_bytes := self._ahead_room_bytes) and not request.caller_gone.is_noticed:
             try:
-                data = await self._read()
+                data = await self._read(room_bytes)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             self._take_early(data, request)
 
     def _look_for_caller(self, request: HttpRequest) -> None:
         """Take what has arrived without waiting for the turn of the task that reads."""
-        if not self._reads_early:
+        room_bytes = self._ahead_room_bytes
+        if not room_bytes:
             return
         try:
-            data = read_now(self._stream, READ_BYTES)
+            data = read_now(self._stream, room_bytes)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             data = b""
         if data is not None:
@@ -273,16 +286,16 @@
             self._take_early(data, request)
 
     @property
-    def _reads_early(self) -> bool:
-        return self._early_bytes <= self._settings.max_header_bytes
+    def _ahead_room_bytes(self) -> int:
+        """How much may be read beyond the current request, in addition to what was."""
+        return max(0, AHEAD_BYTES - self._unparsed_bytes)
 
     def _take_early(self, data: bytes, request: HttpRequest) -> None:
         """Take the beginning of a pipelined request, served after the current one, or the end."""
         if not data:
             request.caller_gone.set()
             return
-        self._early_bytes += len(data)
-        self._http.receive_data(data)
+        self._receive(data)
 
     async def _answer_failure(self, responder: Responder) -> None:
         if responder.is_started:
--- a/lentilchute/http/server.py
+++ b/lentilchute/http/server.py
@@ -5,6 +5,7 @@
 answered with a JSON error and never reaches the handler.
 """
 
+import socket
 from collections.abc import Callable, Sequence
 
 import trio
@@ -28,6 +29,11 @@
     "open_listeners",
 ]
 
+RECEIVE_BUFFER_BYTES = 65_536
+"""The kernel holds up to this much of the input of a connection that is not read."""
+SEND_BUFFER_BYTES = 32_768
+"""The kernel holds about this much of an answer that is not taken."""
+
 
 class HttpServer:
     """Serves HTTP connections with one handler.
@@ -106,10 +112,21 @@
             await close_now(stream)
 
 
-async def open_listeners(address: str) -> list[trio.SocketListener]:
-    """Bind ``address`` (``host:port``; port 0 selects a free port) and return its listeners."""
+async def open_listeners(
+    address: str, *, has_bounded_buffers: bool = False
+) -> list[trio.SocketListener]:
+    """Bind ``address`` (``host:port``; port 0 selects a free port) and return its listeners.
+
+    ``has_bounded_buffers`` keeps the kernel from growing the buffers of connections that transfer
+    much, which it would then fill when their callers stop reading, or are not read.
+    """
     host, port = split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host)
     for listener in listeners:
         enable_tcp_keepalive(listener.socket)
+        if has_bounded_buffers:
+            # Connections that a listening socket accepts inherit this from it.
+            level = socket.SOL_SOCKET
+            listener.socket.setsockopt(level, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            listener.socket.setsockopt(level, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     return listeners
