Count all that connections hold, and have stalled input give way

Callers got 503 for as long as some others had sent large bodies up to just before their end, whole or in pieces, and kept the connections open; heads of thousands of fields ended a node for want of memory. A body was counted while it was read, by its size, but nothing said whose: when there was no room, the request that came on was refused, and the ones that had stalled kept theirs until their time was up. Heads, input sent ahead, bodies of refused requests whose answer was not taken, and the sockets' buffers were not counted at all; a field of a head takes 120 bytes beside its text.

Each connection is a holder in the node's memory, with its input and the answers to refused requests. It gives way when its caller has kept it waiting for a second with something unfinished: no work is lost with it. Small input finds room beside large.

Bodies that are read by servers without accounts give way to each other in the same way, within max_reading_bytes. The bound of 24 MB for all bodies holds only where the memory is not limited.

--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -48,8 +48,8 @@
 EXPECTED_TIME_FACTOR = 3.0
 """An attempt waits for the head of an answer at least this many times as long as its placement
 expected, if the deadline allows."""
-BODY_COPIES = 2
-"""A request's body is held as it came and as it is encoded for the upstream."""
+ENCODED_COPIES = 1
+"""A request's body is held once more as it is encoded for the upstream."""
 MEMORY_WAIT_S = 2.0
 """Upstreams cut off an answer that is unread for longer; lagging readers give way within this."""
 MEMORY_POLL_S = 0.05
@@ -117,7 +117,7 @@
         assert call.route is not None
         return self._context.memory.open(
             call.route.tier_for(call.account),
-            BODY_COPIES * len(call.request.body),
+            ENCODED_COPIES * len(call.request.body),
             scope.cancel,
             call.arrived_s,
             self._answer_memory.expected_bytes(call.route.name, path_of(call.request.path)),
--- a/lentilchute/gateway/held_memory.py
+++ b/lentilchute/gateway/held_memory.py
@@ -24,7 +24,7 @@
 REQUEST_BYTES = 64 * 1024
 """Counted for each request: its tasks, headers, parsers and what has arrived and is not read."""
 CONNECTION_BYTES = 16 * 1024
-"""Counted for each connection of a caller."""
+"""Counted for each connection of a caller, beside what it holds."""
 SMALL_BYTES = 128 * 1024
 """New work that brings less is small."""
 SMALL_WORK_SHARE = 0.95
@@ -101,7 +101,7 @@
         victims += [
             each
             for each in self._in_state(now_s, ReaderState.LAGGING)
-            if each.tier >= tier and each.held_bytes > size
+            if each.is_connection or (each.tier >= tier and each.held_bytes > size)
         ]
         return self._free(excess, victims, now_s)
 
@@ -122,12 +122,24 @@
         self.count(holder, wanted)
         return holder
 
-    def has_body_room(self, now_s: float) -> bool:
-        """Return whether a body may be read on; what is read is counted elsewhere."""
-        if self.has_room(0, Tier(0), now_s):
-            return True
-        self.refused += 1
-        return False
+    def open_connection(self, give_up: GiveUp, now_s: float) -> "Holder | None":
+        """Return the holder of a new connection, or ``None``; see ``open``.
+
+        It counts what belongs to no request that was admitted: input, and answers to requests that
+        were refused. While it waits for its caller, no work is lost with it.
+        """
+        if not self.has_room(CONNECTION_BYTES, Tier(0), now_s):
+            self.refused += 1
+            return None
+        holder = Holder(self, Tier(LOWEST_TIER), give_up, is_connection=True)
+        self._holders.add(holder)
+        self.count(holder, CONNECTION_BYTES)
+        return holder
+
+    @property
+    def is_short(self) -> bool:
+        """Whether nothing should be held without need."""
+        return self.held_bytes > LARGE_SHARE * self.room_bytes
 
     def give_up_dead_readers(self, now_s: float) -> None:
         """Give up dead readers, the largest first, as long as new work would find no room."""
@@ -142,20 +154,31 @@
         """Return whether a holder may grow; see the module's design note for who gives way."""
         if not self.is_bounded:
             return True
-        excess = self.held_bytes + size - LARGE_SHARE * self.room_bytes
+        is_small = holder.is_connection and holder.held_bytes + size <= SMALL_BYTES
+        share = SMALL_WORK_SHARE if is_small else LARGE_SHARE
+        excess = self.held_bytes + size - share * self.room_bytes
         if excess <= 0:
             return True
         victims = [each for each in self._in_state(now_s, ReaderState.DEAD) if each is not holder]
-        if holder.state(now_s) is ReaderState.READING:
-            wanted = holder.held_bytes + size
-            for state, factor in ((ReaderState.LAGGING, LAGGING_FACTOR), (ReaderState.SLOW, 1.0)):
-                victims += [
-                    each
-                    for each in self._in_state(now_s, state)
-                    if each.tier >= holder.tier and factor * each.held_bytes > wanted
-                ]
+        if holder.may_displace(now_s):
+            victims += self._displaced_by_growth(holder, holder.held_bytes + size, now_s)
         return self._free(excess, victims, now_s)
 
+    def _displaced_by_growth(self, holder: "Holder", wanted: int, now_s: float) -> list["Holder"]:
+        """Return the lagging and slow holders that give way to one that grows."""
+        lagging = [
+            each
+            for each in self._in_state(now_s, ReaderState.LAGGING)
+            if each.is_connection
+            or (each.tier >= holder.tier and LAGGING_FACTOR * each.held_bytes > wanted)
+        ]
+        slow = [
+            each
+            for each in self._in_state(now_s, ReaderState.SLOW)
+            if each.tier >= holder.tier and each.held_bytes > wanted
+        ]
+        return lagging + slow
+
     def count(self, holder: "Holder", size: int) -> None:
         """Count bytes that a holder has taken, or given back if negative."""
         if holder in self._holders:
@@ -196,11 +219,21 @@
 
     _last_number = 0
 
-    def __init__(self, memory: HeldMemory, tier: Tier, give_up: GiveUp, reserved: int = 0) -> None:
+    def __init__(
+        self,
+        memory: HeldMemory,
+        tier: Tier,
+        give_up: GiveUp,
+        reserved: int = 0,
+        *,
+        is_connection: bool = False,
+    ) -> None:
         Holder._last_number += 1
         self.number = Holder._last_number
         self.tier = tier
         self.give_up = give_up
+        self.is_connection = is_connection
+        """Whether it counts a connection, and waits for input as well as for a reader."""
         self.held_bytes = 0
         self.is_given_up = False
         """Whether the request has to make room for others."""
@@ -225,6 +258,18 @@
         is_lagging = now_s - self._slow_since_s >= LAG_AFTER_S
         return ReaderState.LAGGING if is_lagging else ReaderState.SLOW
 
+    def may_displace(self, now_s: float) -> bool:
+        """Return whether others that are slow may give way to this one's growth."""
+        state = self.state(now_s)
+        if self.is_connection:
+            # A connection is slow as soon as it waits for the rest of a request.
+            return state in (ReaderState.READING, ReaderState.SLOW)
+        return state is ReaderState.READING
+
+    def is_short(self) -> bool:
+        """Return whether the node's memory is short."""
+        return self._memory.is_short
+
     def add(self, size: int, now_s: float) -> bool:
         """Count more bytes if there is room for them; return whether there was."""
         more = max(0, size - self._reserved)
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -6,12 +6,13 @@
 
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import trio
 
 from ..events import Event, log_event
+from ..http.caller_account import InputAccount
 from ..http.messages import JSON_HEADER
 from ..http.requests import HttpRequest, HttpServerSettings
 from ..http.responder import Responder
@@ -47,9 +48,9 @@
 from .coordination import CoordinatorChoice
 from .crash_guard import CrashGuard
 from .fleet import Fleet
-from .forwarder import BODY_COPIES, Forwarder
+from .forwarder import Forwarder
 from .gauges import read_gauges
-from .held_memory import CONNECTION_BYTES, HeldMemory, room_bytes
+from .held_memory import HeldMemory, room_bytes
 from .metric_names import METRICS_PATH, Gauge
 from .metrics import GatewayMetrics
 from .path_health import PathHealth
@@ -84,7 +85,7 @@
 """Modules that register peer messages and controllers when they are imported."""
 
 MAX_BUFFERED_BODY_BYTES = 24 * 1024 * 1024
-"""Bounds the request bodies that are being read to a fraction of the smallest instance's memory."""
+"""Bounds the request bodies that are being read where the memory is not limited."""
 MAX_CALLER_CONNECTIONS = 1_500
 """Leaves file descriptors for connections to upstreams and peers."""
 KEEP_ALIVE_SHARE = 0.6
@@ -113,12 +114,13 @@
         self.context = _new_context(settings, rng or random.Random())
         self.context.controllers += build_controllers(self.context)
         self._forwarder = Forwarder(self.context)
-        self._callers = HttpServer(_server_settings(None), self._forwarder.handle)
+        self._callers = HttpServer(
+            _server_settings(None, self.context.memory), self._forwarder.handle
+        )
         self._readiness = HttpServer(HttpServerSettings(), self._answer_ready)
         self._directory = HttpServer(HttpServerSettings(), self._answer_resolve)
         self._metrics = HttpServer(HttpServerSettings(), self._answer_metrics)
-        self._callers.has_body_room = self._has_body_room
-        self.context.memory.elsewhere.append(self._connection_bytes)
+        self._callers.open_account = self._open_account
         self._loop_lag_s = 0.0
         self.context.metrics.read_gauges = self._read_gauges
         self.context.config_listeners.append(self._apply_limits)
@@ -131,6 +133,8 @@
         """Apply the limits of reloaded settings; names and addresses do not change."""
         self.context.placements.apply_settings(settings)
         self.context.memory.room_bytes = room_bytes(settings.machine.memory_mb)
+        if self.context.config is not None:
+            self._apply_limits(self.context.config)
         log_event(Event.SETTINGS_RELOADED, ok=True, changed=settings != self.settings)
 
     async def run(self) -> None:
@@ -228,17 +232,11 @@
         relays = self.context.controller(RelayServiceController)
         return self._forwarder.in_progress + relays.in_progress
 
-    def _connection_bytes(self) -> int:
-        """Return what is held for connections, and for bodies that are being read; the pieces of a
-        body are joined in the end."""
-        connections = self._callers.connection_count * CONNECTION_BYTES
-        return connections + BODY_COPIES * self._callers.reading_bytes
-
-    def _has_body_room(self) -> bool:
-        return self.context.memory.has_body_room(self.context.now_s())
+    def _open_account(self, give_up: Callable[[], None]) -> InputAccount | None:
+        return self.context.memory.open_connection(give_up, self.context.now_s())
 
     def _apply_limits(self, config: RoutingConfig) -> None:
-        self._callers.settings = _server_settings(config)
+        self._callers.settings = _server_settings(config, self.context.memory)
 
     async def _answer_ready(self, request: HttpRequest, responder: Responder) -> None:
         is_ready_path = endpoints.path_of(request.path) == endpoints.READY_PATH
@@ -303,11 +301,12 @@
     )
 
 
-def _server_settings(config: RoutingConfig | None) -> HttpServerSettings:
+def _server_settings(config: RoutingConfig | None, memory: HeldMemory) -> HttpServerSettings:
+    reading_bytes = int(memory.room_bytes) if memory.is_bounded else MAX_BUFFERED_BODY_BYTES
     if config is None:
         return HttpServerSettings(
             max_connections=MAX_CALLER_CONNECTIONS,
-            max_reading_bytes=MAX_BUFFERED_BODY_BYTES,
+            max_reading_bytes=reading_bytes,
             answers_silent_connection=False,
         )
     limits = config.limits
@@ -315,7 +314,7 @@
         max_connections=MAX_CALLER_CONNECTIONS,
         max_header_bytes=limits.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
-        max_reading_bytes=MAX_BUFFERED_BODY_BYTES,
+        max_reading_bytes=reading_bytes,
         header_timeout_s=limits.header_timeout_s,
         body_timeout_s=BODY_TIMEOUT_S,
         keep_alive_timeout_s=limits.idle_timeout_s,
--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -1,13 +1,14 @@
 """One connection of the HTTP server: reads requests, runs the handler, detects disconnects."""
 
 import socket
-from collections.abc import Callable
 from typing import Protocol
 
 import h11
 import trio
 
 from ..events import Event, log_event
+from .awaited_callers import AwaitedCallers, Wait
+from .caller_account import AHEAD_BYTES, BODY_COPIES, CallerAccount, InputAccount, size_of_head
 from .messages import JSON_HEADER, OUTCOME_HEADER, READ_BYTES, error_body, from_wire, to_wire
 from .requests import (
     Handler,
@@ -20,15 +21,13 @@
     input_error,
 )
 from .responder import Responder, headers_without_framing
-from .socket_io import LINGER_RESET, read_now, read_some
+from .socket_io import LINGER_RESET, read_now, read_some, write_now
 
 HEAD_READ_BYTES = 16_384
 """Maximum number of bytes to read at once while a head is awaited: what follows it, and is no body,
 is held until the request has been answered."""
 HEAD_SLACK_BYTES = 1_024
 """A head may be so much longer than the limit in bytes that the limit does not count."""
-AHEAD_BYTES = 16_384
-"""Most bytes that are read beyond the request that is handled."""
 PIECES_PER_TURN = 64
 """A body in many small pieces lets other connections take their turns after so many of them."""
 
@@ -41,11 +40,11 @@
     check_head: HeadCheck | None
     is_closing: bool
     reading_bytes: int
-    has_body_room: Callable[[], bool]
+    awaited: AwaitedCallers[CallerAccount]
 
-    @property
-    def connection_count(self) -> int:
-        """Number of open connections."""
+    def has_reading_room(self, caller: CallerAccount) -> bool:
+        """Return whether the bodies that are being read are within their bound; stalled ones give
+        way to that of ``caller``."""
         ...
 
 
@@ -56,6 +55,8 @@
         self._server = server
         self._settings = server.settings
         self._stream = stream
+        self._scope = trio.CancelScope()
+        self._caller = CallerAccount(None, server.awaited, self.give_up)
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=server.settings.max_header_bytes + HEAD_SLACK_BYTES,
@@ -66,20 +67,55 @@
         self._has_caller_ended = False
         """The caller has closed its side, so that no input can be lost any more."""
         self._is_head_method = False
-        self._unparsed_bytes = 0
-        """Bytes that were read and belong to no request yet."""
+        self._reading_bytes = 0
+        """Size of the body so far, as long as it counts as being read."""
+
+    @property
+    def reading_bytes(self) -> int:
+        """Size of the body that is being read."""
+        return self._reading_bytes
+
+    async def run(self, account: InputAccount | None = None, refusal: str = "") -> None:
+        """Serve requests until either side closes the connection.
+
+        ``account`` counts what the connection holds. A ``refusal`` turns the caller away.
+        """
+        self._caller = CallerAccount(account, self._server.awaited, self.give_up)
+        try:
+            with self._scope:
+                await self._serve(refusal)
+            if self._scope.cancelled_caught:
+                self._answer_given_up()
+        finally:
+            self._caller.close()
+            self._release_reading()
+
+    def give_up(self) -> None:
+        """Close the connection soon: others need what it holds."""
+        self._release_reading()
+        self._scope.cancel()
+
+    async def _serve(self, refusal: str) -> None:
+        refused = await self._serve_requests(refusal)
+        if refused is not None:
+            await self._answer_refused(refused)
+        if not self._has_caller_ended:
+            await self._linger()
 
-    async def run(self) -> None:
-        """Serve requests until either side closes the connection."""
+    async def _serve_requests(self, refusal: str) -> HeadRefusal | None:
+        """Serve requests; return how to answer one that is refused.
+
+        What was read of it is dropped on return, and not held while its caller takes the answer.
+        """
         try:
-            if self._server.connection_count > self._settings.max_connections:
-                raise input_error(503, "overloaded", "too many connections")
+            if refusal:
+                raise input_error(503, "overloaded", refusal)
             while await self._serve_request():
                 self._is_first = False
         except InputError as error:
-            await self._answer_error(error)
-        if not self._has_caller_ended:
-            await self._linger()
+            log_event(Event.BAD_INPUT, status=error.refusal.status, message=str(error))
+            return error.refusal
+        return None
 
     def shorten_idle_timeout(self) -> None:
         """Apply the shorter idle timeout of a closing server to a connection that is idle."""
@@ -96,7 +132,7 @@
         if not await self._wait_first_byte():
             return False
         request = await self._read_request()
-        if request is None:
+        if request is None or self._scope.cancel_called:
             return False
         responder = Responder(
             self._http,
@@ -106,6 +142,8 @@
             request.method,
             request.caller_gone,
         )
+        if self._caller.is_bounded:
+            responder.caller = self._caller
         await self._run_handler(request, responder)
         if not responder.is_complete or request.caller_gone.is_noticed:
             return False
@@ -113,14 +151,17 @@
             return False
         self._http.start_next_cycle()
         self._idle_since_s = trio.current_time()
+        self._caller.is_read = True
+        self._caller.drop_request()
         return True
 
     def _closes_after(self) -> bool:
-        return self._server.is_closing
+        return self._server.is_closing or self._caller.must_close()
 
     async def _wait_first_byte(self) -> bool:
-        if self._unparsed_bytes:
+        if self._caller.unparsed_bytes:
             return True
+        self._caller.wait(Wait.INPUT if self._is_first else Wait.IDLE, trio.current_time())
         with trio.CancelScope(deadline=self._idle_deadline_s()) as scope:
             self._idle_scope = scope
             data = await self._read(HEAD_READ_BYTES)
@@ -152,8 +193,15 @@
         if not isinstance(event, h11.Request):
             return None
         self._is_head_method = event.method == b"HEAD"
-        body = await self._read_body(self._check_head(event))
-        self._unparsed_bytes = len(self._http.trailing_data[0])
+        limit_bytes = self._check_head(event)
+        self._caller.head_bytes = size_of_head(event)
+        self._caller.unparsed_bytes = len(self._http.trailing_data[0])
+        self._count_input()
+        body = await self._read_body(limit_bytes)
+        self._caller.unparsed_bytes = len(self._http.trailing_data[0])
+        self._caller.body_bytes = len(body)
+        self._caller.count_always()
+        self._caller.stop_waiting()
         return HttpRequest(
             method=event.method.decode("ascii"),
             path=event.target.decode("ascii"),
@@ -198,7 +246,7 @@
             with trio.move_on_after(self._settings.body_timeout_s) as scope:
                 await self._fill_body(body, event, limit_bytes)
         finally:
-            self._server.reading_bytes -= len(body)
+            self._release_reading()
         if scope.cancelled_caught:
             raise input_error(408, "timeout", "request body not received in time")
         return bytes(body)
@@ -210,19 +258,33 @@
             event = await self._next_event(READ_BYTES)
         while isinstance(event, h11.Data):
             body += event.data
-            self._server.reading_bytes += len(event.data)
-            self._check_body(len(body), limit_bytes)
+            self._caller.body_bytes = BODY_COPIES * len(body)
+            self._check_body(len(event.data), limit_bytes)
             pieces += 1
             if pieces % PIECES_PER_TURN == 0:
                 await trio.lowlevel.checkpoint()
-            event = await self._next_event(READ_BYTES)
-
-    def _check_body(self, body_bytes: int, limit_bytes: int) -> None:
-        if body_bytes > limit_bytes:
+            event = self._event_at_hand()
+            if event is h11.NEED_DATA:
+                # All that had arrived belongs to the body by now.
+                self._caller.unparsed_bytes = 0
+                event = await self._next_event(READ_BYTES)
+
+    def _check_body(self, more_bytes: int, limit_bytes: int) -> None:
+        self._reading_bytes += more_bytes
+        self._server.reading_bytes += more_bytes
+        if self._reading_bytes > limit_bytes:
             raise input_error(413, "too-large", f"request body exceeds {limit_bytes} bytes")
-        is_full = self._server.reading_bytes > self._settings.max_reading_bytes
-        if is_full or not self._server.has_body_room():
-            raise input_error(503, "overloaded", "too many request bytes are being read")
+        if not self._server.has_reading_room(self._caller):
+            raise _no_room()
+
+    def _release_reading(self) -> None:
+        self._server.reading_bytes -= self._reading_bytes
+        self._reading_bytes = 0
+
+    def _count_input(self) -> None:
+        """Count what has been read; raises ``InputError`` if there is no room for it."""
+        if not self._caller.count(trio.current_time()):
+            raise _no_room()
 
     async def _next_event(self, max_bytes: int) -> object:
         """Return h11's next event, reading as needed."""
@@ -239,8 +301,11 @@
         return data
 
     def _receive(self, data: bytes) -> None:
+        """Take more of a request that is awaited."""
         self._http.receive_data(data)
-        self._unparsed_bytes += len(data)
+        self._caller.unparsed_bytes += len(data)
+        self._caller.wait(Wait.INPUT, trio.current_time())
+        self._count_input()
 
     def _event_at_hand(self) -> object:
         """Return h11's next event, which is ``NEED_DATA`` when more has to be read."""
@@ -288,14 +353,17 @@
     @property
     def _ahead_room_bytes(self) -> int:
         """How much may be read beyond the current request, in addition to what was."""
-        return max(0, AHEAD_BYTES - self._unparsed_bytes)
+        return max(0, AHEAD_BYTES - self._caller.unparsed_bytes)
 
     def _take_early(self, data: bytes, request: HttpRequest) -> None:
         """Take the beginning of a pipelined request, served after the current one, or the end."""
         if not data:
             request.caller_gone.set()
             return
-        self._receive(data)
+        self._http.receive_data(data)
+        self._caller.unparsed_bytes += len(data)
+        self._caller.is_read = self._ahead_room_bytes > 0
+        self._caller.count_always()
 
     async def _answer_failure(self, responder: Responder) -> None:
         if responder.is_started:
@@ -309,29 +377,46 @@
             error_body("internal", "internal error while handling the request", "may-have-run"),
         )
 
-    async def _answer_error(self, error: InputError) -> None:
-        refusal = error.refusal
-        log_event(Event.BAD_INPUT, status=refusal.status, message=str(error))
+    async def _answer_refused(self, refusal: HeadRefusal) -> None:
+        data = self._refusal_bytes(refusal)
+        self._caller.drop_request()
+        self._caller.wait(Wait.INPUT, trio.current_time())
+        with trio.move_on_after(self._settings.write_timeout_s):
+            await self._stream.send_all(data)
+
+    def _answer_given_up(self) -> None:
+        """Write a refusal as far as the socket takes it, if a request was being read."""
+        if self._caller.unparsed_bytes or self._caller.head_bytes:
+            data = self._refusal_bytes(_no_room().refusal)
+            if data:
+                write_now(self._stream, data)
+
+    def _refusal_bytes(self, refusal: HeadRefusal) -> bytes:
+        """Return a refusal as it is sent; nothing if an answer has begun."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
+            return b""
         length = ("content-length", str(len(refusal.body)))
         headers = (*headers_without_framing(refusal.headers), length, ("connection", "close"))
         head = h11.Response(status_code=refusal.status, headers=to_wire(headers))
         parts: list[h11.Event] = [head, h11.EndOfMessage()]
         if not self._is_head_method:
             parts.insert(1, h11.Data(data=refusal.body))
-        data = b"".join(self._http.send(part) or b"" for part in parts)
-        with trio.move_on_after(self._settings.write_timeout_s):
-            await self._stream.send_all(data)
+        return b"".join(self._http.send(part) or b"" for part in parts)
 
     async def _linger(self) -> None:
         """Half-close, then discard input for a while: a close with unread input sends a reset."""
+        self._caller.drop_request()
+        self._caller.wait(Wait.INPUT, trio.current_time())
         with trio.move_on_after(self._settings.linger_s):
             await self._stream.send_eof()
             while await self._stream.receive_some(READ_BYTES):
                 pass
 
 
+def _no_room() -> InputError:
+    return input_error(503, "overloaded", "too many request bytes are being read")
+
+
 def _input_error(error: h11.RemoteProtocolError) -> InputError:
     if error.error_status_hint == 431:
         return input_error(431, "too-large", "request header too large")
--- a/lentilchute/http/responder.py
+++ b/lentilchute/http/responder.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from .caller_account import AnswerWait, CallerAccount
 from .caller_gone import CallerGone
 from .chunks import framed
 from .messages import HOP_BY_HOP_HEADERS, Headers, to_wire, without_headers
@@ -60,7 +61,9 @@
         self._is_chunked = False
         self.is_started = False
         self.account: WriteAccount | None = None
-        """Counts what waits for the caller; ``None`` for no backlog."""
+        """Counts what waits for the caller of an admitted request; ``None`` for no backlog."""
+        self.caller: CallerAccount | None = None
+        """Counts what waits for the caller of any other request."""
         self.start_task: StartTask | None = None
         """Starts a task that ends with the request."""
         self._backlog: WriteBacklog | None = None
@@ -154,7 +157,7 @@
             if written == len(data):
                 return True
             rest = memoryview(data)[written:]
-            if self.account is not None and self.start_task is not None:
+            if self._answer_account is not None and self.start_task is not None:
                 return await self._put(rest, is_counted=is_counted)
             with trio.move_on_after(self._settings.write_timeout_s) as scope:
                 await self._stream.send_all(rest)
@@ -164,14 +167,21 @@
 
     async def _put(self, data: bytes | memoryview, *, is_counted: bool) -> bool:
         """Leave bytes to the backlog."""
-        assert self.account is not None and self.start_task is not None
+        assert self._answer_account is not None and self.start_task is not None
         if self._backlog is None:
             timeout_s = self._settings.write_timeout_s
-            self._backlog = WriteBacklog(self._stream, self.account, timeout_s)
+            wait = None
+            if self.caller is not None and self.account is not None:
+                wait = AnswerWait(self.caller)
+            self._backlog = WriteBacklog(self._stream, self._answer_account, timeout_s, wait)
         if await self._backlog.put(data, self.start_task, is_counted=is_counted):
             return True
         return self._mark_caller_gone()
 
+    @property
+    def _answer_account(self) -> WriteAccount | None:
+        return self.caller if self.account is None else self.account
+
     async def _drain(self) -> bool:
         if self._backlog is None or self._backlog.is_empty or await self._backlog.drain():
             return True
--- a/lentilchute/http/server.py
+++ b/lentilchute/http/server.py
@@ -11,6 +11,13 @@
 import trio
 
 from ..events import Event, log_event
+from .awaited_callers import AwaitedCallers
+from .caller_account import (
+    RECEIVE_BUFFER_BYTES,
+    SEND_BUFFER_BYTES,
+    CallerAccount,
+    InputAccount,
+)
 from .connection import ServerConnection
 from .messages import enable_tcp_keepalive, split_address
 from .requests import Handler, HeadCheck, HeadRefusal, HttpRequest, HttpServerSettings, RequestHead
@@ -29,10 +36,8 @@
     "open_listeners",
 ]
 
-RECEIVE_BUFFER_BYTES = 65_536
-"""The kernel holds up to this much of the input of a connection that is not read."""
-SEND_BUFFER_BYTES = 32_768
-"""The kernel holds about this much of an answer that is not taken."""
+OpenAccount = Callable[[Callable[[], None]], InputAccount | None]
+"""Takes what gives the connection up."""
 
 
 class HttpServer:
@@ -53,8 +58,10 @@
         self.check_head = check_head
         self.is_closing = False
         self.reading_bytes = 0
-        self.has_body_room: Callable[[], bool] = lambda: True
-        """Asked after each piece of a body; when it returns false, the request is refused."""
+        self.awaited: AwaitedCallers[CallerAccount] = AwaitedCallers()
+        self.open_account: OpenAccount | None = None
+        """Returns what counts a new connection, or ``None`` if there is no memory for it. Unless
+        it is set, nothing but the settings bounds what connections hold."""
         self._connections: set[ServerConnection] = set()
         self._accept_scope = trio.CancelScope()
 
@@ -97,12 +104,25 @@
         for connection in self._connections:
             connection.reset_on_close()
 
+    def has_reading_room(self, caller: CallerAccount) -> bool:
+        """Return whether the bodies that are being read are within their bound; stalled ones give
+        way to that of ``caller``."""
+        limit_bytes = self.settings.max_reading_bytes
+        if self.reading_bytes <= limit_bytes:
+            return True
+        for stalled in list(self.awaited.stalled(trio.current_time())):
+            if stalled is not caller and stalled.body_bytes:
+                stalled.give_up()
+            if self.reading_bytes <= limit_bytes:
+                return True
+        return False
+
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection until it ends, then close it. Its errors are not raised."""
         connection = ServerConnection(self, stream)
         self._connections.add(connection)
         try:
-            await connection.run()
+            await self._run(connection)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception as error:
@@ -111,6 +131,16 @@
             self._connections.discard(connection)
             await close_now(stream)
 
+    async def _run(self, connection: ServerConnection) -> None:
+        """Serve a connection, or turn it away if there is no room for it."""
+        account = None if self.open_account is None else self.open_account(connection.give_up)
+        refusal = ""
+        if self.open_account is not None and account is None:
+            refusal = "no memory for more connections"
+        elif len(self._connections) > self.settings.max_connections:
+            refusal = "too many connections"
+        await connection.run(account, refusal)
+
 
 async def open_listeners(
     address: str, *, has_bounded_buffers: bool = False
--- a/lentilchute/http/write_backlog.py
+++ b/lentilchute/http/write_backlog.py
@@ -22,8 +22,20 @@
 StartTask = Callable[[Callable[[], Awaitable[Any]]], None]
 
 
-class WriteAccount(Protocol):
-    """Counts the bytes that are held for one caller; times are of the process's clock."""
+class CallerWait(Protocol):
+    """Is told when a caller has bytes to take; times are of the process's clock."""
+
+    def record_unread(self, now_s: float) -> None:
+        """Record that bytes begin to wait, or that the caller took some and others wait."""
+        ...
+
+    def record_all_read(self) -> None:
+        """Record that no bytes wait."""
+        ...
+
+
+class WriteAccount(CallerWait, Protocol):
+    """Counts the bytes that are held for one caller."""
 
     def add(self, size: int, now_s: float) -> bool:
         """Count more bytes if there is room for them; return whether there was."""
@@ -37,23 +49,20 @@
         """Count bytes as written."""
         ...
 
-    def record_unread(self, now_s: float) -> None:
-        """Record that bytes begin to wait, or that the caller took some and others wait."""
-        ...
-
-    def record_all_read(self) -> None:
-        """Record that no bytes wait."""
-        ...
-
 
 class WriteBacklog:
     """Writes bytes as the caller takes them."""
 
     def __init__(
-        self, stream: trio.abc.SendStream, account: WriteAccount, write_timeout_s: float
+        self,
+        stream: trio.abc.SendStream,
+        account: WriteAccount,
+        write_timeout_s: float,
+        wait: CallerWait | None = None,
     ) -> None:
         self._stream = stream
         self._account = account
+        self._waits: tuple[CallerWait, ...] = (account,) if wait is None else (account, wait)
         self._write_timeout_s = write_timeout_s
         self._pieces: deque[memoryview] = deque()
         self._unsent_bytes = 0
@@ -80,7 +89,7 @@
         if self._is_broken:
             return False
         if self.is_empty:
-            self._account.record_unread(trio.current_time())
+            self._record_unread()
         self._pieces.append(memoryview(data))
         self._unsent_bytes += len(data)
         if not self._is_running:
@@ -116,7 +125,8 @@
             self._is_broken = self._is_broken or bool(self._pieces)
             self._pieces.clear()
             self._is_running = False
-            self._account.record_all_read()
+            for wait in self._waits:
+                wait.record_all_read()
             self._release(self._counted_bytes)
             self._wake()
 
@@ -138,9 +148,13 @@
         self._unsent_bytes -= written
         self._release(min(written, self._counted_bytes))
         if self._pieces:
-            self._account.record_unread(trio.current_time())
+            self._record_unread()
         self._wake()
 
+    def _record_unread(self) -> None:
+        for wait in self._waits:
+            wait.record_unread(trio.current_time())
+
     def _release(self, size: int) -> None:
         self._counted_bytes -= size
         self._account.remove(size)
--- a/test/gateway/test_held_memory.py
+++ b/test/gateway/test_held_memory.py
@@ -37,6 +37,10 @@
         assert holder is not None
         return holder
 
+    def connect(self, name: str) -> Holder | None:
+        """Open a connection, which holds nothing yet."""
+        return self.memory.open_connection(lambda: self.ended.append(name), self.now_s)
+
     def slow(self, name: str, size: int, tier: int = 0) -> Holder:
         """Open a request whose answer waits for its caller."""
         holder = self.opened(name, tier=tier)
@@ -180,3 +184,57 @@
     for each in holders:
         each.close()
     assert load.memory.held_bytes == 0
+
+
+def test_stalled_connections_give_way_to_new_work() -> None:
+    """Guards against requests that stop short of their end keeping all others out."""
+    load = Load()
+    stalled = []
+    while (holder := load.connect(f"stalled-{len(stalled)}")) and holder.add(20_000, load.now_s):
+        holder.record_unread(load.now_s)
+        stalled.append(holder)
+    assert len(stalled) > 1_000
+    assert load.open("new", tier=2) is None, "callers that have only just begun are left alone"
+    load.now_s += LAG_AFTER_S
+    assert load.open("new", 10_000, tier=2) is not None
+    grown = load.connect("grown")
+    assert grown is not None and grown.add(100_000, load.now_s)
+    assert load.ended and all(name.startswith("stalled") for name in load.ended)
+
+
+def test_large_input_leaves_room_for_small_requests() -> None:
+    """Guards against a few large bodies, all on their way, keeping small ones out."""
+    load = Load()
+    large = 0
+    while (holder := load.connect(f"large-{large}")) and holder.add(8 * MB, load.now_s):
+        holder.record_unread(load.now_s)
+        large += 1
+    assert large >= 3
+    small = load.connect("small")
+    assert small is not None and small.add(100_000, load.now_s)
+    assert load.open("small", 50_000, tier=1) is not None
+    assert not load.ended
+
+
+def test_connection_that_waits_for_no_caller_is_left_alone() -> None:
+    """Guards against connections between two requests, or with a request that is being served,
+    being given up."""
+    load = Load()
+    while (holder := load.connect("idle")) and holder.add(20_000, load.now_s):
+        holder.record_unread(load.now_s)
+        holder.record_all_read()
+    load.now_s += 10 * DEAD_AFTER_S
+    assert load.open("new", MB) is None
+    assert not load.ended
+
+
+def test_stalled_connection_does_not_push_others_out() -> None:
+    load = Load()
+    first, second = load.connect("first"), load.connect("second")
+    assert first is not None and second is not None
+    assert first.add(25 * MB, 0.0) and second.add(15 * MB, 0.0)
+    first.record_unread(0.0)
+    second.record_unread(0.0)
+    load.now_s = LAG_AFTER_S
+    assert not second.add(4 * MB, load.now_s)
+    assert not load.ended
--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -7,20 +7,63 @@
 import trio
 from trio.testing import MockClock, memory_stream_pair, wait_all_tasks_blocked
 
-from lentilchute.http.connection import AHEAD_BYTES
+from lentilchute.http.caller_account import (
+    AHEAD_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    SEND_BUFFER_BYTES,
+)
 from lentilchute.http.requests import HttpRequest, HttpServerSettings
 from lentilchute.http.responder import Responder
 from lentilchute.http.server import HttpServer
 
 GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n"
 WAITING_GET = GET.replace(b"/", b"/wait", 1)
 
 
+class Account:
+    """Counts what connections hold, up to a limit."""
+
+    def __init__(self, limit_bytes: int = 10_000_000) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self.most_bytes = 0
+        self.is_awaited = False
+        self.is_closed = False
+
+    def add(self, size: int, _now_s: float) -> bool:
+        if self.held_bytes + size > self.limit_bytes:
+            return False
+        self.add_always(size)
+        return True
+
+    def add_always(self, size: int) -> None:
+        self.held_bytes += size
+        self.most_bytes = max(self.most_bytes, self.held_bytes)
+
+    def remove(self, size: int) -> None:
+        self.held_bytes -= size
+        assert self.held_bytes >= 0
+
+    def record_unread(self, _now_s: float) -> None:
+        self.is_awaited = True
+
+    def record_all_read(self) -> None:
+        self.is_awaited = False
+
+    def is_short(self) -> bool:
+        return self.held_bytes > self.limit_bytes
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
 class World:
     """A server with callers, each over a stream of its own."""
 
     def __init__(self, nursery: trio.Nursery, settings: HttpServerSettings) -> None:
         self.nursery = nursery
+        self.account = Account()
         self.may_answer = trio.Semaphore(0)
         """Each release lets one request be answered that waits for it."""
         self.server = HttpServer(settings, self._handle)
@@ -70,3 +113,68 @@
             assert (await caller.receive_some()).startswith(b"HTTP/1.1 200 ")
 
     run(HttpServerSettings(), scenario)
+
+
+def test_all_that_waits_is_counted_and_given_back() -> None:
+    """Guards against input, or answers that nobody takes, that no bound on the memory knows of."""
+
+    async def scenario(world: World) -> None:
+        world.server.open_account = lambda give_up: world.account
+        caller = world.connect()
+        await caller.send_all(WAITING_GET + 2_000 * GET)
+        await wait_all_tasks_blocked()
+        assert world.account.held_bytes >= AHEAD_BYTES + RECEIVE_BUFFER_BYTES
+        world.may_answer.release()
+        served = 0
+        while served < 2_001:
+            served += (await caller.receive_some()).count(b"HTTP/1.1 200")
+        await wait_all_tasks_blocked()
+        most_bytes = AHEAD_BYTES + RECEIVE_BUFFER_BYTES + SEND_BUFFER_BYTES + 2_000
+        assert world.account.most_bytes <= most_bytes
+        assert world.account.held_bytes == 0
+        await caller.aclose()
+        await wait_all_tasks_blocked()
+        assert world.account.is_closed
+
+    run(HttpServerSettings(), scenario)
+
+
+def test_input_without_room_is_refused_as_not_run() -> None:
+    async def scenario(world: World) -> None:
+        world.account.limit_bytes = 1_500
+        world.server.open_account = lambda give_up: world.account
+        caller = world.connect()
+        await caller.send_all(POST + bytes(999))
+        answer = await caller.receive_some()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"lentilchute-outcome: not-run" in answer and b"retry-after" in answer
+
+    run(HttpServerSettings(), scenario)
+
+
+def test_a_stalled_body_gives_way_to_others() -> None:
+    """Guards against bodies that stop short of their end keeping all others out."""
+
+    async def scenario(world: World) -> None:
+        stalled, sound = world.connect(), world.connect()
+        await stalled.send_all(POST + bytes(900))
+        await trio.sleep(2.0)
+        await sound.send_all(POST + bytes(1_000))
+        assert (await sound.receive_some()).startswith(b"HTTP/1.1 200 ")
+        assert (await stalled.receive_some()) == b"", "it is closed"
+        assert world.server.reading_bytes == 0
+
+    run(HttpServerSettings(max_reading_bytes=1_500), scenario)
+
+
+def test_a_body_that_comes_on_does_not_give_way() -> None:
+    async def scenario(world: World) -> None:
+        first, second = world.connect(), world.connect()
+        await first.send_all(POST + bytes(900))
+        await trio.sleep(0.5)
+        await second.send_all(POST + bytes(1_000))
+        assert (await second.receive_some()).startswith(b"HTTP/1.1 503 ")
+        await first.send_all(bytes(100))
+        assert (await first.receive_some()).startswith(b"HTTP/1.1 200 ")
+
+    run(HttpServerSettings(max_reading_bytes=1_500), scenario)
