Bound what the directory, the readiness check and the metrics page read

Callers who send large bodies to the directory ended a node for want of memory; so would anybody at the readiness check. These servers had the settings of a server for general use, with bodies of 64 MB, 256 MB together and 2,000 connections each, and nothing of it counted in the node's memory.

The readiness check and the metrics page may use the last part of the room, which callers cannot fill: a full node is not down.

The limits of all four servers now stand in server_limits.py.

--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ..http.server import HttpServer
 from ..ids import AvailabilityZone, IncarnationId, InstanceId
 from ..peers.links import PeerLinks
 from ..peers.membership import Membership
@@ -21,6 +22,7 @@
 from .placement_registry import PlacementRegistry
 from .prompt_part_guard import PromptPartGuard
 from .routes import RoutingConfig
+from .server_limits import Listener
 from .settings import GatewaySettings
 from .upstream_connections import UpstreamConnections
 
@@ -53,6 +55,8 @@
     started_s: float
     memory: HeldMemory = field(default_factory=HeldMemory)
     """What this node holds for its callers."""
+    servers: dict[Listener, HttpServer] = field(default_factory=dict)
+    """This node's HTTP servers."""
     config: RoutingConfig | None = None
     listed_nodes: int | None = None
     """Number of nodes with a row in the store; ``None`` until the table has been read."""
--- a/lentilchute/gateway/held_memory.py
+++ b/lentilchute/gateway/held_memory.py
@@ -27,6 +27,8 @@
 """Counted for each connection of a caller, beside what it holds."""
 SMALL_BYTES = 128 * 1024
 """New work that brings less is small."""
+OPERATOR_SHARE = 1.0
+"""Part of the room that connections of those who watch the node may fill."""
 SMALL_WORK_SHARE = 0.95
 """Part of the room that small new work of the highest tier may fill."""
 LARGE_SHARE = 0.75
@@ -90,10 +92,13 @@
     def has_room(self, size: int, tier: Tier, now_s: float) -> bool:
         """Return whether new work finds room; dead readers give way to it, and then lagging ones
         of its tier or below that hold more."""
+        share = LARGE_SHARE if size > SMALL_BYTES else SMALL_WORK_SHARE
+        return self._find_room(size, share - TIER_STEP * min(tier, LOWEST_TIER), tier, now_s)
+
+    def _find_room(self, size: int, share: float, tier: Tier, now_s: float) -> bool:
+        """Return whether new work finds room within a part of all, after others gave way."""
         if not self.is_bounded:
             return True
-        share = LARGE_SHARE if size > SMALL_BYTES else SMALL_WORK_SHARE
-        share -= TIER_STEP * min(tier, LOWEST_TIER)
         excess = self.held_bytes + size - share * self.room_bytes
         if excess <= 0:
             return True
@@ -122,16 +127,21 @@
         self.count(holder, wanted)
         return holder
 
-    def open_connection(self, give_up: GiveUp, now_s: float) -> "Holder | None":
+    def open_connection(
+        self, give_up: GiveUp, now_s: float, *, is_operators: bool = False
+    ) -> "Holder | None":
         """Return the holder of a new connection, or ``None``; see ``open``.
 
         It counts what belongs to no request that was admitted: input, and answers to requests that
         were refused. While it waits for its caller, no work is lost with it.
+
+        ``is_operators`` says that it serves those who watch the node rather than callers.
         """
-        if not self.has_room(CONNECTION_BYTES, Tier(0), now_s):
+        share = OPERATOR_SHARE if is_operators else SMALL_WORK_SHARE
+        if not self._find_room(CONNECTION_BYTES, share, Tier(0), now_s):
             self.refused += 1
             return None
-        holder = Holder(self, Tier(LOWEST_TIER), give_up, is_connection=True)
+        holder = Holder(self, Tier(LOWEST_TIER), give_up, connection_share=share)
         self._holders.add(holder)
         self.count(holder, CONNECTION_BYTES)
         return holder
@@ -154,8 +164,10 @@
         """Return whether a holder may grow; see the module's design note for who gives way."""
         if not self.is_bounded:
             return True
-        is_small = holder.is_connection and holder.held_bytes + size <= SMALL_BYTES
-        share = SMALL_WORK_SHARE if is_small else LARGE_SHARE
+        is_small = holder.held_bytes + size <= SMALL_BYTES
+        share = holder.connection_share if is_small else None
+        if share is None:
+            share = LARGE_SHARE
         excess = self.held_bytes + size - share * self.room_bytes
         if excess <= 0:
             return True
@@ -226,14 +238,15 @@
         give_up: GiveUp,
         reserved: int = 0,
         *,
-        is_connection: bool = False,
+        connection_share: float | None = None,
     ) -> None:
         Holder._last_number += 1
         self.number = Holder._last_number
         self.tier = tier
         self.give_up = give_up
-        self.is_connection = is_connection
-        """Whether it counts a connection, and waits for input as well as for a reader."""
+        self.connection_share = connection_share
+        """Part of the room that it may fill if it is small; ``None`` unless it counts a connection,
+        which waits for input as well as for a reader."""
         self.held_bytes = 0
         self.is_given_up = False
         """Whether the request has to make room for others."""
@@ -258,6 +271,11 @@
         is_lagging = now_s - self._slow_since_s >= LAG_AFTER_S
         return ReaderState.LAGGING if is_lagging else ReaderState.SLOW
 
+    @property
+    def is_connection(self) -> bool:
+        """Whether it counts a connection rather than a request."""
+        return self.connection_share is not None
+
     def may_displace(self, now_s: float) -> bool:
         """Return whether others that are slow may give way to this one's growth."""
         state = self.state(now_s)
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -4,6 +4,7 @@
 await node.run()      # until ``node.stop()``
 """
 
+import functools
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -14,7 +15,7 @@
 from ..events import Event, log_event
 from ..http.caller_account import InputAccount
 from ..http.messages import JSON_HEADER
-from ..http.requests import HttpRequest, HttpServerSettings
+from ..http.requests import HttpRequest
 from ..http.responder import Responder
 from ..http.server import HttpServer, open_listeners
 from ..ids import IncarnationId, InstanceId
@@ -60,6 +61,7 @@
 from .relay_service import RelayServiceController
 from .rollouts import controller as rollouts
 from .routes import RoutingConfig
+from .server_limits import OPERATOR_LISTENERS, Listener, caller_settings, query_settings
 from .settings import GatewaySettings
 from .upstream_connections import UpstreamConnections
 
@@ -84,12 +86,6 @@
 )
 """Modules that register peer messages and controllers when they are imported."""
 
-MAX_BUFFERED_BODY_BYTES = 24 * 1024 * 1024
-"""Bounds the request bodies that are being read where the memory is not limited."""
-MAX_CALLER_CONNECTIONS = 1_500
-"""Leaves file descriptors for connections to upstreams and peers."""
-KEEP_ALIVE_SHARE = 0.6
-"""Fraction of the idle timeout that is advertised to callers."""
 MAX_CACHED_LIFETIMES = 3.0
 """Some of the platform's callers cache a resolve answer for three times its lifetime."""
 STOP_MARGIN_SHARE = 0.15
@@ -101,8 +97,6 @@
 LEAVE_HEARTBEATS = 3
 """Heartbeats sent in quick succession to announce a planned stop; one may be lost with a breaking
 link."""
-BODY_TIMEOUT_S = 10.0
-"""A request body that takes longer to arrive is abandoned."""
 
 
 class GatewayNode:
@@ -114,13 +108,7 @@
         self.context = _new_context(settings, rng or random.Random())
         self.context.controllers += build_controllers(self.context)
         self._forwarder = Forwarder(self.context)
-        self._callers = HttpServer(
-            _server_settings(None, self.context.memory), self._forwarder.handle
-        )
-        self._readiness = HttpServer(HttpServerSettings(), self._answer_ready)
-        self._directory = HttpServer(HttpServerSettings(), self._answer_resolve)
-        self._metrics = HttpServer(HttpServerSettings(), self._answer_metrics)
-        self._callers.open_account = self._open_account
+        self.context.servers.update(self._new_servers())
         self._loop_lag_s = 0.0
         self.context.metrics.read_gauges = self._read_gauges
         self.context.config_listeners.append(self._apply_limits)
@@ -133,8 +121,7 @@
         """Apply the limits of reloaded settings; names and addresses do not change."""
         self.context.placements.apply_settings(settings)
         self.context.memory.room_bytes = room_bytes(settings.machine.memory_mb)
-        if self.context.config is not None:
-            self._apply_limits(self.context.config)
+        self._apply_limits(self.context.config)
         log_event(Event.SETTINGS_RELOADED, ok=True, changed=settings != self.settings)
 
     async def run(self) -> None:
@@ -170,14 +157,14 @@
 
     async def _open_servers(self, nursery: trio.Nursery) -> None:
         listen = self.settings.listen
-        for server, address in (
-            (self._callers, listen.callers),
-            (self._readiness, listen.readiness),
-            (self._directory, listen.directory),
-            (self._metrics, listen.metrics),
+        for listener, address in (
+            (Listener.CALLERS, listen.callers),
+            (Listener.READINESS, listen.readiness),
+            (Listener.DIRECTORY, listen.directory),
+            (Listener.METRICS, listen.metrics),
         ):
             listeners = await open_listeners(address, has_bounded_buffers=True)
-            await nursery.start(server.serve, listeners)
+            await nursery.start(self.context.servers[listener].serve, listeners)
 
     async def _log_ready(self) -> None:
         started_s = self.context.now_s()
@@ -208,7 +195,7 @@
         log_event(Event.NODE_STOPPING, instance=context.instance)
         context.is_stopping = True
         context.membership.leave(stopped_s)
-        self._callers.begin_close()
+        self.context.servers[Listener.CALLERS].begin_close()
         for _ in range(LEAVE_HEARTBEATS):
             context.controller(PeeringController).send_heartbeats()
             await trio.sleep(STOP_POLL_S)
@@ -232,11 +219,31 @@
         relays = self.context.controller(RelayServiceController)
         return self._forwarder.in_progress + relays.in_progress
 
-    def _open_account(self, give_up: Callable[[], None]) -> InputAccount | None:
-        return self.context.memory.open_connection(give_up, self.context.now_s())
+    def _new_servers(self) -> dict[Listener, HttpServer]:
+        """Return the node's servers, whose connections are counted in the node's memory."""
+        handlers = {
+            Listener.DIRECTORY: self._answer_resolve,
+            Listener.READINESS: self._answer_ready,
+            Listener.METRICS: self._answer_metrics,
+        }
+        servers = {
+            listener: HttpServer(query_settings(listener), handler)
+            for listener, handler in handlers.items()
+        }
+        settings = caller_settings(None, self.context.memory)
+        servers[Listener.CALLERS] = HttpServer(settings, self._forwarder.handle)
+        for listener, server in servers.items():
+            server.open_account = functools.partial(self._open_account, listener)
+        return servers
+
+    def _open_account(self, listener: Listener, give_up: Callable[[], None]) -> InputAccount | None:
+        return self.context.memory.open_connection(
+            give_up, self.context.now_s(), is_operators=listener in OPERATOR_LISTENERS
+        )
 
-    def _apply_limits(self, config: RoutingConfig) -> None:
-        self._callers.settings = _server_settings(config, self.context.memory)
+    def _apply_limits(self, config: RoutingConfig | None) -> None:
+        server = self.context.servers[Listener.CALLERS]
+        server.settings = caller_settings(config, self.context.memory)
 
     async def _answer_ready(self, request: HttpRequest, responder: Responder) -> None:
         is_ready_path = endpoints.path_of(request.path) == endpoints.READY_PATH
@@ -301,27 +308,5 @@
     )
 
 
-def _server_settings(config: RoutingConfig | None, memory: HeldMemory) -> HttpServerSettings:
-    reading_bytes = int(memory.room_bytes) if memory.is_bounded else MAX_BUFFERED_BODY_BYTES
-    if config is None:
-        return HttpServerSettings(
-            max_connections=MAX_CALLER_CONNECTIONS,
-            max_reading_bytes=reading_bytes,
-            answers_silent_connection=False,
-        )
-    limits = config.limits
-    return HttpServerSettings(
-        max_connections=MAX_CALLER_CONNECTIONS,
-        max_header_bytes=limits.max_header_bytes,
-        max_body_bytes=limits.max_body_bytes,
-        max_reading_bytes=reading_bytes,
-        header_timeout_s=limits.header_timeout_s,
-        body_timeout_s=BODY_TIMEOUT_S,
-        keep_alive_timeout_s=limits.idle_timeout_s,
-        advertised_keep_alive_s=KEEP_ALIVE_SHARE * limits.idle_timeout_s,
-        answers_silent_connection=False,
-    )
-
-
 def _discard_message(sender: InstanceId, message: Any) -> None:
     """Discard a message that arrives before the controllers are registered."""
--- a/test/gateway/test_held_memory.py
+++ b/test/gateway/test_held_memory.py
@@ -228,6 +228,16 @@
     assert not load.ended
 
 
+def test_those_who_watch_a_full_node_are_answered() -> None:
+    """Guards against a node that counts as down because its callers have filled its memory."""
+    load = Load()
+    while (holder := load.connect("idle")) and holder.add(20_000, load.now_s):
+        pass
+    assert load.connect("caller") is None
+    watch = load.memory.open_connection(lambda: None, load.now_s, is_operators=True)
+    assert watch is not None and watch.add(20_000, load.now_s)
+
+
 def test_stalled_connection_does_not_push_others_out() -> None:
     load = Load()
     first, second = load.connect("first"), load.connect("second")
