Keep connections within the descriptors, and displace silent ones

Callers found no place, and a node had no descriptor left for upstreams, while others opened connections and sent nothing. Silent connections kept their places until their time was up.

The limits are parts of the descriptors that the settings or the system allow; machines that the platform has stated, of 2,870 descriptors and more, allow 1,148 callers or more, as a node needs as many for upstreams again. When a server is full, the connection whose caller has not moved for longest makes room: first those without a complete request, then idle ones, then answers that are not taken. A request that is being served keeps its place, also if its last byte comes in the moment in which its connection is chosen. Refusals beyond a sixteenth of the limit are closed at once.

New: machine.max_descriptors, events 527 and 528, three gauges.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -169,6 +169,12 @@
         "are since its start.",
     )
     MEMORY_EASED = EventInfo(523, "This node has memory for new requests again.")
+    CONNECTIONS_SHORT = EventInfo(
+        527,
+        "A server of this node has as many connections as it may have: it turns new ones away, or "
+        "closes those that have waited longest for their callers; the counts are since its start.",
+    )
+    CONNECTIONS_EASED = EventInfo(528, "A server of this node has places for connections again.")
     PLATFORM_DOWN = EventInfo(800, "A platform service does not respond.")
     STORE_RESTORED = EventInfo(
         802, "The store has come back from an older copy; all of it is read again."
--- a/lentilchute/gateway/gauges.py
+++ b/lentilchute/gateway/gauges.py
@@ -34,6 +34,11 @@
         yield Gauge(f"{PREFIX}held.room", context.memory.room_bytes)
     for state, count in context.memory.given_up.items():
         yield Gauge(f"{PREFIX}held.given_up", count, (("state", state.value),))
+    for listener, server in context.servers.items():
+        server_labels = (("listener", listener.value),)
+        yield Gauge(f"{PREFIX}connections.open", server.connection_count, server_labels)
+        yield Gauge(f"{PREFIX}connections.refused", server.refused_connections, server_labels)
+        yield Gauge(f"{PREFIX}connections.displaced", server.displaced_connections, server_labels)
     if context.config is not None:
         yield Gauge(f"{PREFIX}config.version", context.config.version)
     for table, age_s in context.controller(ReadingController).ages_s(now_s).items():
--- a/lentilchute/gateway/metric_names.py
+++ b/lentilchute/gateway/metric_names.py
@@ -60,6 +60,13 @@
     "lentilchute.gateway.held.bytes": "Bytes held for callers and peers, as counted.",
     "lentilchute.gateway.held.room": "Bytes that may be held, if the settings limit the memory.",
     "lentilchute.gateway.held.given_up": "Callers given up for want of memory, by state.",
+    "lentilchute.gateway.connections.open": "Open connections to a server of the node.",
+    "lentilchute.gateway.connections.refused": (
+        "Connections turned away since the start, for want of places or memory."
+    ),
+    "lentilchute.gateway.connections.displaced": (
+        "Connections closed since the start, as new ones needed their place."
+    ),
     "lentilchute.gateway.memory.peak": "Most memory that the process has used, in bytes.",
     "lentilchute.gateway.config.version": "Version of the configuration in force here.",
     "lentilchute.gateway.knowledge.age": "Age of the copy of a store table, in seconds.",
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -6,6 +6,7 @@
 
 import functools
 import random
+import resource
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -28,6 +29,7 @@
 from ..platform.store import StoreClient
 from ..util.shared_ticks import next_tick_s
 from . import (
+    connection_watch,
     coordinator,
     crash_reports,
     leaving_notices,
@@ -66,6 +68,7 @@
 from .upstream_connections import UpstreamConnections
 
 CONTROLLER_MODULES = (
+    connection_watch,
     coordinator,
     crash_reports,
     leaving_notices,
@@ -226,11 +229,12 @@
             Listener.READINESS: self._answer_ready,
             Listener.METRICS: self._answer_metrics,
         }
+        most = self._max_descriptors
         servers = {
-            listener: HttpServer(query_settings(listener), handler)
+            listener: HttpServer(query_settings(listener, most), handler)
             for listener, handler in handlers.items()
         }
-        settings = caller_settings(None, self.context.memory)
+        settings = caller_settings(None, most, self.context.memory)
         servers[Listener.CALLERS] = HttpServer(settings, self._forwarder.handle)
         for listener, server in servers.items():
             server.open_account = functools.partial(self._open_account, listener)
@@ -241,9 +245,15 @@
             give_up, self.context.now_s(), is_operators=listener in OPERATOR_LISTENERS
         )
 
+    @property
+    def _max_descriptors(self) -> int:
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        limits = [self.settings.machine.max_descriptors, allowed]
+        return min((limit for limit in limits if limit is not None and limit > 0), default=1_024)
+
     def _apply_limits(self, config: RoutingConfig | None) -> None:
         server = self.context.servers[Listener.CALLERS]
-        server.settings = caller_settings(config, self.context.memory)
+        server.settings = caller_settings(config, self._max_descriptors, self.context.memory)
 
     async def _answer_ready(self, request: HttpRequest, responder: Responder) -> None:
         is_ready_path = endpoints.path_of(request.path) == endpoints.READY_PATH
--- a/lentilchute/gateway/server_limits.py
+++ b/lentilchute/gateway/server_limits.py
@@ -1,4 +1,5 @@
-"""Limits of a node's HTTP servers, within the memory of its machine; free of I/O."""
+"""Limits of a node's HTTP servers, within the descriptors and the memory of its machine; free of
+I/O."""
 
 from enum import Enum
 
@@ -16,13 +17,22 @@
     METRICS = "metrics"
 
 
+DESCRIPTOR_SHARES = {
+    Listener.CALLERS: 0.4,
+    Listener.DIRECTORY: 0.08,
+    Listener.READINESS: 0.02,
+    Listener.METRICS: 0.02,
+}
+"""Part of the process's descriptors for connections to each server. Each connection of a caller may
+need another one to an upstream; the rest is for peers and the store."""
 MAX_CONNECTIONS = {
     Listener.CALLERS: 1_500,
     Listener.DIRECTORY: 400,
     Listener.READINESS: 64,
     Listener.METRICS: 64,
 }
-"""Leaves descriptors for connections to upstreams and peers."""
+"""Most connections to each server, however many descriptors there are."""
+MIN_CONNECTIONS = 4
 OPERATOR_LISTENERS = frozenset({Listener.READINESS, Listener.METRICS})
 """They are answered also when callers have filled the memory."""
 MAX_BUFFERED_BODY_BYTES = 24 * 1024 * 1024
@@ -35,18 +45,26 @@
 """A request body that takes longer to arrive is abandoned."""
 
 
-def query_settings(listener: Listener) -> HttpServerSettings:
+def max_connections(listener: Listener, max_descriptors: int) -> int:
+    """Return how many connections a server may have open."""
+    share = int(DESCRIPTOR_SHARES[listener] * max_descriptors)
+    return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS[listener], share))
+
+
+def query_settings(listener: Listener, max_descriptors: int) -> HttpServerSettings:
     """Return the settings of a server that answers queries about the node."""
     return HttpServerSettings(
-        max_connections=MAX_CONNECTIONS[listener],
+        max_connections=max_connections(listener, max_descriptors),
         max_body_bytes=MAX_QUERY_BODY_BYTES,
         max_reading_bytes=MAX_BUFFERED_BODY_BYTES,
     )
 
 
-def caller_settings(config: RoutingConfig | None, memory: HeldMemory) -> HttpServerSettings:
+def caller_settings(
+    config: RoutingConfig | None, max_descriptors: int, memory: HeldMemory
+) -> HttpServerSettings:
     """Return the settings of the server for callers, by the configuration in force."""
-    connections = MAX_CONNECTIONS[Listener.CALLERS]
+    connections = max_connections(Listener.CALLERS, max_descriptors)
     reading_bytes = int(memory.room_bytes) if memory.is_bounded else MAX_BUFFERED_BODY_BYTES
     if config is None:
         return HttpServerSettings(
--- a/lentilchute/gateway/settings.py
+++ b/lentilchute/gateway/settings.py
@@ -125,6 +125,8 @@
     memory_mb: Annotated[float, Field(gt=0)] | None = None
     """Memory that the process may take, in millions of bytes; without it, nothing is refused or
     given up for want of memory."""
+    max_descriptors: Annotated[int, Field(ge=256)] | None = None
+    """Descriptors that the process may open; by default what the system allows it."""
 
 
 class StopSettings(ConfigModel):
--- a/lentilchute/http/awaited_callers.py
+++ b/lentilchute/http/awaited_callers.py
@@ -1,10 +1,10 @@
 """The callers that a server's connections wait for, and which give way; free of I/O.
 
-Bodies that come on need the room of those that have stalled::
+When there are too many connections, the one that has waited longest for its caller makes room::
 
     awaited.wait_for(connection, Wait.INPUT, now_s)     # again whenever the caller has moved
     awaited.forget(connection)                          # its request is being handled
-    awaited.stalled(now_s)
+    awaited.longest(now_s)
 """
 
 from collections import OrderedDict
@@ -16,7 +16,7 @@
 
 
 class Wait(Enum):
-    """What a connection waits for."""
+    """What a connection waits for; the first give way first."""
 
     INPUT = "input"
     """A first request, or the rest of one; or that the caller takes a refusal."""
@@ -26,6 +26,9 @@
     """That the caller takes more of an answer to a request that was run."""
 
 
+DISPLACED_AFTER_S = {Wait.INPUT: 0.1, Wait.IDLE: 0.1, Wait.ANSWER: 1.0}
+"""A connection that has waited for less does not give way: the first request of a new one follows
+at once, and a caller takes what comes within a second, also after a lost packet."""
 STALLED_AFTER_S = 1.0
 """A body whose next bytes are lost on the way comes on sooner."""
 
@@ -49,6 +52,15 @@
         for waiting in self._waiting.values():
             waiting.pop(connection, None)
 
+    def longest(self, now_s: float) -> ConnectionT | None:
+        """Return the connection to give way first, if one has waited for long enough."""
+        for wait, waiting in self._waiting.items():
+            if waiting:
+                connection, since_s = next(iter(waiting.items()))
+                if now_s - since_s >= DISPLACED_AFTER_S[wait]:
+                    return connection
+        return None
+
     def stalled(self, now_s: float) -> Iterator[ConnectionT]:
         """Yield the connections whose input has stalled, the longest first."""
         for connection, since_s in self._waiting[Wait.INPUT].items():
--- a/lentilchute/http/server.py
+++ b/lentilchute/http/server.py
@@ -36,6 +36,10 @@
     "open_listeners",
 ]
 
+
+REFUSED_SHARE = 16
+"""Connections beyond the limit are told so, up to this part of the limit at once."""
+
 OpenAccount = Callable[[Callable[[], None]], InputAccount | None]
 """Takes what gives the connection up."""
 
@@ -62,6 +66,9 @@
         self.open_account: OpenAccount | None = None
         """Returns what counts a new connection, or ``None`` if there is no memory for it. Unless
         it is set, nothing but the settings bounds what connections hold."""
+        self.refused_connections = 0
+        self.displaced_connections = 0
+        """Connections that were closed, as others needed their place."""
         self._connections: set[ServerConnection] = set()
         self._accept_scope = trio.CancelScope()
 
@@ -119,6 +126,11 @@
 
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection until it ends, then close it. Its errors are not raised."""
+        if len(self._connections) >= self._most_connections:
+            # Even a refusal would need a descriptor for longer.
+            self.refused_connections += 1
+            await close_now(stream)
+            return
         connection = ServerConnection(self, stream)
         self._connections.add(connection)
         try:
@@ -131,16 +143,34 @@
             self._connections.discard(connection)
             await close_now(stream)
 
+    @property
+    def _most_connections(self) -> int:
+        """Number of connections, with those that are being refused."""
+        limit = self.settings.max_connections
+        return limit + max(1, limit // REFUSED_SHARE)
+
     async def _run(self, connection: ServerConnection) -> None:
-        """Serve a connection, or turn it away if there is no room for it."""
+        """Serve a connection, or turn it away if neither places nor memory are left for it."""
         account = None if self.open_account is None else self.open_account(connection.give_up)
         refusal = ""
         if self.open_account is not None and account is None:
             refusal = "no memory for more connections"
-        elif len(self._connections) > self.settings.max_connections:
+        elif len(self._connections) > self.settings.max_connections and not self._displace():
             refusal = "too many connections"
+        if refusal:
+            self.refused_connections += 1
         await connection.run(account, refusal)
 
+    def _displace(self) -> bool:
+        """Close the connection that has waited longest for its caller; return whether one has."""
+        longest = self.awaited.longest(trio.current_time())
+        if longest is None:
+            return False
+        self.awaited.forget(longest)
+        self.displaced_connections += 1
+        longest.give_up()
+        return True
+
 
 async def open_listeners(
     address: str, *, has_bounded_buffers: bool = False
--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -178,3 +178,54 @@
         assert (await first.receive_some()).startswith(b"HTTP/1.1 200 ")
 
     run(HttpServerSettings(max_reading_bytes=1_500), scenario)
+
+
+def test_a_silent_connection_gives_its_place_to_a_new_one() -> None:
+    """Guards against silent connections that take all places of a server."""
+
+    async def scenario(world: World) -> None:
+        silent = world.connect()
+        await trio.sleep(1.0)
+        new = world.connect()
+        await new.send_all(GET)
+        assert (await new.receive_some()).startswith(b"HTTP/1.1 200 ")
+        assert (await silent.receive_some()) == b""
+        assert world.server.displaced_connections == 1
+
+    run(HttpServerSettings(max_connections=1), scenario)
+
+
+def test_a_request_that_is_handled_keeps_its_place() -> None:
+    """Guards against requests in progress being cut off for new connections."""
+
+    async def scenario(world: World) -> None:
+        busy = world.connect()
+        await busy.send_all(WAITING_GET)
+        await trio.sleep(5.0)
+        new = world.connect()
+        assert (await new.receive_some()).startswith(b"HTTP/1.1 503 ")
+        world.may_answer.release()
+        assert (await busy.receive_some()).startswith(b"HTTP/1.1 200 ")
+
+    run(HttpServerSettings(max_connections=1), scenario)
+
+
+def test_connections_far_beyond_the_limit_are_closed_at_once() -> None:
+    """Guards against refusals that take a descriptor each for as long as callers like."""
+
+    async def scenario(world: World) -> None:
+        busy = [world.connect() for _ in range(32)]
+        for each in busy:
+            await each.send_all(WAITING_GET)
+        await trio.sleep(1.0)
+        crowd = [world.connect() for _ in range(100)]
+        await trio.sleep(0.01)
+        assert world.server.connection_count <= 34
+        assert world.server.refused_connections == 100
+        for each in busy:
+            world.may_answer.release()
+            assert (await each.receive_some()).startswith(b"HTTP/1.1 200 ")
+        for each in crowd:
+            await each.aclose()
+
+    run(HttpServerSettings(max_connections=32), scenario)
