Remember long ids by their digests

Callers saw a node end for want of memory a while after some of them had begun to send prompts whose parts have ids of many kilobytes, which the limit for headers allows. Up to 20,000 parts are remembered for each upstream, 100,000 streams by the id of the request that began them, and the sizes of answers for 1,000 paths; none of these memories bounded the size of what it keeps, and what they hold is not counted, as it is small for ids of some 16 characters.

An id of more than 128 characters goes by its digest, from the decoding of headers on: it stays the same for the same id, on all nodes. What is forwarded to upstreams, and compared with their answers, is the caller's own. Longer paths than 256 characters go by their route. Beside a build of before, a long id has two names, so that a node may not find what the other remembers of it; nothing is misread.

--- a/lentilchute/gateway/answer_memory.py
+++ b/lentilchute/gateway/answer_memory.py
@@ -17,7 +17,8 @@
 SIZE_WEIGHT = 1 / 8
 """Weight of the latest answer in the size that is expected of the next one."""
 MAX_PATHS = 1_000
-"""Paths whose answers' sizes are remembered; others go by their route."""
+MAX_PATH_CHARACTERS = 256
+"""Paths whose answers' sizes are remembered; others, and longer ones, go by their route."""
 
 
 class AnswerMemory:
@@ -40,6 +41,8 @@
     def record_size(self, route: str, path: str, size: int) -> None:
         """Record the size of an answer, whether it could be read or not."""
         _move(self._by_route, route, size)
+        if len(path) > MAX_PATH_CHARACTERS:
+            return
         _move(self._by_path, path, size)
         self._by_path.move_to_end(path)
         if len(self._by_path) > MAX_PATHS:
--- a/lentilchute/gateway/stream_continuity.py
+++ b/lentilchute/gateway/stream_continuity.py
@@ -102,7 +102,7 @@
             # The caller names the attempt that began the stream, whatever this one adds to it.
             return
         origin = StreamOrigin(active.ticket.service, version)
-        self._origins.record_begun(StreamId(headers.attempt_id), origin, self._context.now_s())
+        self._origins.record_begun(headers.begun_stream, origin, self._context.now_s())
         if not self._is_uniform(origin.service):
             self._has_news.set()
             for listener in self._context.begun_stream_listeners:
--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -1,5 +1,7 @@
 """The platform's headers in callers' requests and upstreams' answers."""
 
+import xxhash
+
 from ..http import messages as http_messages
 from ..http.messages import (
     HOP_BY_HOP_HEADERS,
@@ -35,6 +37,8 @@
 MAX_PART_TOKENS = 10_000_000
 MAX_PROMPT_PARTS = 64
 """Parts beyond these of a prompt are ignored; prompts have a few."""
+MAX_ID_CHARACTERS = 128
+"""A longer id of a part or a stream goes by its digest: ids are kept, and told to other nodes."""
 
 _STRIPPED_HEADERS = HOP_BY_HOP_HEADERS | {
     "content-length",
@@ -85,6 +89,11 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     """All parts of the prompt, in order, as far as their sizes are stated."""
 
+    @property
+    def begun_stream(self) -> StreamId:
+        """The name of the stream that the answer may be, for those who take it up."""
+        return StreamId(_short_id(self.attempt_id))
+
     @property
     def size(self) -> float:
         """What the request is worth relative to others of its kind: an output token counts for
@@ -210,7 +219,13 @@
 
 
 def _stream_id(text: str | None) -> StreamId | None:
-    return StreamId(text.strip()) if text and text.strip() else None
+    return StreamId(_short_id(text.strip())) if text and text.strip() else None
+
+
+def _short_id(text: str) -> str:
+    if len(text) <= MAX_ID_CHARACTERS:
+        return text
+    return xxhash.xxh3_128_hexdigest(text.encode("utf-8"))
 
 
 def _prompt_parts(text: str | None) -> tuple[PromptPart, ...]:
@@ -224,7 +239,9 @@
     if not are_valid:
         return ()
     return tuple(
-        PromptPart(PromptPartId(part.lower()), min(_integer(tokens) or 0, MAX_PART_TOKENS))
+        PromptPart(
+            PromptPartId(_short_id(part.lower())), min(_integer(tokens) or 0, MAX_PART_TOKENS)
+        )
         for part, tokens in pairs
     )
 
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -5,7 +5,13 @@
 
 from lentilchute.http.messages import header_value
 from lentilchute.ids import ClientAccountId, UpstreamId
-from lentilchute.platform.headers import StatedLoad, decode_answer, decode_call, upstream_headers
+from lentilchute.platform.headers import (
+    MAX_ID_CHARACTERS,
+    StatedLoad,
+    decode_answer,
+    decode_call,
+    upstream_headers,
+)
 
 CALL = (
     ("host", "a.example"),
@@ -59,6 +65,26 @@
     assert len(shared_parts(",".join(["5c1e:1"] * 100))) == 63
 
 
+def test_long_ids_are_remembered_by_their_digests() -> None:
+    """Guards against ids of many kilobytes filling the memories of all nodes that hear of them."""
+    longest, long = "a" * MAX_ID_CHARACTERS, "b" * 8_000
+    call = decode_call(
+        (
+            ("lentilchute-attempt-id", long),
+            ("resumes", long),
+            ("lentilchute-prompt-prefix", f"{longest}:10,{long}:20,{long[:-1]}c:30,ab:40"),
+        )
+    )
+    assert call.attempt_id == long, "answers name it as the caller sent it"
+    assert call.begun_stream == call.resumed_stream
+    assert len(call.begun_stream) <= MAX_ID_CHARACTERS
+    parts = [part.part for part in call.prompt_parts]
+    assert parts[0] == longest and parts[3] == "ab"
+    assert len(set(parts)) == 4 and max(map(len, parts)) <= MAX_ID_CHARACTERS
+    again = decode_call((("lentilchute-prompt-prefix", f"{long.upper()}:20"),))
+    assert again.prompt_parts[0].part == parts[1]
+
+
 def test_an_upstream_names_its_limit_as_a_decimal_number() -> None:
     def limit_per_s(text: str) -> float | None:
         return decode_answer((("server-limit", text),)).limit_per_s
