Bound the token counts that a request may state

Callers lost all that a node had accepted, as the node ended: some had sent a request with 3,000,000,000 prompt tokens. Messages between nodes hold counts in 32 bits. A node that places a request by itself, as the coordinator is silent, reports it there; encoding that report failed in the task of the controller and ended the process. Asking the coordinator for a place failed in the request's own task, which then answered 500.

Counts beyond 10^9 are taken for 10^9 where headers are decoded, the only way by which they come in; upstreams get the caller's own header. What goes between nodes has the same form as before.

--- a/lentilchute/platform/headers.py
+++ b/lentilchute/platform/headers.py
@@ -34,6 +34,8 @@
 MAX_STATED_COUNT = 100_000
 MAX_SLOWDOWN = 1_000.0
 """Larger figures are not believed."""
+MAX_CALL_TOKENS = 1_000_000_000
+"""Far beyond the memory of any upstream; messages between nodes hold no counts over 2^31."""
 MAX_PART_TOKENS = 10_000_000
 MAX_PROMPT_PARTS = 64
 """Parts beyond these of a prompt are ignored; prompts have a few."""
@@ -148,14 +150,15 @@
 def decode_call(headers: Headers) -> CallHeaders:
     """Decode a caller's headers; malformed values are treated as absent."""
     counts = _integers(header_value(headers, TOKENS), 2)
+    prompt_tokens, output_tokens = counts or (0, 0)
     deadline_ms = _decimal(header_value(headers, DEADLINE_MS))
     parts = _prompt_parts(header_value(headers, PROMPT_PARTS))
     return CallHeaders(
         attempt_id=header_value(headers, ATTEMPT_ID) or "",
         remaining_time_s=None if deadline_ms is None else deadline_ms / 1000,
         account_key=header_value(headers, KEY),
-        prompt_tokens=counts[0] if counts else 0,
-        max_output_tokens=counts[1] if counts else 0,
+        prompt_tokens=min(prompt_tokens, MAX_CALL_TOKENS),
+        max_output_tokens=min(output_tokens, MAX_CALL_TOKENS),
         has_token_counts=counts is not None,
         expected_output_tokens=_integer(header_value(headers, LENGTH_HINT)),
         resume_after=_integer(header_value(headers, LAST_EVENT_ID)),
