Bound the log lines that invalid requests write

Each request that a server turned away before its handler, such as one with an invalid head or with too large a body, wrote a line of the log, as many as callers like to send; refusals by the gateway were bounded to 50 a second for each cause.

test_invalid_input_does_not_fill_the_log fails without this: 1,000 lines for 1,000 invalid requests in two seconds, 100 allowed. The limiter moves to util, as the HTTP server uses it as well.

--- a/lentilchute/gateway/request_log.py
+++ b/lentilchute/gateway/request_log.py
@@ -1,11 +1,11 @@
 """Log lines and metrics for the outcomes of requests."""
 
 from ..events import Event, log_event
+from ..util.log_limit import LogLineLimiter
 from .active_request import ActiveRequest
 from .attempts import AttemptEnd, NextStep
 from .calls import Call, CallRefusal
 from .context import GatewayContext
-from .log_limit import LogLineLimiter
 from .tickets import Placement
 
 
--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..events import Event, log_event
+from ..util.log_limit import LogLineLimiter
 from .awaited_callers import AwaitedCallers, Wait
 from .caller_account import AHEAD_BYTES, BODY_COPIES, CallerAccount, InputAccount, size_of_head
 from .messages import JSON_HEADER, OUTCOME_HEADER, READ_BYTES, error_body, from_wire, to_wire
@@ -41,6 +42,7 @@
     is_closing: bool
     reading_bytes: int
     awaited: AwaitedCallers[CallerAccount]
+    line_limiter: LogLineLimiter
 
     def has_reading_room(self, caller: CallerAccount) -> bool:
         """Return whether the bodies that are being read are within their bound; stalled ones give
@@ -113,10 +115,16 @@
             while await self._serve_request():
                 self._is_first = False
         except InputError as error:
-            log_event(Event.BAD_INPUT, status=error.refusal.status, message=str(error))
+            self._log_refusal(error)
             return error.refusal
         return None
 
+    def _log_refusal(self, error: InputError) -> None:
+        status = error.refusal.status
+        left_out = self._server.line_limiter.acquire(str(status), trio.current_time())
+        if left_out is not None:
+            log_event(Event.BAD_INPUT, status=status, message=str(error), left_out=left_out)
+
     def shorten_idle_timeout(self) -> None:
         """Apply the shorter idle timeout of a closing server to a connection that is idle."""
         if self._idle_scope is not None:
--- a/lentilchute/http/server.py
+++ b/lentilchute/http/server.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..events import Event, log_event
+from ..util.log_limit import LogLineLimiter
 from .awaited_callers import AwaitedCallers
 from .caller_account import (
     RECEIVE_BUFFER_BYTES,
@@ -66,6 +67,7 @@
         self.open_account: OpenAccount | None = None
         """Returns what counts a new connection, or ``None`` if there is no memory for it. Unless
         it is set, nothing but the settings bounds what connections hold."""
+        self.line_limiter = LogLineLimiter()
         self.refused_connections = 0
         self.displaced_connections = 0
         """Connections that were closed, as others needed their place."""
--- a/test/http/test_http_server.py
+++ b/test/http/test_http_server.py
@@ -18,6 +18,7 @@
     RequestHead,
     open_listeners,
 )
+from lentilchute.util.log_limit import MAX_LINES_PER_S
 
 SETTINGS = HttpServerSettings(max_header_bytes=2_000, max_body_bytes=100)
 GET = b"GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -235,6 +236,31 @@
     assert b" 503 " in answer and error_type(answer) == "overloaded"
 
 
+def test_invalid_input_does_not_fill_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against callers that write a line of the log with each byte that they send."""
+    lines: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        "lentilchute.http.connection.log_event", lambda event, **fields: lines.append(fields)
+    )
+
+    async def main() -> None:
+        server = HttpServer(SETTINGS, echo)
+        async with trio.open_nursery() as nursery:
+            for second in range(2):
+                await trio.sleep(second)
+                for _ in range(10 * MAX_LINES_PER_S):
+                    caller, stream = memory_stream_pair()
+                    await caller.send_all(b"hello\r\n\r\n")
+                    await caller.send_eof()
+                    nursery.start_soon(server.serve_stream, stream)
+                await trio.testing.wait_all_tasks_blocked()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert len(lines) == 2 * MAX_LINES_PER_S
+    left_out = sum(int(str(fields["left_out"])) for fields in lines)
+    assert left_out == 9 * MAX_LINES_PER_S, "the first line of a second tells of the one before"
+
+
 def test_accepted_connections_have_keepalive() -> None:
     """Guards against connections of vanished callers that are kept for good, as accepted
     connections only have what their listening socket was set to."""
--- a/test/gateway/test_log_limit.py
+++ b/test/util/test_log_limit.py
@@ -1,6 +1,6 @@
 """The rate limit for log lines with the same cause."""
 
-from lentilchute.gateway.log_limit import MAX_LINES_PER_S, LogLineLimiter
+from lentilchute.util.log_limit import MAX_LINES_PER_S, LogLineLimiter
 
 
 def test_a_burst_is_bounded_and_counted() -> None:
