Let a connection open its own account

Before, it began with an account that counts nothing, which the server replaced when the connection ran. Nothing changes for callers; a property that nothing used goes away.

--- a/lentilchute/http/caller_account.py
+++ b/lentilchute/http/caller_account.py
@@ -18,7 +18,7 @@
 FIELD_BYTES = 400
 """What a field of a head takes beside its characters: two texts, and a parsed pair of them."""
 BODY_COPIES = 2
-"""The pieces of a body are joined when it is complete."""
+"""A body is copied when it is complete."""
 RECEIVE_BUFFER_BYTES = 65_536
 """The kernel holds up to this much of the input of a connection that is not read."""
 SEND_BUFFER_BYTES = 32_768
@@ -37,6 +37,10 @@
         ...
 
 
+OpenAccount = Callable[[Callable[[], None]], InputAccount | None]
+"""Takes what gives a connection up, and returns its account, or ``None`` without memory for it."""
+
+
 class CallerAccount:
     """A ``WriteAccount`` for the answers of one connection, which counts its input as well.
 
@@ -115,6 +119,8 @@
             self._account = None
         self.give_up = _do_nothing
 
+    # What follows counts and reports answers to requests that were not admitted.
+
     def add(self, size: int, now_s: float) -> bool:
         return self._account is None or self._account.add(size, now_s)
 
--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -9,7 +9,7 @@
 from ..events import Event, log_event
 from ..util.log_limit import LogLineLimiter
 from .awaited_callers import AwaitedCallers, Wait
-from .caller_account import AHEAD_BYTES, BODY_COPIES, CallerAccount, InputAccount, size_of_head
+from .caller_account import AHEAD_BYTES, BODY_COPIES, CallerAccount, OpenAccount, size_of_head
 from .messages import JSON_HEADER, OUTCOME_HEADER, READ_BYTES, error_body, from_wire, to_wire
 from .requests import (
     Handler,
@@ -42,6 +42,7 @@
     is_closing: bool
     reading_bytes: int
     awaited: AwaitedCallers[CallerAccount]
+    open_account: OpenAccount | None
     line_limiter: LogLineLimiter
 
     def has_reading_room(self, caller: CallerAccount) -> bool:
@@ -58,7 +59,10 @@
         self._settings = server.settings
         self._stream = stream
         self._scope = trio.CancelScope()
-        self._caller = CallerAccount(None, server.awaited, self.give_up)
+        account = None if server.open_account is None else server.open_account(self.give_up)
+        self.has_memory = account is not None or server.open_account is None
+        """Whether there is memory for the connection, as far as it is bounded."""
+        self._caller = CallerAccount(account, server.awaited, self.give_up)
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=server.settings.max_header_bytes + HEAD_SLACK_BYTES,
@@ -72,17 +76,11 @@
         self._reading_bytes = 0
         """Size of the body so far, as long as it counts as being read."""
 
-    @property
-    def reading_bytes(self) -> int:
-        """Size of the body that is being read."""
-        return self._reading_bytes
-
-    async def run(self, account: InputAccount | None = None, refusal: str = "") -> None:
+    async def run(self, refusal: str = "") -> None:
         """Serve requests until either side closes the connection.
 
-        ``account`` counts what the connection holds. A ``refusal`` turns the caller away.
+        A ``refusal`` turns the caller away, and says why.
         """
-        self._caller = CallerAccount(account, self._server.awaited, self.give_up)
         try:
             with self._scope:
                 await self._serve(refusal)
--- a/lentilchute/http/server.py
+++ b/lentilchute/http/server.py
@@ -6,7 +6,7 @@
 """
 
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import trio
 
@@ -17,7 +17,7 @@
     RECEIVE_BUFFER_BYTES,
     SEND_BUFFER_BYTES,
     CallerAccount,
-    InputAccount,
+    OpenAccount,
 )
 from .connection import ServerConnection
 from .messages import enable_tcp_keepalive, split_address
@@ -41,9 +41,6 @@
 REFUSED_SHARE = 16
 """Connections beyond the limit are told so, up to this part of the limit at once."""
 
-OpenAccount = Callable[[Callable[[], None]], InputAccount | None]
-"""Takes what gives the connection up."""
-
 
 class HttpServer:
     """Serves HTTP connections with one handler.
@@ -153,15 +150,14 @@
 
     async def _run(self, connection: ServerConnection) -> None:
         """Serve a connection, or turn it away if neither places nor memory are left for it."""
-        account = None if self.open_account is None else self.open_account(connection.give_up)
         refusal = ""
-        if self.open_account is not None and account is None:
+        if not connection.has_memory:
             refusal = "no memory for more connections"
         elif len(self._connections) > self.settings.max_connections and not self._displace():
             refusal = "too many connections"
         if refusal:
             self.refused_connections += 1
-        await connection.run(account, refusal)
+        await connection.run(refusal)
 
     def _displace(self) -> bool:
         """Close the connection that has waited longest for its caller; return whether one has."""
