Let connections that were refused give way to new ones

A caller was turned away although a connection could have made room for it: once the sixteenth beyond a server's limit was full of refused connections that linger for two seconds, new ones were closed at once, and nobody looked for a connection that has waited long enough. Found by reading; test_refused_connections_give_way_to_new_ones fails without this.

--- a/lentilchute/http/server.py
+++ b/lentilchute/http/server.py
@@ -125,7 +125,7 @@
 
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection until it ends, then close it. Its errors are not raised."""
-        if len(self._connections) >= self._most_connections:
+        if len(self._connections) >= self._most_connections and not self._displace():
             # Even a refusal would need a descriptor for longer.
             self.refused_connections += 1
             await close_now(stream)
--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -210,6 +210,24 @@
     run(HttpServerSettings(max_connections=1), scenario)
 
 
+def test_refused_connections_give_way_to_new_ones() -> None:
+    """Guards against refusals that linger keeping out a caller for whom there is a place."""
+
+    async def scenario(world: World) -> None:
+        silent = [world.connect() for _ in range(32)]
+        await trio.sleep(0.01)
+        refused = [world.connect() for _ in range(2)]
+        await trio.sleep(1.0)
+        assert world.server.refused_connections == 2
+        new = world.connect()
+        await new.send_all(GET)
+        assert (await new.receive_some()).startswith(b"HTTP/1.1 200 ")
+        for each in silent + refused:
+            await each.aclose()
+
+    run(HttpServerSettings(max_connections=32), scenario)
+
+
 def test_connections_far_beyond_the_limit_are_closed_at_once() -> None:
     """Guards against refusals that take a descriptor each for as long as callers like."""
 
