Test that an answer that nobody takes gives its place to a new connection

The last of the three waits by which connections give way had no test of the server. It fails if the server isn't told of answers that wait (tried), and passes.

--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -5,7 +5,12 @@
 import h11
 import pytest
 import trio
-from trio.testing import MockClock, memory_stream_pair, wait_all_tasks_blocked
+from trio.testing import (
+    MockClock,
+    lockstep_stream_pair,
+    memory_stream_pair,
+    wait_all_tasks_blocked,
+)
 
 from lentilchute.http.caller_account import (
     AHEAD_BYTES,
@@ -210,6 +215,34 @@
     run(HttpServerSettings(max_connections=1), scenario)
 
 
+def test_an_answer_that_nobody_takes_gives_its_place_to_a_new_connection() -> None:
+    """Guards against callers that read nothing keeping all places of a server, for as long as a
+    write may take."""
+
+    async def scenario(world: World) -> None:
+        async def handle(request: HttpRequest, responder: Responder) -> None:
+            if request.path == "/large":
+                responder.account = Account()
+                request.caller_gone.is_set()
+            await responder.answer(200, (), bytes(100_000))
+
+        world.server.handler = handle
+        world.server.open_account = lambda give_up: world.account
+        unread, stream = lockstep_stream_pair()
+        world.nursery.start_soon(world.server.serve_stream, stream)
+        await unread.send_all(GET.replace(b"/", b"/large", 1))
+        await trio.sleep(0.5)
+        early = world.connect()
+        assert (await early.receive_some()).startswith(b"HTTP/1.1 503 "), "it may still be taken"
+        await trio.sleep(5.0)
+        new = world.connect()
+        await new.send_all(GET)
+        assert (await new.receive_some()).startswith(b"HTTP/1.1 200 ")
+        assert world.server.displaced_connections == 1
+
+    run(HttpServerSettings(max_connections=1), scenario)
+
+
 def test_refused_connections_give_way_to_new_ones() -> None:
     """Guards against refusals that linger keeping out a caller for whom there is a place."""
 
