--- a/test/soak/soak_run.py
+++ b/test/soak/soak_run.py
@@ -17,6 +17,7 @@
 from soak_nodes import EXIT_MARGIN_S, POLL_S, RESTART_S, STOP_GRACE_S
 from soak_orders import ORDER_SETTINGS, give_orders, note_state
 from soak_records import CallEnd
+from soak_unruly import MEMORY_SETTINGS, press_nodes
 from soak_world import SoakWorld
 
 from lentilchute.node_context import wait_until
@@ -35,7 +36,11 @@
 MIN_SERVED_SHARE = 0.25
 """Share of the calls in that part that must be served; set by the platform."""
 CALLERS = 6
-SCENARIOS = {"orders": give_orders, "releases": release_while_cut_off}
+SCENARIOS = {
+    "orders": give_orders,
+    "releases": release_while_cut_off,
+    "unruly": press_nodes,
+}
 """What may go on beside the faults that are drawn."""
 
 
@@ -81,7 +86,9 @@
     # A generator of its own leaves the faults of a seed as they were.
     builds = BuildWalk(random.Random(f"builds-{seed}"), earlier, pinned)
     if "orders" in also:
-        builds.settings = ORDER_SETTINGS
+        builds.settings = {**builds.settings, **ORDER_SETTINGS}
+    if "unruly" in also:
+        builds.settings = {**builds.settings, **MEMORY_SETTINGS}
     return trio.run(_run, seed, seconds, nodes, directory, builds, also)
 
 
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -35,6 +35,13 @@
     assert report.orders
 
 
+def test_a_short_run_with_unruly_callers_breaks_no_promise(tmp_path: Path) -> None:
+    """Guards against callers that don't behave costing others more than a refusal."""
+    report = run_soak(7201, seconds=8.0, nodes=3, directory=tmp_path, also=["unruly"])
+    assert report.findings == []
+    assert report.calls["whole 200"] > 100
+
+
 @pytest.mark.parametrize("seed", [1, *SEEDS_THAT_FAILED])
 def test_a_short_run_breaks_no_promise(seed: int, tmp_path: Path) -> None:
     report = run_soak(seed, seconds=8.0, nodes=3, directory=tmp_path)
