Count the kernel's buffers as the kernel does, and drop answers that are given up

A node under 1,400 callers that send ahead and read nothing had up to 148 MB waiting in its sockets, of 150 MB for all: the kernel takes twice the size of buffers that it is asked for, and half of that was counted. Answers of connections that were closed for others' sake stayed in it besides, as their callers took nothing.

A connection that is given up with an answer unread is now reset.

--- a/lentilchute/http/caller_account.py
+++ b/lentilchute/http/caller_account.py
@@ -19,10 +19,12 @@
 """What a field of a head takes beside its characters: two texts, and a parsed pair of them."""
 BODY_COPIES = 2
 """A body is copied when it is complete."""
-RECEIVE_BUFFER_BYTES = 65_536
-"""The kernel holds up to this much of the input of a connection that is not read."""
-SEND_BUFFER_BYTES = 32_768
-"""The kernel holds about this much of an answer that is not taken."""
+RECEIVE_BUFFER_BYTES = 32_768
+"""Asked of the kernel for the input of a connection."""
+SEND_BUFFER_BYTES = 16_384
+"""Asked of the kernel for the answers on a connection."""
+KERNEL_FACTOR = 2
+"""The kernel takes this many times what it is asked for (``man 7 socket``)."""
 
 
 class InputAccount(WriteAccount, Protocol):
@@ -144,10 +146,10 @@
         self.stop_waiting()
 
     def _held_bytes(self) -> int:
-        unread_input = 0 if self.is_read else RECEIVE_BUFFER_BYTES
-        unread_answer = SEND_BUFFER_BYTES if self._has_unread_answer else 0
+        unread = 0 if self.is_read else RECEIVE_BUFFER_BYTES
+        unread += SEND_BUFFER_BYTES if self._has_unread_answer else 0
         read = self.unparsed_bytes + self.head_bytes + self.body_bytes
-        return read + unread_input + unread_answer
+        return read + KERNEL_FACTOR * unread
 
 
 class AnswerWait(CallerWait):
--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -392,10 +392,13 @@
 
     def _answer_given_up(self) -> None:
         """Write a refusal as far as the socket takes it, if a request was being read."""
-        if self._caller.unparsed_bytes or self._caller.head_bytes:
-            data = self._refusal_bytes(_no_room().refusal)
-            if data:
-                write_now(self._stream, data)
+        is_asked = self._caller.unparsed_bytes or self._caller.head_bytes
+        data = self._refusal_bytes(_no_room().refusal) if is_asked else b""
+        if data:
+            write_now(self._stream, data)
+        else:
+            # The kernel would keep an answer that is not taken beyond the close.
+            self.reset_on_close()
 
     def _refusal_bytes(self, refusal: HeadRefusal) -> bytes:
         """Return a refusal as it is sent; nothing if an answer has begun."""
--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -14,6 +14,7 @@
 
 from lentilchute.http.caller_account import (
     AHEAD_BYTES,
+    KERNEL_FACTOR,
     RECEIVE_BUFFER_BYTES,
     SEND_BUFFER_BYTES,
 )
@@ -128,13 +129,14 @@
         caller = world.connect()
         await caller.send_all(WAITING_GET + 2_000 * GET)
         await wait_all_tasks_blocked()
-        assert world.account.held_bytes >= AHEAD_BYTES + RECEIVE_BUFFER_BYTES
+        assert world.account.held_bytes >= AHEAD_BYTES + KERNEL_FACTOR * RECEIVE_BUFFER_BYTES
         world.may_answer.release()
         served = 0
         while served < 2_001:
             served += (await caller.receive_some()).count(b"HTTP/1.1 200")
         await wait_all_tasks_blocked()
-        most_bytes = AHEAD_BYTES + RECEIVE_BUFFER_BYTES + SEND_BUFFER_BYTES + 2_000
+        kernel_bytes = KERNEL_FACTOR * (RECEIVE_BUFFER_BYTES + SEND_BUFFER_BYTES)
+        most_bytes = AHEAD_BYTES + kernel_bytes + 2_000
         assert world.account.most_bytes <= most_bytes
         assert world.account.held_bytes == 0
         await caller.aclose()
