Use the room of connections that gave way only when they have ended

A node whose callers sent hundreds of heads of thousands of fields at once grew to 449 MB of 150 (a trial, 1,400 callers, 4,100 descriptors): connections that gave way were counted as free at once, but their tasks, which hold what was read, end in a later pass of the loop. While one pass took eleven seconds, 756 were given up, and each time their room was given away again.

--- a/lentilchute/gateway/held_memory.py
+++ b/lentilchute/gateway/held_memory.py
@@ -38,6 +38,9 @@
 """New work of each tier may fill so much less than that of the tier above."""
 LOWEST_TIER = 3
 """Tiers below are treated as this one."""
+LEAVING_SHARE = 0.05
+"""Connections that were given up may still hold this part of the room; others wait until they have
+ended."""
 LAG_AFTER_S = 1.0
 """Other callers have taken what waited for them by then, also after a lost packet."""
 LAGGING_FACTOR = 2.0
@@ -78,6 +81,8 @@
         """Readers that had to give way."""
         self._holders: set[Holder] = set()
         self._holder_bytes = 0
+        self._leaving_bytes = 0
+        """What connections that were given up, and have not ended yet, still hold."""
 
     @property
     def held_bytes(self) -> int:
@@ -202,6 +207,9 @@
         if holder in self._holders:
             self._holders.remove(holder)
             self._holder_bytes -= holder.held_bytes
+        elif holder.is_given_up and holder.is_connection:
+            self._leaving_bytes -= holder.held_bytes
+            holder.held_bytes = 0
 
     def _in_state(self, now_s: float, state: ReaderState) -> list["Holder"]:
         """Return the holders whose readers are in a state, the first to be given up first."""
@@ -215,6 +223,8 @@
         for victim in victims:
             if excess <= 0:
                 break
+            if victim.is_connection and self._leaving_bytes > LEAVING_SHARE * self.room_bytes:
+                return False
             excess -= victim.held_bytes
             self._give_up(victim, now_s)
         return True
@@ -223,6 +233,8 @@
         self.given_up[victim.state(now_s)] += 1
         victim.is_given_up = True
         self.close(victim)
+        if victim.is_connection:
+            self._leaving_bytes += victim.held_bytes
         victim.give_up()
 
 
