Parse large heads in turns

A node answered nobody for eleven seconds, its readiness check neither, while 1,400 callers sent heads of 3,000 fields at once: a head of that kind takes some eight milliseconds to parse, and all that had arrived were parsed in one pass of the loop.

Heads of more than 4 KB now take turns, four in a pass.

--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -29,6 +29,8 @@
 is held until the request has been answered."""
 HEAD_SLACK_BYTES = 1_024
 """A head may be so much longer than the limit in bytes that the limit does not count."""
+LARGE_HEAD_BYTES = 4_096
+"""A head may have thousands of fields, which take milliseconds to parse."""
 PIECES_PER_TURN = 64
 """A body in many small pieces lets other connections take their turns after so many of them."""
 
@@ -44,6 +46,7 @@
     awaited: AwaitedCallers[CallerAccount]
     open_account: OpenAccount | None
     line_limiter: LogLineLimiter
+    large_heads: trio.Semaphore
 
     def has_reading_room(self, caller: CallerAccount) -> bool:
         """Return whether the bodies that are being read are within their bound; stalled ones give
@@ -190,6 +193,7 @@
         return self._idle_since_s + settings.keep_alive_header_s + settings.linger_s
 
     async def _read_request(self) -> HttpRequest | None:
+        await self._take_turn()
         event = self._event_at_hand()
         if event is h11.NEED_DATA:
             with trio.move_on_after(self._settings.header_timeout_s) as scope:
@@ -313,6 +317,12 @@
         self._caller.wait(Wait.INPUT, trio.current_time())
         self._count_input()
 
+    async def _take_turn(self) -> None:
+        """Wait until no more than a few other large heads are parsed in one pass of the loop."""
+        if self._caller.unparsed_bytes > LARGE_HEAD_BYTES:
+            async with self._server.large_heads:
+                await trio.lowlevel.checkpoint()
+
     def _event_at_hand(self) -> object:
         """Return h11's next event, which is ``NEED_DATA`` when more has to be read."""
         try:
--- a/lentilchute/http/server.py
+++ b/lentilchute/http/server.py
@@ -38,6 +38,8 @@
 ]
 
 
+LARGE_HEADS_AT_ONCE = 4
+"""Parsed in one pass of the loop, so that other connections are not held up for long."""
 REFUSED_SHARE = 16
 """Connections beyond the limit are told so, up to this part of the limit at once."""
 
@@ -65,6 +67,8 @@
         """Returns what counts a new connection, or ``None`` if there is no memory for it. Unless
         it is set, nothing but the settings bounds what connections hold."""
         self.line_limiter = LogLineLimiter()
+        self.large_heads = trio.Semaphore(LARGE_HEADS_AT_ONCE)
+        """Held while a large head takes its turn."""
         self.refused_connections = 0
         self.displaced_connections = 0
         """Connections that were closed, as others needed their place."""
--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -20,7 +20,7 @@
 )
 from lentilchute.http.requests import HttpRequest, HttpServerSettings
 from lentilchute.http.responder import Responder
-from lentilchute.http.server import HttpServer
+from lentilchute.http.server import LARGE_HEADS_AT_ONCE, HttpServer
 
 GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n"
@@ -282,3 +282,33 @@
             await each.aclose()
 
     run(HttpServerSettings(max_connections=32), scenario)
+
+
+def test_large_heads_are_parsed_in_turns() -> None:
+    """Guards against hundreds of heads with thousands of fields that arrive together and hold the
+    loop up for seconds."""
+
+    async def scenario(world: World) -> None:
+        parsed_in_pass = [0]
+
+        async def handle(request: HttpRequest, responder: Responder) -> None:
+            parsed_in_pass[-1] += 1
+            await responder.answer(200, (), b"")
+
+        async def count_passes() -> None:
+            while True:
+                parsed_in_pass.append(0)
+                await trio.lowlevel.checkpoint()
+
+        world.server.handler = handle
+        callers = [world.connect() for _ in range(60)]
+        await wait_all_tasks_blocked()
+        head = GET[:-2] + b"a:\r\n" * 2_000 + b"\r\n"
+        world.nursery.start_soon(count_passes)
+        for caller in callers:
+            world.nursery.start_soon(caller.send_all, head)
+        for caller in callers:
+            assert (await caller.receive_some()).startswith(b"HTTP/1.1 200 ")
+        assert max(parsed_in_pass) <= 2 * LARGE_HEADS_AT_ONCE
+
+    run(HttpServerSettings(), scenario)
