Test a node of usual size among a thousand callers that don't behave

The small crowds cannot show what happens when hundreds of callers are served in one pass of the loop.

--- a/test/gateway/test_unruly_callers.py
+++ b/test/gateway/test_unruly_callers.py
@@ -12,6 +12,9 @@
 from lentilchute.http.client import ClientRequest, HttpAnswer
 from lentilchute.http.messages import split_address
 
+LARGE_CROWD = 1_000
+USUAL_MEMORY_MB = 150
+USUAL_DESCRIPTORS = 4_100
 ORDINARY = ClientRequest("POST", "/book/1", body=bytes(10_000))
 
 
@@ -38,11 +41,32 @@
     status = None if answer is None else answer.status
     print(f"{name}: {node.peak_mb:.0f} MB, {node.most_descriptors} descriptors, {status}")
     assert node.process.poll() is None, "the node lives"
-    assert node.peak_mb <= crowds.MEMORY_MB
-    assert node.most_descriptors <= crowds.MAX_DESCRIPTORS - crowds.FREE_DESCRIPTORS
+    assert node.peak_mb <= node.memory_mb
+    assert node.most_descriptors <= crowds.USABLE_DESCRIPTORS * node.max_descriptors
     assert status == 200
 
 
+@pytest.mark.parametrize("name", ["heads of many fields", "many requests ahead"])
+def test_a_node_of_usual_size_bears_a_large_crowd(name: str, tmp_path: Path) -> None:
+    """Guards against what shows only if hundreds of callers are served in one pass of the loop."""
+    large = dataclasses.replace(CROWDS[name], members=LARGE_CROWD)
+
+    async def main() -> None:
+        async with (
+            unruly_world() as world,
+            running_node(world, tmp_path, USUAL_MEMORY_MB, USUAL_DESCRIPTORS) as node,
+        ):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.sample)
+                nursery.start_soon(large.run, node.settings)
+                await trio.sleep(large.pressure_s)
+                answer = await ordinary_call(node.callers, ORDINARY)
+                nursery.cancel_scope.cancel()
+            check(node, answer, name)
+
+    trio.run(main)
+
+
 def test_a_node_bears_all_crowds_at_once(tmp_path: Path) -> None:
     """Guards against bounds that hold for each way of misbehaving, but not for all together."""
 
--- a/test/gateway/unruly_crowds.py
+++ b/test/gateway/unruly_crowds.py
@@ -37,8 +37,8 @@
 """Of the node's machine."""
 MAX_DESCRIPTORS = 400
 """Of the node's process."""
-FREE_DESCRIPTORS = 40
-"""A tenth of them is left for connections to upstreams, peers and the store."""
+USABLE_DESCRIPTORS = 0.9
+"""The rest is left for connections to upstreams, peers and the store."""
 MAX_BODY_BYTES = 1_000_000
 MAX_HEADER_BYTES = 16_384
 PRESSURE_S = 6.0
@@ -73,6 +73,8 @@
 
     settings: GatewaySettings
     process: subprocess.Popen[bytes]
+    memory_mb: int
+    max_descriptors: int
     peak_mb: float = 0.0
     """Most memory that it has had resident, with what waited in its sockets at the time."""
     most_descriptors: int = 0
@@ -141,9 +143,14 @@
 
 
 @asynccontextmanager
-async def running_node(world: GatewayWorld, directory: Path) -> AsyncIterator[Node]:
+async def running_node(
+    world: GatewayWorld,
+    directory: Path,
+    memory_mb: int = MEMORY_MB,
+    max_descriptors: int = MAX_DESCRIPTORS,
+) -> AsyncIterator[Node]:
     """Yield a node of a world, in a process of its own with little memory and few descriptors."""
-    settings = node_settings("node-0", world.store_address, f"machine:\n  memory_mb: {MEMORY_MB}")
+    settings = node_settings("node-0", world.store_address, f"machine:\n  memory_mb: {memory_mb}")
     path, log = directory / "node.yaml", directory / "node.log"
     path.write_text(json.dumps(settings.model_dump(mode="json", exclude_none=True)))
     with log.open("wb") as output:
@@ -154,11 +161,11 @@
             stderr=output,
             env={**os.environ, "LENTILCHUTE_CONFIG": str(path)},
         )
-    limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+    limits = (max_descriptors, max_descriptors)
     resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
     try:
         await _until_ready(settings.listen.readiness)
-        yield Node(settings, process)
+        yield Node(settings, process, memory_mb, max_descriptors)
     finally:
         process.send_signal(signal.SIGKILL)
         process.wait()
