Let callers that give way read their refusal

A caller whose large body gave way to others saw its connection reset in place of the 503 which says that its request did not run, since the connection was closed with input unread. test_slow_readers.py's test_upstream_that_reads_slowly_costs_neither_the_node_nor_other_services showed it once, at load average 14: 6 of 114 callers got no answer, and it asks for 502 or 503.

A connection that gives way now goes on reading, and discards, for the time of linger_s, as after any refusal, unless its server is over its limit of connections. Its memory is given back before. test_a_caller_that_gives_way_is_told_so fails without this (3 of 3) and passes.

--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -48,6 +48,11 @@
     line_limiter: LogLineLimiter
     large_heads: trio.Semaphore
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        ...
+
     def has_reading_room(self, caller: CallerAccount) -> bool:
         """Return whether the bodies that are being read are within their bound; stalled ones give
         way to that of ``caller``."""
@@ -88,7 +93,7 @@
             with self._scope:
                 await self._serve(refusal)
             if self._scope.cancelled_caught:
-                self._answer_given_up()
+                await self._leave()
         finally:
             self._caller.close()
             self._release_reading()
@@ -400,15 +405,19 @@
         with trio.move_on_after(self._settings.write_timeout_s):
             await self._stream.send_all(data)
 
-    def _answer_given_up(self) -> None:
-        """Write a refusal as far as the socket takes it, if a request was being read."""
+    async def _leave(self) -> None:
+        """End a connection that was given up; refuse a request that was being read."""
         is_asked = self._caller.unparsed_bytes or self._caller.head_bytes
         data = self._refusal_bytes(_no_room().refusal) if is_asked else b""
-        if data:
-            write_now(self._stream, data)
-        else:
+        # What was read is no longer held: the tasks that held it have ended.
+        self._caller.close()
+        if not data:
             # The kernel would keep an answer that is not taken beyond the close.
             self.reset_on_close()
+            return
+        write_now(self._stream, data)
+        if self._server.connection_count <= self._settings.max_connections:
+            await self._discard_input()
 
     def _refusal_bytes(self, refusal: HeadRefusal) -> bytes:
         """Return a refusal as it is sent; nothing if an answer has begun."""
@@ -426,6 +435,9 @@
         """Half-close, then discard input for a while: a close with unread input sends a reset."""
         self._caller.drop_request()
         self._caller.wait(Wait.INPUT, trio.current_time())
+        await self._discard_input()
+
+    async def _discard_input(self) -> None:
         with trio.move_on_after(self._settings.linger_s):
             await self._stream.send_eof()
             while await self._stream.receive_some(READ_BYTES):
--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -20,7 +20,7 @@
 )
 from lentilchute.http.requests import HttpRequest, HttpServerSettings
 from lentilchute.http.responder import Responder
-from lentilchute.http.server import LARGE_HEADS_AT_ONCE, HttpServer
+from lentilchute.http.server import LARGE_HEADS_AT_ONCE, HttpServer, open_listeners
 
 GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n"
@@ -284,6 +284,51 @@
     run(HttpServerSettings(max_connections=32), scenario)
 
 
+def test_a_caller_that_gives_way_is_told_so() -> None:
+    """Guards against a reset in place of the refusal, which says that the request did not run: a
+    caller that is sending sees the reset first."""
+
+    resets: list[float] = []
+
+    async def scenario(world: World) -> None:
+        give_ups: list[Callable[[], None]] = []
+
+        def open_account(give_up: Callable[[], None]) -> Account:
+            give_ups.append(give_up)
+            return world.account
+
+        world.account.limit_bytes = 10**9
+        world.server.open_account = open_account
+        listeners = await open_listeners("127.0.0.1:0")
+        world.nursery.start_soon(world.server.serve, listeners)
+        caller = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
+        body_bytes = 50_000_000
+        await caller.send_all(POST.replace(b"1000", str(body_bytes).encode()))
+        world.nursery.start_soon(send_on, caller, body_bytes)
+        await trio.sleep(0.05)
+        give_ups[0]()
+        await trio.sleep(0.05)
+        answer = await caller.receive_some()
+        assert answer.startswith(b"HTTP/1.1 503 ") and b"lentilchute-outcome: not-run" in answer
+        assert not resets, "it may send on until it has read that"
+        assert world.account.is_closed, "its memory is free before it has gone"
+
+    async def send_on(caller: trio.SocketStream, body_bytes: int) -> None:
+        try:
+            for _ in range(body_bytes // 10_000):
+                await caller.send_all(bytes(10_000))
+                await trio.sleep(0.001)
+        except trio.BrokenResourceError:
+            resets.append(trio.current_time())
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await scenario(World(nursery, HttpServerSettings()))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_large_heads_are_parsed_in_turns() -> None:
     """Guards against hundreds of heads with thousands of fields that arrive together and hold the
     loop up for seconds."""
