Answer a request that is complete as its connection gives way

The connection now goes straight to its refusal. test_a_request_whose_connection_gives_way_as_it_ends_is_answered fails without this ("Connection reset by peer") and passes.

--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -92,7 +92,7 @@
         try:
             with self._scope:
                 await self._serve(refusal)
-            if self._scope.cancelled_caught:
+            if self._scope.cancel_called:
                 await self._leave()
         finally:
             self._caller.close()
@@ -107,7 +107,7 @@
         refused = await self._serve_requests(refusal)
         if refused is not None:
             await self._answer_refused(refused)
-        if not self._has_caller_ended:
+        if not self._has_caller_ended and not self._scope.cancel_called:
             await self._linger()
 
     async def _serve_requests(self, refusal: str) -> HeadRefusal | None:
--- a/test/http/test_unruly_input.py
+++ b/test/http/test_unruly_input.py
@@ -1,5 +1,6 @@
 """What a server holds for callers that send more than they should, and who gives way."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -329,6 +330,40 @@
     trio.run(main)
 
 
+def test_a_request_whose_connection_gives_way_as_it_ends_is_answered() -> None:
+    """Guards against a reset for a request whose last bytes come in the moment in which its
+    connection gives way."""
+
+    async def scenario(world: World) -> None:
+        give_ups: list[Callable[[], None]] = []
+
+        def open_account(give_up: Callable[[], None]) -> Account:
+            give_ups.append(give_up)
+            return Account()
+
+        world.server.open_account = open_account
+        listeners = await open_listeners("127.0.0.1:0")
+        world.nursery.start_soon(world.server.serve, listeners)
+        address = listeners[0].socket.getsockname()
+        statuses: Counter[bytes] = Counter()
+        for _ in range(60):
+            async with await trio.open_tcp_stream(*address) as caller:
+                await caller.send_all(POST + bytes(999))
+                await trio.sleep(0.005)
+                await caller.send_all(b"x")
+                give_ups[-1]()
+                statuses[(await caller.receive_some())[:12]] += 1
+        assert set(statuses) <= {b"HTTP/1.1 200", b"HTTP/1.1 503"}
+        assert statuses[b"HTTP/1.1 503"], "some gave way before their request was handled"
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await scenario(World(nursery, HttpServerSettings(linger_s=0.05)))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_large_heads_are_parsed_in_turns() -> None:
     """Guards against hundreds of heads with thousands of fields that arrive together and hold the
     loop up for seconds."""
