Raise h11's errors without the frames that refer to them

Cause: h11 raises RemoteProtocolError in a method of the error itself, so that the traceback refers to a frame that refers to the error; the frames refer to those of their callers, and so to the request. All events are now parsed by next_event, which raises the error without that part of its traceback.

Evidence: with the collector off, gc.collect() found the error, its traceback and that frame in one cycle, with the request behind it.

--- a/lentilchute/http/client.py
+++ b/lentilchute/http/client.py
@@ -26,6 +26,7 @@
     split_address,
     to_wire,
 )
+from .parsed_events import next_event
 from .socket_io import close_now, connect, read_some, withdraw_unacknowledged, write_now
 
 
@@ -472,7 +473,7 @@
         """
         http = connection.http
         try:
-            event = http.next_event()
+            event = next_event(http)
             if isinstance(event, h11.Event):
                 return Ok(event)
             with trio.move_on_after(max(timeout_s, 0)):
@@ -483,7 +484,7 @@
                     if received is not None:
                         received += data
                     http.receive_data(data)
-                    event = http.next_event()
+                    event = next_event(http)
                 return Ok(event) if isinstance(event, h11.Event) else Err(HttpFault.RESET)
         except _STREAM_ERRORS:
             return Err(HttpFault.RESET)
@@ -505,10 +506,11 @@
     """Return the part of a body that has arrived, and what follows it: an event or an error."""
     pieces: list[bytes] = []
     try:
-        while isinstance(event := http.next_event(), h11.Data):
+        while isinstance(event := next_event(http), h11.Data):
             pieces.append(bytes(event.data))
     except h11.RemoteProtocolError as error:
-        return b"".join(pieces), error
+        # The caller keeps the error in a frame that its traceback would refer to.
+        return b"".join(pieces), error.with_traceback(None)
     return b"".join(pieces), event
 
 
@@ -524,7 +526,7 @@
     http = connection.http
     http.receive_data(b"")
     try:
-        event = http.next_event()
+        event = next_event(http)
     except h11.RemoteProtocolError:
         return Err(HttpFault.RESET)
     if not isinstance(event, h11.EndOfMessage) or connection.has_write_failed:
--- a/lentilchute/http/connection.py
+++ b/lentilchute/http/connection.py
@@ -11,6 +11,7 @@
 from .awaited_callers import AwaitedCallers, Wait
 from .caller_account import AHEAD_BYTES, BODY_COPIES, CallerAccount, OpenAccount, size_of_head
 from .messages import JSON_HEADER, OUTCOME_HEADER, READ_BYTES, error_body, from_wire, to_wire
+from .parsed_events import next_event
 from .requests import (
     Handler,
     HeadCheck,
@@ -331,7 +332,7 @@
     def _event_at_hand(self) -> object:
         """Return h11's next event, which is ``NEED_DATA`` when more has to be read."""
         try:
-            return self._http.next_event()
+            return next_event(self._http)
         except h11.RemoteProtocolError as error:
             raise _input_error(error) from error
 
--- a/test/gateway/test_ended_requests.py
+++ b/test/gateway/test_ended_requests.py
@@ -118,6 +118,12 @@
     await client.aclose()
 
 
+@way_to_end
+async def reset_without_an_answer(world: GatewayWorld) -> None:
+    behave(world, drops_answer=True)
+    assert statuses(await upload(world)) == [502]
+
+
 @way_to_end
 async def error_of_the_upstream(world: GatewayWorld) -> None:
     behave(world, status=500)
@@ -144,6 +150,13 @@
     assert statuses(await upload(world))[0] in (502, 503)
 
 
+@way_to_end
+async def retry_of_a_plain_request(world: GatewayWorld) -> None:
+    world.upstreams["a0"].standin.behaviour.drops_answer = True
+    assert set(statuses(*[await upload(world, "/view/1") for _ in range(4)])) == {200}
+    assert world.upstreams["a0"].standin.received, "one was sent again"
+
+
 @way_to_end
 async def retry_of_a_stream(world: GatewayWorld) -> None:
     behave(world, aborts_after_event=2)
@@ -183,6 +196,29 @@
     await connection.aclose()
 
 
+async def send_body(world: GatewayWorld, *chunks: bytes) -> bytes:
+    """Send a body in chunks as they are given; return the first line of the answer."""
+    connection = await trio.open_tcp_stream(*split_address(world.nodes[0].callers))
+    head = f"POST /book/1 HTTP/1.1\r\nhost: {HOST}\r\nlentilchute-key: {KEY}\r\n"
+    async with connection:
+        await connection.send_all(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
+        for chunk in chunks:
+            await connection.send_all(chunk)
+        return (await connection.receive_some(65_536)).partition(b"\r\n")[0]
+
+
+@way_to_end
+async def body_that_breaks_off_in_no_chunk(world: GatewayWorld) -> None:
+    chunk = b"%x\r\n%b\r\n" % (len(BODY), BODY)
+    assert b" 400 " in await send_body(world, chunk, b"no chunk\r\n")
+
+
+@way_to_end
+async def body_beyond_the_limit(world: GatewayWorld) -> None:
+    chunk = b"%x\r\n%b\r\n" % (len(BODY), BODY)
+    assert b" 413 " in await send_body(world, chunk, chunk)
+
+
 @way_to_end
 async def path_through_a_peer(world: GatewayWorld) -> None:
     await cut_off(world, [0], refuse)
@@ -190,6 +226,8 @@
     assert world.nodes[0].node.context.path_health.is_cut_off
     assert statuses(await upload(world)) == [200]
     assert statuses(await upload(world, "/drafts/1", TOKENS)) == [200]
+    behave(world, drops_answer=True)
+    assert statuses(await upload(world)) == [502]
 
 
 @way_to_end
