Tell nodes that start which requests crash upstreams

Cause: a crash was broadcast once, when it was found, and kept in each process's memory. A node that starts is told of leaving upstreams, streams and roll-outs, and digests repeat parts of prompts; nothing repeated the crashes of whole requests, and the store kept none of them.

Now whoever tells a node what it missed tells it of the crashes of suspects as well, with their age, so that telling on prolongs no refusal; what a request completed after is not held against it again. Each node reads what is refused from the store once after its start, since nobody may answer it; the coordinator writes the row when that changes. The row has a key of its own, which earlier builds pass over, and the age is an optional field.

--- a/lentilchute/events.py
+++ b/lentilchute/events.py
@@ -95,7 +95,7 @@
     POISON_VERDICT = EventInfo(
         405,
         "A request's content, or a part of its prompt, was suspected of crashing upstreams, "
-        "cleared, blocked or condemned.",
+        "refused, cleared, blocked or condemned.",
     )
     UPSTREAM_REPORT_FAILED = EventInfo(
         406, "An upstream's load report could not be fetched or parsed."
--- a/lentilchute/gateway/context.py
+++ b/lentilchute/gateway/context.py
@@ -71,8 +71,9 @@
     fleet_listeners: list[Callable[[], None]] = field(default_factory=list)
     begun_stream_listeners: list[Callable[[], None]] = field(default_factory=list)
     """Called when a stream has begun of which other nodes have to know."""
-    blocked_part_listeners: list[Callable[[], None]] = field(default_factory=list)
-    """Called when a part of prompts has been blocked or cleared."""
+    crash_verdict_listeners: list[Callable[[], None]] = field(default_factory=list)
+    """Called when the requests or parts of prompts that are refused for crashing upstreams have
+    changed."""
     coordinator_listeners: list[Callable[[], None]] = field(default_factory=list)
     """Called when the coordinator or the set of peers has changed."""
 
--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -1,6 +1,6 @@
-"""Controller that broadcasts which requests, and which parts of prompts, crash upstreams."""
+"""Controller that tells nodes which requests, and which parts of prompts, crash upstreams."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from ..events import Event, log_event
@@ -46,6 +46,19 @@
         if is_cleared or cleared_parts:
             self._context.broadcast(ClearedNotice(content, cleared_parts))
 
+    def repeat_to(self, instance: InstanceId) -> None:
+        """Tell a node that has just started, or was out of reach, of the crashes of suspects.
+
+        Blocked parts of prompts are in each digest and refresh.
+        """
+        for notice in self._context.crash_guard.crashes(self._context.now_s()):
+            self._context.post(instance, notice)
+
+    def adopt_crashes(self, notices: Iterable[CrashNotice]) -> None:
+        """Record crashes that the store kept, of which all nodes read by themselves."""
+        for notice in notices:
+            self._record_crash(self._context.instance, notice)
+
     def adopt_blocked(self, reporter: InstanceId, blocked: tuple[BlockedPart, ...]) -> None:
         """Block what a peer blocks, since this node may not have been told of the crashes."""
         newly_blocked = self._context.prompt_part_guard.adopt(blocked, self._context.now_s())
@@ -58,22 +71,38 @@
         now_s = self._context.now_s()
         incarnation = notice.upstream, notice.started_ms or 0
         for content in notice.contents:
-            crashes = self._context.crash_guard.record_crash(
-                content, incarnation, now_s, had_begun=content in notice.begun
-            )
-            log_event(
-                Event.POISON_VERDICT,
-                fingerprint=content,
-                verdict="suspected",
-                upstream=notice.upstream,
-                started_ms=notice.started_ms,
-                crashes=crashes,
-                reporter=reporter,
-            )
+            self._record_suspect(reporter, notice, content)
         for prompt in notice.prompts:
             blocked = self._context.prompt_part_guard.record_crash(incarnation, prompt, now_s)
             self._announce_blocked(reporter, blocked, notice.upstream)
 
+    def _record_suspect(
+        self, reporter: InstanceId, notice: CrashNotice, content: Fingerprint
+    ) -> None:
+        now_s, guard = self._context.now_s(), self._context.crash_guard
+        was_refused = guard.is_refused(content, now_s)
+        crashes = guard.record_crash(
+            content,
+            (notice.upstream, notice.started_ms or 0),
+            now_s - max(0.0, notice.age_s or 0.0),
+            had_begun=content in notice.begun,
+        )
+        if not crashes:
+            return
+        is_refused = guard.is_refused(content, now_s)
+        log_event(
+            Event.POISON_VERDICT,
+            fingerprint=content,
+            verdict="refused" if is_refused else "suspected",
+            upstream=notice.upstream,
+            started_ms=notice.started_ms,
+            crashes=crashes,
+            age_s=None if notice.age_s is None else round(notice.age_s, 3),
+            reporter=reporter,
+        )
+        if is_refused or was_refused:
+            self._tell_listeners()
+
     def _on_cleared(self, sender: InstanceId, notice: ClearedNotice) -> None:
         self._clear(sender, notice.content, notice.parts)
 
@@ -81,7 +110,7 @@
         self, reporter: InstanceId, content: Fingerprint, parts: tuple[PromptPartId, ...]
     ) -> tuple[bool, tuple[PromptPartId, ...]]:
         context = self._context
-        is_cleared = context.crash_guard.record_completion(content)
+        is_cleared = context.crash_guard.record_completion(content, context.now_s())
         cleared_parts = context.prompt_part_guard.record_answer(parts, context.now_s())
         if is_cleared or cleared_parts:
             log_event(
@@ -112,5 +141,5 @@
             self._tell_listeners()
 
     def _tell_listeners(self) -> None:
-        for listener in self._context.blocked_part_listeners:
+        for listener in self._context.crash_verdict_listeners:
             listener()
--- a/lentilchute/gateway/messages.py
+++ b/lentilchute/gateway/messages.py
@@ -343,6 +343,8 @@
     """Those whose answers had not begun."""
     begun: tuple[Fingerprint, ...] = ()
     """Those whose first events had come; earlier builds don't tell."""
+    age_s: float | None = None
+    """Time since the crash, if it is told again to a node that may have missed it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilchute/gateway/missed_notices.py
+++ b/lentilchute/gateway/missed_notices.py
@@ -13,6 +13,7 @@
 from ..ids import InstanceId
 from ..peers.message_dispatch import MessageHandler
 from .context import GatewayContext, gateway_controller
+from .crash_reports import CrashReportController
 from .leaving_notices import LeavingNoticeController
 from .messages import MissedNoticesQuestion
 from .rollouts.controller import RolloutController
@@ -66,6 +67,7 @@
 
     def _tell(self, instance: InstanceId) -> None:
         context = self._context
+        context.controller(CrashReportController).repeat_to(instance)
         context.controller(LeavingNoticeController).repeat_to(instance)
         context.controller(StreamContinuityController).repeat_to(instance)
         context.controller(RolloutController).repeat_to(instance)
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -31,6 +31,7 @@
 from . import (
     connection_watch,
     coordinator,
+    crash_persistence,
     crash_reports,
     leaving_notices,
     memory_watch,
@@ -38,7 +39,6 @@
     overload_log,
     peering,
     placement_client,
-    prompt_part_persistence,
     quota_persistence,
     reading,
     relay_service,
@@ -71,6 +71,7 @@
 CONTROLLER_MODULES = (
     connection_watch,
     coordinator,
+    crash_persistence,
     crash_reports,
     leaving_notices,
     memory_watch,
@@ -78,7 +79,7 @@
     overload_log,
     placement_client,
     peering,
-    prompt_part_persistence,
+    crash_persistence,
     quota_persistence,
     reading,
     relay_service,
--- a/lentilchute/peers/peer.thrift
+++ b/lentilchute/peers/peer.thrift
@@ -380,6 +380,7 @@
   3: i64 started_ms
   4: list<CrashedPrompt> prompts
   5: optional list<string> begun
+  6: optional double age_s
 }
 
 struct ClearedNotice {
--- a/lentilchute/peers/peer_structs.py
+++ b/lentilchute/peers/peer_structs.py
@@ -1006,6 +1006,7 @@
         3: (TType.I64, "started_ms", False),
         4: (TType.LIST, "prompts", (TType.STRUCT, CrashedPrompt), False),
         5: (TType.LIST, "begun", TType.STRING, False),
+        6: (TType.DOUBLE, "age_s", False),
     }
 
     def __init__(
@@ -1015,12 +1016,14 @@
         started_ms: Any = None,
         prompts: Any = None,
         begun: Any = None,
+        age_s: Any = None,
     ) -> None:
         self.upstream = upstream
         self.contents = contents
         self.started_ms = started_ms
         self.prompts = prompts
         self.begun = begun
+        self.age_s = age_s
 
 
 class ClearedNotice(Struct):
--- a/lentilchute/platform/rows.py
+++ b/lentilchute/platform/rows.py
@@ -24,6 +24,7 @@
 from ..ids import (
     AvailabilityZone,
     ClientAccountId,
+    Fingerprint,
     InstanceId,
     PromptPartId,
     ServiceName,
@@ -47,8 +48,12 @@
 """The table in which the coordinator stores the quota usage of accounts."""
 QUOTAS_KEY = "used"
 PROMPT_PARTS_TABLE = "lentilchute-prompt-parts"
-"""The table in which the coordinator stores the parts of prompts that crash upstreams."""
+"""The table in which the coordinator stores the requests and parts of prompts that crash
+upstreams."""
 PROMPT_PARTS_KEY = "blocked"
+CRASHING_REQUESTS_KEY = "requests"
+"""The row of the same table with the crashes of requests that are refused; earlier builds pass it
+over."""
 
 _REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -132,6 +137,48 @@
     ).encode()
 
 
+@dataclass(frozen=True, slots=True)
+class StoredCrash:
+    """A crash of an upstream that speaks against requests, timed by the store's clock."""
+
+    upstream: UpstreamId
+    started_ms: int
+    at_s: float
+    contents: tuple[Fingerprint, ...]
+    begun: tuple[Fingerprint, ...]
+    """Those of the requests whose first events had come."""
+
+
+def decode_crashes(value: bytes) -> Result[tuple[StoredCrash, ...], str]:
+    """Decode the row with the crashes of requests that are refused."""
+    return decode_row(value, lambda row: tuple(_crash(item) for item in row["crashes"]))
+
+
+def _crash(item: Any) -> StoredCrash:
+    return StoredCrash(
+        upstream=UpstreamId(string(item["id"])),
+        started_ms=integer(item["born"]),
+        at_s=number(item["at-s"]),
+        contents=tuple(Fingerprint(string(content)) for content in item["requests"]),
+        begun=tuple(Fingerprint(string(content)) for content in item["begun"]),
+    )
+
+
+def encode_crashes(crashes: tuple[StoredCrash, ...]) -> bytes:
+    """Return the value of the row with the crashes of requests that are refused."""
+    items = [
+        {
+            "id": crash.upstream,
+            "born": crash.started_ms,
+            "at-s": round(crash.at_s, 3),
+            "requests": list(crash.contents),
+            "begun": list(crash.begun),
+        }
+        for crash in crashes
+    ]
+    return json.dumps({"crashes": items}).encode()
+
+
 def encode_node(peers_address: str) -> bytes:
     """Return the value of this node's row."""
     return json.dumps({"peers": peers_address}).encode()
--- a/test/platform/test_rows.py
+++ b/test/platform/test_rows.py
@@ -12,7 +12,7 @@
 
 from lentilchute.gateway.fleet import UpstreamState
 from lentilchute.gateway.routes import RequestKind
-from lentilchute.ids import ClientAccountId, PromptPartId, ServiceName
+from lentilchute.ids import ClientAccountId, Fingerprint, PromptPartId, ServiceName, UpstreamId
 from lentilchute.platform import rows
 from lentilchute.platform.rows import decode_config, decode_node, decode_upstream, encode_node
 
@@ -37,6 +37,18 @@
         assert isinstance(rows.decode_blocked_parts(spoiled), Err)
 
 
+def test_crashes_are_decoded_as_encoded() -> None:
+    crashes = (
+        rows.StoredCrash(UpstreamId("d1"), 1773, 12.5, (Fingerprint("a"), Fingerprint("b")), ()),
+        rows.StoredCrash(UpstreamId("d2"), 0, 13.0, (Fingerprint("a"),), (Fingerprint("a"),)),
+    )
+    assert rows.decode_crashes(rows.encode_crashes(crashes)) == Ok(crashes)
+    one = '{"id": "d1", "born": 1, "at-s": %s, "requests": ["a"], "begun": []}'
+    assert rows.decode_crashes(f'{{"crashes": [{one % 2}], "later": 1}}'.encode()).is_ok()
+    spoiled = (b"", b"[]", b"{}", b'{"crashes": [1]}', f'{{"crashes": [{one % "NaN"}]}}'.encode())
+    assert all(isinstance(rows.decode_crashes(value), Err) for value in spoiled)
+
+
 def test_a_configuration_is_decoded() -> None:
     config = decode_config(config_row()).unwrap()
     assert config.version == 7
