Judge by its own attempt whether a stream ended before any event

Callers got a stream as complete that had broken off after some events: the next upstream sent the head of a signed 200 without a length and closed the connection (ORDER).

Cause: an answer without length or chunks that ends before any event counts as broken, but events of all attempts were counted. Now those of the present attempt are, with those that the caller already has, since an upstream that sends the whole stream again does complete it.

--- a/lentilchute/gateway/event_relay.py
+++ b/lentilchute/gateway/event_relay.py
@@ -12,11 +12,14 @@
         self.last_event_id = resume_after
         """Id of the last event that was relayed to the caller, or that it asked to resume after."""
         self.relayed_events = 0
+        self.attempt_events = 0
+        """Events that the present attempt has brought, with those that the caller already has."""
         self._reader = SseReader()
 
     def restart_stream(self) -> None:
         """Start reading the stream of a new attempt; drops a partial event of the previous one."""
         self._reader = SseReader()
+        self.attempt_events = 0
 
     def feed(self, data: bytes) -> Result[bytes, str]:
         """Parse more bytes and return the raw bytes of the events that they complete.
@@ -26,6 +29,7 @@
         events = self._reader.feed(data)
         if isinstance(events, Err):
             return events
+        self.attempt_events += len(events.ok_value)
         relayed = []
         for event in events.ok_value:
             if event.event_id is not None:
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -616,8 +616,8 @@
 
 def _is_broken_off(relay: EventRelay, exchange: PathExchange) -> bool:
     """Return whether a stream that has ended is incomplete: it ends inside an event, or its
-    connection closed before any."""
-    is_empty = relay.relayed_events == 0 and relay.last_event_id is None
+    connection closed before any event of this attempt."""
+    is_empty = relay.attempt_events == 0
     return relay.has_partial_event or (is_empty and exchange.ended_with_connection)
 
 
--- a/test/gateway/test_event_relay.py
+++ b/test/gateway/test_event_relay.py
@@ -53,3 +53,11 @@
         for at in range(0, len(stream), step):
             relayed += relay.feed(stream[at : at + step]).unwrap()
     assert relayed == b"".join(event(number) for number in range(1, event_count + 1))
+
+
+def test_events_that_the_caller_has_count_for_their_attempt() -> None:
+    relay = EventRelay(resume_after=2)
+    assert relay.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n").unwrap() == b""
+    assert (relay.attempt_events, relay.relayed_events) == (2, 0)
+    relay.restart_stream()
+    assert relay.attempt_events == 0
--- a/test/gateway/unruly_crowds.py
+++ b/test/gateway/unruly_crowds.py
@@ -148,9 +148,11 @@
     directory: Path,
     memory_mb: int = MEMORY_MB,
     max_descriptors: int = MAX_DESCRIPTORS,
+    more_settings: str = "",
 ) -> AsyncIterator[Node]:
     """Yield a node of a world, in a process of its own with little memory and few descriptors."""
-    settings = node_settings("node-0", world.store_address, f"machine:\n  memory_mb: {memory_mb}")
+    text = f"machine:\n  memory_mb: {memory_mb}\n{more_settings}"
+    settings = node_settings("node-0", world.store_address, text)
     path, log = directory / "node.yaml", directory / "node.log"
     path.write_text(json.dumps(settings.model_dump(mode="json", exclude_none=True)))
     with log.open("wb") as output:
