Join no answer of another media type to a stream that has begun

Cause: any signed 200 was taken to go on with a stream, and text that ends with a blank line passes for an event without an id. A further answer that names a media type must name that of the answer that has begun; else the attempt has failed, and the stream goes on elsewhere or is broken off.

Evidence: the two forms that this adds to the table of test_an_error_is_no_part_of_a_stream_that_has_begun got the error as an event and a whole stream in all four ways to break off at; now callers get the events that came and a visible break. An answer that names no type is believed, as the protocol obliges no upstream to name one.

--- a/lentilchute/gateway/active_request.py
+++ b/lentilchute/gateway/active_request.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..http.client import RELAY_READ_BYTES
-from ..http.messages import Headers
+from ..http.messages import EVENT_STREAM, Headers, media_type
 from ..http.responder import Responder
 from ..ids import UpstreamId
 from .attempts import AttemptEnd, AttemptTracker
@@ -65,6 +65,16 @@
     """This node had no memory for the answer of the current attempt."""
     partial_event_bytes: int = 0
     """What is counted for an event whose end has not come yet."""
+    begun_type: str | None = None
+    """The media type of the answer that has begun, if its upstream named one."""
+
+    def is_continued_by(self, headers: Headers) -> bool:
+        """Return whether a further answer can go on with the stream that has begun.
+
+        An upstream that answers with a page or a message of its own does not.
+        """
+        named = media_type(headers)
+        return named is None or named == (self.begun_type or EVENT_STREAM)
 
     def count_partial_event(self, now_s: float) -> bool:
         """Count what has come of an event, and return whether there is room for it.
--- a/lentilchute/gateway/forwarder.py
+++ b/lentilchute/gateway/forwarder.py
@@ -12,7 +12,7 @@
     HttpHead,
     PartResult,
 )
-from ..http.messages import header_value
+from ..http.messages import header_value, media_type
 from ..http.requests import HttpRequest
 from ..http.responder import Responder
 from ..platform.endpoints import path_of
@@ -406,6 +406,8 @@
         if is_success and (not answer.is_signed or answer.has_encoding):
             return AttemptEnd.BROKEN
         if is_success and active.route.kind is RequestKind.STREAM:
+            if active.attempts.has_started_answer and not active.is_continued_by(head.headers):
+                return AttemptEnd.BROKEN
             return await self._relay_events(active, placement, exchange, head)
         return await self._relay_complete_answer(active, placement, exchange, head)
 
@@ -512,6 +514,7 @@
             await active.responder.send(events)
             return
         active.attempts.has_started_answer = True
+        active.begun_type = media_type(head.headers)
         await active.responder.start(head.status, head.headers, events)
 
     async def _end_stream(
--- a/lentilchute/http/messages.py
+++ b/lentilchute/http/messages.py
@@ -27,6 +27,7 @@
 REQUEST_ID_HEADER = "x-request-id"
 
 JSON_HEADER = ("content-type", "application/json")
+EVENT_STREAM = "text/event-stream"
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -50,6 +51,16 @@
     return None
 
 
+def media_type(headers: Headers) -> str | None:
+    """Return the media type that a message names, without its parameters, or ``None``.
+
+    >>> media_type((("content-type", "Text/Event-Stream; charset=utf-8"),))
+    'text/event-stream'
+    """
+    named = header_value(headers, "content-type")
+    return None if named is None else named.partition(";")[0].strip().lower()
+
+
 def without_headers(headers: Headers, names: frozenset[str]) -> Headers:
     """Return ``headers`` without those in ``names`` (lower case)."""
     return tuple((name, value) for name, value in headers if name.lower() not in names)
--- a/test/gateway/test_interrupted_answers.py
+++ b/test/gateway/test_interrupted_answers.py
@@ -78,6 +78,10 @@
     "not executed": b"HTTP/1.1 503 Busy\r\n{signed}Lentilchute-Not-Executed: 1\r\n"
     + FRAMINGS["with a length"] % ERROR,
     "200 that nobody signed": b"HTTP/1.1 200 OK\r\n" + FRAMINGS["with a length"] % ERROR,
+    "200 of another type": b"HTTP/1.1 200 OK\r\n{signed}Content-Type: text/plain\r\n"
+    + FRAMINGS["with a length"] % ERROR,
+    "200 of another type, in chunks": b"HTTP/1.1 200 OK\r\n{signed}Content-Type: text/html\r\n"
+    + FRAMINGS["in chunks"] % ERROR,
     "200 that ends before its first event": b"HTTP/1.1 200 OK\r\n{signed}\r\n",
     "200 that stops within its length": b"HTTP/1.1 200 OK\r\n{signed}Content-Length: 99\r\n\r\n",
     "a part of a head": b"HTTP/1.1 500 Trouble\r\n{signed}",
