--- a/lentilchute/gateway/crash_persistence.py
+++ b/lentilchute/gateway/crash_persistence.py
@@ -20,7 +20,7 @@
 from .messages import BlockedPart, CrashNotice
 
 READ_AFTER_S = 1.0
-"""A node that starts reads what it cannot do without first."""
+"""A node that starts first reads what it needs to serve at all."""
 READ_SPREAD_S = 0.5
 """Nodes that start together read spread over this time."""
 RETRY_INTERVAL_S = 0.5
--- a/lentilchute/gateway/crash_reports.py
+++ b/lentilchute/gateway/crash_reports.py
@@ -55,7 +55,7 @@
             self._context.post(instance, notice)
 
     def adopt_crashes(self, notices: Iterable[CrashNotice]) -> None:
-        """Record crashes that the store kept, of which all nodes read by themselves."""
+        """Record crashes that the store kept; no peer is told, as each node reads them itself."""
         for notice in notices:
             self._record_crash(self._context.instance, notice)
 
--- a/lentilchute/gateway/node.py
+++ b/lentilchute/gateway/node.py
@@ -79,7 +79,6 @@
     overload_log,
     placement_client,
     peering,
-    crash_persistence,
     quota_persistence,
     reading,
     relay_service,
