Give the time to a test's question whether a request was cleared

test_a_suspected_request_that_completes_is_cleared_everywhere asks the crash guards whether a request is still a suspect by clearing it, which takes the time since: it failed with a TypeError in a part of the suite. What it checks is as it was.

--- a/test/gateway/test_gateway_nodes.py
+++ b/test/gateway/test_gateway_nodes.py
@@ -526,7 +526,8 @@
             assert answer is not None and answer.status == 200
             await trio.sleep(0.2)
             guards = [node.node.context.crash_guard for node in world.nodes]
-            assert not any(guard.record_completion(content) for guard in guards)
+            now_s = context.now_s()
+            assert not any(guard.record_completion(content, now_s) for guard in guards)
 
     run_world(scenario)
 
